Add the design page, the schema, core interfaces and the build

Cause: the repository is empty; the design has to be fixed before code. The design page weighs tickets, hash ownership and admission records for at-most-once starts, and early, late and hybrid binding for placement; it takes tickets and hybrid binding. Before: nothing. Conclusion: packages can be implemented independently against these headers.

--- /dev/null
+++ b/packages/core/include/coltsfoottide/core/config_state.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/schema/wire.pb.h"
+
+namespace coltsfoottide::core {
+
+// The configuration folded from the log up to an offset. Folding depends on
+// nothing but the records, so all processes agree; the offset never
+// decreases.
+class ConfigState {
+ public:
+  // Folds the record at the offset; returns false and changes nothing unless
+  // the offset is next_offset(). An unreadable record counts as folded.
+  bool Fold(std::uint64_t offset, const std::string& record);
+
+  // Takes over a whole state if it is newer; returns whether it was.
+  bool Adopt(const wire::ConfigStateData& data);
+
+  wire::ConfigStateData ToData() const;
+
+  std::uint64_t next_offset() const { return next_offset_; }
+  // Whether tasks may not start in the data centre.
+  bool DataCentreOut(const std::string& name) const;
+  std::optional<api::QuotaConfig> Quota(const std::string& team) const;
+  std::optional<api::ServiceConfig> Service(const std::string& name) const;
+  // Version of a key ("quota/TEAM"), 0 if it was never set.
+  std::uint64_t Version(const std::string& key) const;
+  const std::map<std::string, api::ConfigItem>& items() const { return items_; }
+  const std::vector<api::RosterItem>& roster() const { return roster_; }
+  // What became of a change, if it is among the last 4096.
+  std::optional<wire::ChangeOutcome> Outcome(const std::string& change_id) const;
+
+ private:
+  void FoldChange(std::uint64_t offset, const wire::ChangeRecord& change);
+  void FoldRegister(std::uint64_t offset, const wire::RegisterEntryRecord& entry);
+  void FoldRemove(std::uint64_t offset, const wire::RemoveEntryRecord& entry);
+  void AddOutcome(wire::ChangeOutcome outcome);
+
+  std::uint64_t next_offset_ = 0;
+  std::map<std::string, api::ConfigItem> items_;
+  std::vector<api::RosterItem> roster_;
+  std::deque<wire::ChangeOutcome> outcomes_;
+};
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/include/coltsfoottide/core/directory.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/schema/wire.pb.h"
+
+namespace coltsfoottide::core {
+
+// The agents that have announced themselves to an entry, with what they last
+// said of themselves.
+class Directory {
+ public:
+  struct Member {
+    api::WorkerInfo info;
+    TimePoint heard;
+    std::uint32_t recent_starts = 0;
+    std::uint32_t recent_failures = 0;
+    bool ejected = false;
+  };
+
+  explicit Directory(Duration suspect_after = std::chrono::seconds(3),
+                     Duration remove_after = std::chrono::seconds(10));
+
+  // Takes in an announcement. A new incarnation at an endpoint replaces the
+  // older one.
+  void OnRenew(const wire::Renew& renew, TimePoint now);
+
+  // Takes in members of another entry's sample that are not announced here.
+  void OnSample(const std::vector<api::WorkerInfo>& workers, TimePoint now);
+
+  // Reports a closed connection: the agent is suspected until it is heard.
+  void OnLinkDown(const std::string& endpoint);
+
+  // Removes members unheard for too long and decides on ejections.
+  void Tick(TimePoint now);
+
+  // Changes whenever the set of members, a state or a resource changes (load
+  // does not count).
+  std::uint64_t version() const { return version_; }
+
+  // Workers for one agent's coordinator: at most `limit` for each service, a
+  // stable random subset weighted to its own data centre.
+  std::vector<api::WorkerInfo> CandidatesFor(const std::string& endpoint,
+                                             const std::string& data_centre,
+                                             std::size_t limit = 64) const;
+
+  // Agents that may issue tickets now, with those of `data_centre` first.
+  std::vector<api::WorkerInfo> Coordinators(const std::string& data_centre) const;
+
+  // A random sample of up to `limit` announced workers a service, for other
+  // entries.
+  std::vector<api::WorkerInfo> Sample(std::size_t limit, std::uint64_t seed) const;
+
+  // Whether some known worker of the service offers what the task needs; sets
+  // `known` to whether the service has any worker.
+  bool CanRun(const std::string& service, const api::Resources& needs, bool* known) const;
+
+  // Every member, as an operator sees it.
+  std::vector<api::WorkerInfo> List(TimePoint now) const;
+  const std::map<std::string, Member>& members() const { return members_; }
+  bool Ejected(const std::string& endpoint) const;
+
+ private:
+  Duration suspect_after_;
+  Duration remove_after_;
+  std::map<std::string, Member> members_;
+  std::uint64_t version_ = 1;
+};
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/include/coltsfoottide/core/job_router.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/schema/wire.pb.h"
+
+namespace coltsfoottide::core {
+
+class CallSink;
+class Outbox;
+
+// Settings of a job router.
+struct JobRouterOptions {
+  // Silence of a coordinator before it is asked again over a new connection.
+  Duration silence_limit = std::chrono::seconds(1);
+  // Silence after which a coordinator is lost.
+  Duration lost_limit = std::chrono::seconds(3);
+  std::size_t max_calls = 20000;
+  // Tickets kept in stock for each coordinator asked.
+  std::uint32_t ticket_stock = 64;
+};
+
+// The part of an entry that routes callers' calls to coordinators and gives
+// each call exactly one response. Not thread-safe.
+class JobRouter {
+ public:
+  // The outbox and the sink must outlive the router.
+  JobRouter(JobRouterOptions options, Outbox& outbox, CallSink& sink, std::uint64_t seed);
+  ~JobRouter();
+  JobRouter(const JobRouter&) = delete;
+  JobRouter& operator=(const JobRouter&) = delete;
+
+  // Each call number is chosen by the caller of the router and is unique.
+  void ObtainTickets(std::uint64_t call, const api::ObtainTicketsRequest& request, TimePoint now);
+  void Submit(std::uint64_t call, const api::SubmitRequest& request, TimePoint now);
+  void Wait(std::uint64_t call, const api::WaitRequest& request, TimePoint now);
+  void Cancel(std::uint64_t call, const api::CancelRequest& request, TimePoint now);
+  void Status(std::uint64_t call, const api::StatusRequest& request, TimePoint now);
+  void ListJobs(std::uint64_t call, const api::ListJobsRequest& request, TimePoint now);
+
+  // Forgets a call whose caller has disconnected; the job goes on.
+  void Abandon(std::uint64_t call);
+
+  // The response to a call was written to the caller: acknowledges the answer
+  // to its coordinator.
+  void OnDelivered(std::uint64_t call, TimePoint now);
+
+  // Handles TicketReply, JobReply, JobList and ProbeReply; ignores others.
+  void OnMessage(const wire::Envelope& envelope, TimePoint now);
+
+  // Replaces the agents that tickets may be asked from.
+  void SetCoordinators(const std::vector<api::WorkerInfo>& agents, TimePoint now);
+
+  // Reports that the connection to an endpoint has closed.
+  void OnLinkDown(const std::string& endpoint, TimePoint now);
+
+  void Tick(TimePoint now);
+  TimePoint NextWake() const;
+  // Number of calls without a response.
+  std::size_t pending() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/time.cc
@@ -0,0 +1,1 @@
+#include "coltsfoottide/core/time.h"
--- /dev/null
+++ b/packages/daemon/include/coltsfoottide/daemon/logging.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace coltsfoottide::daemon {
+
+// Writes one JSON object a line to standard error: time (UTC, ISO 8601 with
+// milliseconds), level, process, event and the given fields. Thread-safe.
+class Logger {
+ public:
+  using Field = std::pair<std::string_view, std::string>;
+
+  virtual ~Logger() = default;
+  virtual void Debug(std::string_view event, std::initializer_list<Field> fields) = 0;
+  virtual void Info(std::string_view event, std::initializer_list<Field> fields) = 0;
+  virtual void Warn(std::string_view event, std::initializer_list<Field> fields) = 0;
+  virtual void Error(std::string_view event, std::initializer_list<Field> fields) = 0;
+};
+
+// Makes a logger over spdlog; `level` is "debug", "info", "warn" or "error",
+// `process` names the role and endpoint.
+std::unique_ptr<Logger> MakeJsonLogger(const std::string& level, const std::string& process);
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/include/coltsfoottide/daemon/settings.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace coltsfoottide::daemon {
+
+enum class Role { kEntry, kAgent };
+
+// Settings of one daemon process, from a TOML file and flags.
+struct Settings {
+  Role role = Role::kEntry;
+  // "IP:port" for links to other processes of the system.
+  std::string listen;
+  // "IP:port" for HTTP: callers and operators at an entry; /metrics and
+  // /healthz at both roles.
+  std::string http_listen;
+  std::string data_centre;
+  std::string rack;
+  std::string log_level = "info";
+  // Link endpoints of the entries: an agent renews with the first 4, an entry
+  // exchanges status with all but itself.
+  std::vector<std::string> entries;
+
+  // Entry: base URL of the platform's log, "http://IP:port".
+  std::string log_url;
+
+  // Agent: base URL of the backend server, its service and resources.
+  std::string backend_url;
+  std::string service;
+  std::uint32_t slots = 8;
+  std::uint32_t connections = 64;
+  std::uint32_t cpu_millicores = 0;
+  std::uint32_t memory_mb = 0;
+  std::uint32_t accelerators = 0;
+  // "hybrid" or "random".
+  std::string placement = "hybrid";
+  std::chrono::milliseconds drain_limit = std::chrono::seconds(30);
+};
+
+struct SettingsError {
+  // One line: "FILE:LINE: KEY: what is wrong".
+  std::string message;
+};
+
+// One setting given as a flag, e.g. {"listen", "127.0.0.1:7000"}.
+struct Override {
+  std::string key;
+  std::string value;
+};
+
+// Reads a TOML file and applies the overrides. An unknown key, a wrong type,
+// a value out of range and a missing required key are errors.
+std::variant<Settings, SettingsError> LoadSettings(const std::string& path,
+                                                   const std::vector<Override>& overrides);
+
+// Same, from text; `name` stands for the file in messages.
+std::variant<Settings, SettingsError> ParseSettings(const std::string& text,
+                                                    const std::string& name,
+                                                    const std::vector<Override>& overrides);
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/http/include/coltsfoottide/http/server.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace coltsfoottide::http {
+
+struct Request {
+  // Unique in this server.
+  std::uint64_t id = 0;
+  std::string method;
+  std::string path;
+  // Names in lower case.
+  std::map<std::string, std::string> headers;
+  std::string body;
+};
+
+struct Response {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+  std::map<std::string, std::string> headers;
+};
+
+struct ServerLimits {
+  std::size_t max_request_bytes = 2 * 1024 * 1024;
+  std::size_t max_connections = 4096;
+  std::chrono::milliseconds header_time = std::chrono::seconds(5);
+  std::chrono::milliseconds body_time = std::chrono::seconds(10);
+  std::chrono::milliseconds idle_time = std::chrono::seconds(60);
+};
+
+struct ServerError {
+  std::string message;
+};
+
+// An HTTP/1.1 server on the current Qt thread. Requests are answered later,
+// in any order, by id; each connection has one request in progress.
+class Server {
+ public:
+  virtual ~Server() = default;
+
+  // Answers a request; a second answer, and an answer to a connection that is
+  // gone, are ignored. Returns whether it was written to an open connection.
+  virtual bool Respond(std::uint64_t id, const Response& response) = 0;
+
+  // Stops listening; idle connections close at once, others after their
+  // answer.
+  virtual void BeginStop() = 0;
+
+  // Number of requests without an answer.
+  virtual std::size_t pending() const = 0;
+  // Port in use.
+  virtual std::uint16_t port() const = 0;
+};
+
+struct ServerCallbacks {
+  std::function<void(Request request)> on_request;
+  // The caller has disconnected before the answer.
+  std::function<void(std::uint64_t id)> on_abandoned;
+};
+
+// Listens on an IP number and port (0: any). Must be called, used and
+// destroyed on a thread with a Qt event loop.
+std::variant<std::unique_ptr<Server>, ServerError> MakeServer(const std::string& address,
+                                                              std::uint16_t port,
+                                                              ServerLimits limits,
+                                                              ServerCallbacks callbacks);
+
+}  // namespace coltsfoottide::http
--- /dev/null
+++ b/packages/http/src/server.cc
@@ -0,0 +1,1 @@
+#include "coltsfoottide/http/server.h"
--- /dev/null
+++ b/packages/link/src/nng_link_hub.cc
@@ -0,0 +1,1 @@
+#include "coltsfoottide/link/link_hub.h"
