--- a/packages/schema/src/validation.cc
+++ b/packages/schema/src/validation.cc
@@ -19,8 +19,9 @@
 std::optional<api::Error> ValidateTask(const api::JobSpec& job, int index) {
   const api::TaskSpec& task = job.tasks(index);
   const std::string where = "tasks[" + std::to_string(index) + "]";
-  if (task.kind().size() > kMaxNameBytes) {
-    return Invalid(where + ".kind is longer than 64 bytes");
+  // The kind becomes an HTTP header towards the backend server.
+  if (!task.kind().empty() && !IsName(task.kind())) {
+    return Invalid(where + ".kind is not a name (1 to 64 of a-z A-Z 0-9 - _ .)");
   }
   if (task.payload().size() > kMaxTaskPayloadBytes) {
     return Invalid(where + ".payload is larger than 64 KB");
