--- /dev/null
+++ b/scripts/lib/history.py
@@ -0,0 +1,141 @@
+"""Checks a recorded history of calls and starts against the guarantees.
+
+A history has two parts and nothing else: the calls that clients made with
+the answers they got, and the starts that the backend stand-ins recorded.
+Each task's payload carries a unique echo "JOB-INDEX", which its result
+repeats; starts are matched to jobs by that echo, not by anything that the
+system says.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass
+class Call:
+    """One job as its client saw it, over all calls made with its ticket."""
+
+    job: str  # unique name, the prefix of the echoes
+    tasks: int
+    answers: list = dataclasses.field(default_factory=list)  # whole answers
+    lost: bool = False  # no entry gave an answer at all
+    idempotent: bool = False
+
+
+@dataclasses.dataclass
+class Start:
+    """One start as a backend stand-in recorded it."""
+
+    echo: str
+    start_id: str
+    time_us: int
+    backend: str
+    data_centre: str
+
+
+def starts_by_echo(starts):
+    grouped = {}
+    for start in starts:
+        grouped.setdefault(start.echo, []).append(start)
+    return grouped
+
+
+def check_starts_at_most_once(calls, starts):
+    """Each task of a job was started at most once, over all backends."""
+    errors = []
+    for echo, group in starts_by_echo(starts).items():
+        if len(group) > 1:
+            where = ", ".join(f"{s.backend}@{s.time_us}" for s in group)
+            errors.append(f"task {echo} started {len(group)} times: {where}")
+    return errors
+
+
+def check_complete_or_failed(calls, starts):
+    """An answer has every result or none, and every job has an answer."""
+    errors = []
+    for call in calls:
+        if call.lost or not call.answers:
+            errors.append(f"job {call.job} has no answer")
+        for answer in call.answers:
+            results = answer.get("results", [])
+            state = answer.get("state")
+            indices = sorted(result.get("index", 0) for result in results)
+            if state == "COMPLETE" and indices != list(range(call.tasks)):
+                errors.append(f"job {call.job} complete with results {indices} of {call.tasks}")
+            elif state == "FAILED" and results:
+                errors.append(f"job {call.job} failed with {len(results)} results")
+            elif state not in ("COMPLETE", "FAILED"):
+                errors.append(f"job {call.job} answered in state {state}")
+        errors += _check_agreeing_answers(call)
+    return errors
+
+
+def _check_agreeing_answers(call):
+    """Next to a complete answer, only an unknown outcome may be answered:
+    the answer may have expired, or its coordinator may have been lost."""
+    states = {answer.get("state") for answer in call.answers}
+    verdicts = {a["error"]["verdict"] for a in call.answers if a.get("state") == "FAILED"}
+    if states == {"COMPLETE", "FAILED"} and verdicts != {"MAY_HAVE_RUN"}:
+        return [f"job {call.job} was answered both complete and failed: {sorted(verdicts)}"]
+    return []
+
+
+def check_own_answer(calls, starts):
+    """Each result of a complete answer is the echo of the caller's task."""
+    errors = []
+    for call in calls:
+        for answer in call.answers:
+            for result in answer.get("results", []):
+                expected = f"{call.job}-{result.get('index', 0)}"
+                if result.get("echo") != expected:
+                    errors.append(f"job {call.job} got {result.get('echo')} for {expected}")
+    return errors
+
+
+def check_not_run_is_true(calls, starts):
+    """A job answered NOT_RUN has no start, before or after the answer."""
+    started = {echo.rsplit("-", 1)[0] for echo in starts_by_echo(starts)}
+    errors = []
+    for call in calls:
+        for answer in call.answers:
+            verdict = answer.get("error", {}).get("verdict")
+            if answer.get("state") == "FAILED" and verdict not in ("NOT_RUN", "MAY_HAVE_RUN", "RAN"):
+                errors.append(f"job {call.job} failed with verdict {verdict}")
+            if verdict == "NOT_RUN" and call.job in started:
+                errors.append(f"job {call.job} answered NOT_RUN but started")
+    return errors
+
+
+def check_complete_was_run(calls, starts):
+    """A complete job has a start for each of its tasks."""
+    by_echo = starts_by_echo(starts)
+    errors = []
+    for call in calls:
+        if any(answer.get("state") == "COMPLETE" for answer in call.answers):
+            missing = [i for i in range(call.tasks) if f"{call.job}-{i}" not in by_echo]
+            if missing:
+                errors.append(f"job {call.job} complete without starts of {missing}")
+    return errors
+
+
+def check_no_starts_between(starts, where, begin_us, end_us):
+    """No start at the selected places within a time span."""
+    return [
+        f"task {s.echo} started at {s.backend} ({s.data_centre}) "
+        f"{(s.time_us - begin_us) / 1e6:.3f} s into the forbidden span"
+        for s in starts
+        if where(s) and begin_us <= s.time_us <= end_us
+    ]
+
+
+ALWAYS = (
+    check_starts_at_most_once,
+    check_complete_or_failed,
+    check_own_answer,
+    check_not_run_is_true,
+    check_complete_was_run,
+)
+
+
+def check_always(calls, starts):
+    """All checks that hold for every history."""
+    return [error for check in ALWAYS for error in check(calls, starts)]
