Add the worker and the start permission

Cause: an agent needs the part that owns the slots of its backend server and starts each task at most once. There was only the interface.

Choices: - A known task is looked up before anything may refuse its Start, because a refusal says that the task has not started. - Ruled out: treating every lower sequence number as a duplicate. It would refuse Starts that only overtook each other.

Before: no worker.

--- /dev/null
+++ b/packages/core/src/concurrency_limit.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+
+#include "coltsfoottide/core/time.h"
+
+namespace coltsfoottide::core {
+
+// The number of tasks that the backend server accepts at once, learned from
+// its refusals: a refusal halves it, successes raise it by one a second.
+class ConcurrencyLimit {
+ public:
+  explicit ConcurrencyLimit(std::uint32_t slots) : slots_(slots), limit_(slots) {}
+
+  // Sets the slots that the backend server declares; they bound the limit.
+  void SetSlots(std::uint32_t slots);
+
+  // Reports a task that the backend server refused before its start. Only one
+  // of the refusals of calls that were in flight together halves the limit.
+  void OnRefusal(TimePoint sent, TimePoint now);
+
+  // Reports a task that the backend server has run.
+  void OnSuccess(TimePoint now);
+
+  // Returns the limit; 0 for a short time after a refusal at limit 1.
+  std::uint32_t Value(TimePoint now) const;
+
+  // Returns when the limit next rises without a report, or TimePoint::max().
+  TimePoint NextChange(TimePoint now) const;
+
+ private:
+  std::uint32_t slots_;
+  std::uint32_t limit_;
+  TimePoint halved_ = TimePoint::min();
+  TimePoint raised_ = TimePoint::min();
+  TimePoint closed_until_ = TimePoint::min();
+};
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/session_table.cc
@@ -0,0 +1,84 @@
+#include "session_table.h"
+
+#include <algorithm>
+
+namespace coltsfoottide::core {
+namespace {
+
+// About 4.5 KB each; a worker is a candidate of about 64 coordinators.
+constexpr std::size_t kMaxLinks = 2048;
+// A coordinator opens a new session only after its worker forgot one.
+constexpr std::size_t kMaxSessionsPerLink = 8;
+
+}  // namespace
+
+std::uint64_t SessionTable::Hello(std::uint64_t incarnation, const std::string& endpoint,
+                                  std::uint64_t nonce, TimePoint now) {
+  CoordinatorLink& link = links_[incarnation];
+  link.incarnation = incarnation;
+  link.endpoint = endpoint;
+  link.heard = now;
+  for (const CoordinatorLink::Session& session : link.sessions) {
+    if (session.nonce == nonce) {
+      return session.number;
+    }
+  }
+  std::uint64_t number = random_();
+  while (number == 0) {
+    number = random_();
+  }
+  link.sessions.push_back({nonce, number});
+  link.window = StartWindow();
+  if (link.sessions.size() > kMaxSessionsPerLink) {
+    link.sessions.pop_front();
+  }
+  return number;
+}
+
+CoordinatorLink* SessionTable::Find(std::uint64_t incarnation) {
+  const auto it = links_.find(incarnation);
+  return it == links_.end() ? nullptr : &it->second;
+}
+
+CoordinatorLink* SessionTable::FindCurrent(std::uint64_t incarnation, std::uint64_t session) {
+  CoordinatorLink* link = Find(incarnation);
+  return link != nullptr && link->sessions.back().number == session ? link : nullptr;
+}
+
+CoordinatorLink* SessionTable::FindAny(std::uint64_t incarnation, std::uint64_t session) {
+  CoordinatorLink* link = Find(incarnation);
+  const auto matches = [session](const auto& known) { return known.number == session; };
+  return link != nullptr && std::ranges::any_of(link->sessions, matches) ? link : nullptr;
+}
+
+std::vector<std::uint64_t> SessionTable::HeardBefore(TimePoint limit) const {
+  std::vector<std::uint64_t> found;
+  for (const auto& [incarnation, link] : links_) {
+    if (link.heard <= limit) {
+      found.push_back(incarnation);
+    }
+  }
+  return found;
+}
+
+std::vector<std::uint64_t> SessionTable::OthersAt(const std::string& endpoint,
+                                                  std::uint64_t incarnation) const {
+  std::vector<std::uint64_t> found;
+  for (const auto& [other, link] : links_) {
+    if (other != incarnation && link.endpoint == endpoint) {
+      found.push_back(other);
+    }
+  }
+  return found;
+}
+
+std::vector<std::uint64_t> SessionTable::Excess() const {
+  if (links_.size() <= kMaxLinks) {
+    return {};
+  }
+  const auto oldest = std::ranges::min_element(
+      links_, [](const auto& a, const auto& b) { return a.second.heard < b.second.heard; });
+  return {oldest->first};
+}
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/started_tasks.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/schema/wire.pb.h"
+#include "task_key.h"
+
+namespace coltsfoottide::core {
+
+// The tasks that a worker has started, until their results are acknowledged.
+// A result may be dropped before, to bound memory; the task stays known as
+// finished, so that it is never reported as not started.
+class StartedTasks {
+ public:
+  struct Task {
+    wire::TaskId id;
+    std::string endpoint;
+    std::uint64_t link_sequence = 0;
+    api::JobClass job_class = api::URGENT;
+    TimePoint started;
+    bool finished = false;
+    TimePoint finish_time;
+    // Set from the end of the task until the result is dropped.
+    bool has_result = false;
+    wire::Result result;
+    std::size_t bytes = 0;
+    std::uint64_t order = 0;
+    // The worker has forgotten the task's coordinator.
+    bool orphan = false;
+  };
+
+  explicit StartedTasks(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+
+  Task& AddRunning(const wire::Start& start, const std::string& endpoint, TimePoint now);
+
+  // Returns the task, or null if it has not started or is forgotten.
+  Task* Find(const TaskKey& key);
+
+  // Stores the result; drops the oldest results past the byte bound.
+  void Finish(Task& task, wire::Result result, TimePoint now);
+
+  // Forgets a task that did not start after all.
+  void RemoveRunning(const TaskKey& key);
+
+  // Forgets a finished task; a running one is not affected.
+  void Acknowledge(const TaskKey& key);
+
+  // Drops the results of tasks finished at or before `limit`.
+  void DropResultsBefore(TimePoint limit);
+
+  // Forgets the coordinator's finished tasks; running ones are forgotten when
+  // their results are dropped.
+  void ForgetCoordinator(std::uint64_t coordinator);
+
+  // Returns the number of known tasks of a coordinator.
+  std::size_t KnownOf(std::uint64_t coordinator) const;
+
+  std::uint32_t running() const { return running_; }
+  std::uint32_t running_bulk() const { return running_bulk_; }
+  std::size_t results() const { return by_age_.size(); }
+  std::size_t result_bytes() const { return bytes_; }
+  // Finish time of the oldest result, or TimePoint::max().
+  TimePoint OldestResult() const;
+
+ private:
+  void DropOldestResult();
+  void DropResult(Task& task);
+  void EndRunning(const Task& task);
+  void Erase(const TaskKey& key);
+
+  std::size_t max_bytes_;
+  std::size_t bytes_ = 0;
+  std::uint32_t running_ = 0;
+  std::uint32_t running_bulk_ = 0;
+  std::uint64_t next_order_ = 1;
+  std::unordered_map<TaskKey, Task, TaskKeyHash> tasks_;
+  std::unordered_map<std::uint64_t, std::unordered_set<TaskKey, TaskKeyHash>> by_coordinator_;
+  std::map<std::uint64_t, TaskKey> by_age_;
+};
+
+}  // namespace coltsfoottide::core
