Add the job router

Cause: an entry needs the part that routes callers' calls to coordinators and gives each call exactly one response. There was only the interface.

The router is divided into the calls (job_router.cc), the replies (job_router_replies.cc), the stock of prefetched tickets, the watch over silent coordinators and the collection of job lists.

Found by the tests: responding to a failed call read its ticket after the call was removed; the response is now made before the removal.

Before: no router.

--- /dev/null
+++ b/packages/core/src/job_listing.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "coltsfoottide/core/outbox.h"
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/schema/wire.pb.h"
+
+namespace coltsfoottide::core {
+
+// Collects the jobs of several coordinators into one response.
+class JobListing {
+ public:
+  using Response = std::pair<std::uint64_t, api::ListJobsResponse>;
+
+  JobListing(Outbox& outbox, std::uint64_t first_request)
+      : outbox_(outbox), next_request_(first_request) {}
+
+  // Asks the endpoints; the response is due shortly after, with the lists
+  // that have arrived by then.
+  void Begin(std::uint64_t call, const std::vector<std::string>& endpoints, std::uint32_t limit,
+             TimePoint now);
+
+  // Takes in one list.
+  void OnList(const wire::JobList& list);
+
+  void Abandon(std::uint64_t call);
+
+  // Removes and returns the responses that are complete or due.
+  std::vector<Response> TakeDue(TimePoint now);
+
+  TimePoint NextWake() const;
+  std::size_t pending() const { return listings_.size(); }
+
+ private:
+  struct Listing {
+    api::ListJobsResponse response;
+    std::uint32_t limit = 0;
+    std::size_t missing = 0;
+    TimePoint due;
+  };
+
+  Outbox& outbox_;
+  std::uint64_t next_request_;
+  std::map<std::uint64_t, Listing> listings_;                  // by call
+  std::unordered_map<std::uint64_t, std::uint64_t> requests_;  // to calls
+};
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/job_router.cc
@@ -0,0 +1,265 @@
+#include "coltsfoottide/core/job_router.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coltsfoottide/schema/errors.h"
+#include "coltsfoottide/schema/limits.h"
+#include "job_router_state.h"
+
+namespace coltsfoottide::core {
+namespace {
+
+constexpr Duration kTicketTimeout = std::chrono::seconds(1);
+constexpr std::chrono::milliseconds kDefaultWait = std::chrono::seconds(30);
+constexpr std::size_t kMaxListed = 64;
+// The coordinator answers at the deadline itself; the entry does so this much
+// later if that answer is missing.
+constexpr Duration kDeadlineGrace = std::chrono::milliseconds(250);
+
+std::uint64_t FirstRequest(std::mt19937_64& random) {
+  // Random, so that a late reply to an earlier process at this endpoint does
+  // not match; halved, so that the numbers do not wrap.
+  return random() / 2;
+}
+
+}  // namespace
+
+JobRouter::State::State(JobRouterOptions opts, Outbox& out, CallSink& target, std::uint64_t seed)
+    : options(opts),
+      outbox(out),
+      sink(target),
+      random(seed),
+      next_request(FirstRequest(random)),
+      stock(opts.ticket_stock, out, random()),
+      listing(out, FirstRequest(random)),
+      watch(opts.silence_limit, opts.lost_limit) {}
+
+JobRouter::JobRouter(JobRouterOptions options, Outbox& outbox, CallSink& sink, std::uint64_t seed)
+    : state_(std::make_unique<State>(options, outbox, sink, seed)) {}
+
+JobRouter::~JobRouter() = default;
+
+void JobRouter::ObtainTickets(std::uint64_t call, const api::ObtainTicketsRequest& request,
+                              TimePoint now) {
+  state_->ObtainTickets(call, request.count(), now);
+}
+
+void JobRouter::Submit(std::uint64_t call, const api::SubmitRequest& request, TimePoint now) {
+  RoutedCall routed;
+  routed.kind = RoutedCall::Kind::kSubmit;
+  routed.call = call;
+  routed.ticket = request.ticket();
+  routed.job = request.job();
+  routed.wait = request.wait();
+  if (routed.job.deadline_ms() > 0) {
+    routed.due = now + std::chrono::milliseconds(routed.job.deadline_ms()) + kDeadlineGrace;
+  }
+  state_->Begin(std::move(routed), now);
+}
+
+void JobRouter::Wait(std::uint64_t call, const api::WaitRequest& request, TimePoint now) {
+  RoutedCall routed;
+  routed.kind = RoutedCall::Kind::kWait;
+  routed.call = call;
+  routed.ticket = request.ticket();
+  routed.due = now + (request.timeout_ms() == 0 ? kDefaultWait
+                                                : std::chrono::milliseconds(request.timeout_ms()));
+  state_->Begin(std::move(routed), now);
+}
+
+void JobRouter::Cancel(std::uint64_t call, const api::CancelRequest& request, TimePoint now) {
+  RoutedCall routed;
+  routed.kind = RoutedCall::Kind::kCancel;
+  routed.call = call;
+  routed.ticket = request.ticket();
+  routed.due = now + state_->options.lost_limit;
+  state_->Begin(std::move(routed), now);
+}
+
+void JobRouter::Status(std::uint64_t call, const api::StatusRequest& request, TimePoint now) {
+  RoutedCall routed;
+  routed.kind = RoutedCall::Kind::kStatus;
+  routed.call = call;
+  routed.ticket = request.ticket();
+  routed.due = now + state_->options.lost_limit;
+  state_->Begin(std::move(routed), now);
+}
+
+void JobRouter::ListJobs(std::uint64_t call, const api::ListJobsRequest& request, TimePoint now) {
+  state_->listing.Begin(call, state_->stock.Endpoints(kMaxListed), request.limit(), now);
+  state_->RespondLists(now);
+}
+
+void JobRouter::Abandon(std::uint64_t call) {
+  state_->Remove(call);
+  state_->undelivered.erase(call);
+  state_->listing.Abandon(call);
+  std::erase_if(state_->ticket_calls, [call](const auto& it) { return it.call == call; });
+}
+
+void JobRouter::OnDelivered(std::uint64_t call, TimePoint) {
+  const auto node = state_->undelivered.extract(call);
+  if (node.empty()) {
+    return;
+  }
+  wire::Envelope envelope;
+  *envelope.mutable_answer_ack()->mutable_ticket() = node.mapped();
+  state_->outbox.Send(node.mapped().endpoint(), std::move(envelope));
+}
+
+std::size_t JobRouter::pending() const {
+  return state_->calls.size() + state_->ticket_calls.size() + state_->listing.pending();
+}
+
+void JobRouter::State::ObtainTickets(std::uint64_t call, std::uint32_t count, TimePoint now) {
+  if (count > static_cast<std::uint32_t>(schema::kMaxTicketsPerCall)) {
+    api::ObtainTicketsResponse response;
+    *response.mutable_error() = schema::MakeError(api::NOT_RUN, api::INVALID_REQUEST,
+                                                  "at most 1000 tickets can be obtained at once");
+    sink.OnTickets(call, response);
+    return;
+  }
+  ticket_calls.push_back({call, std::max<std::uint32_t>(count, 1), now + kTicketTimeout});
+  ServeTicketCalls(now);
+}
+
+void JobRouter::State::ServeTicketCalls(TimePoint now) {
+  while (!ticket_calls.empty()) {
+    const TicketCall first = ticket_calls.front();
+    if (stock.size() < first.count && now < first.due) {
+      break;
+    }
+    ticket_calls.pop_front();
+    api::ObtainTicketsResponse response;
+    for (api::Ticket& ticket : stock.Take(first.count, now)) {
+      *response.add_tickets() = std::move(ticket);
+    }
+    if (response.tickets().empty()) {
+      *response.mutable_error() =
+          schema::MakeError(api::NOT_RUN, api::NO_WORKER, "no coordinator has issued a ticket");
+    }
+    sink.OnTickets(first.call, response);
+  }
+  std::uint32_t wanted = 0;
+  for (const TicketCall& waiting : ticket_calls) {
+    wanted += waiting.count;
+  }
+  stock.Refill(wanted, now);
+}
+
+void JobRouter::State::Begin(RoutedCall call, TimePoint now) {
+  if (Refuse(call.call, call.ticket)) {
+    return;
+  }
+  call.current = call.ticket;
+  call.accepted = now;
+  call.poll_interval = options.silence_limit;
+  call.next_poll = now + call.poll_interval;
+  const std::uint64_t number = call.call;
+  RoutedCall& routed = calls[number];
+  routed = std::move(call);
+  Renumber(routed);
+  watch.AddCall(routed.current.endpoint(), number, now);
+  SetTimer(routed);
+  Send(routed, now);
+}
+
+bool JobRouter::State::Refuse(std::uint64_t call, const api::Ticket& ticket) {
+  if (ticket.endpoint().empty()) {
+    RespondFailed(call, ticket, api::NOT_RUN, api::TICKET_REQUIRED, "the request has no ticket");
+    return true;
+  }
+  if (calls.size() >= options.max_calls) {
+    // The ticket may have been submitted before, here or at another entry.
+    RespondFailed(call, ticket, api::MAY_HAVE_RUN, api::OVERLOADED,
+                  "the entry has too many calls; repeat the call with the same ticket");
+    return true;
+  }
+  return false;
+}
+
+void JobRouter::State::Renumber(RoutedCall& call) {
+  requests.erase(call.request);
+  call.request = next_request++;
+  requests[call.request] = call.call;
+}
+
+void JobRouter::State::Send(const RoutedCall& call, TimePoint now) {
+  wire::Envelope envelope;
+  const auto fill = [&call](auto* message) {
+    message->set_request(call.request);
+    *message->mutable_ticket() = call.current;
+  };
+  switch (call.kind) {
+    case RoutedCall::Kind::kSubmit: {
+      wire::SubmitJob* submit = envelope.mutable_submit_job();
+      fill(submit);
+      *submit->mutable_job() = call.job;
+      submit->set_wait(call.wait);
+      const Duration left =
+          std::chrono::milliseconds(call.job.deadline_ms()) - (now - call.accepted);
+      submit->set_budget_us(static_cast<std::uint64_t>(std::max(left, Duration::zero()).count()));
+      break;
+    }
+    case RoutedCall::Kind::kWait:
+      fill(envelope.mutable_wait_job());
+      break;
+    case RoutedCall::Kind::kCancel:
+      fill(envelope.mutable_cancel_job());
+      break;
+    case RoutedCall::Kind::kStatus:
+      fill(envelope.mutable_status_job());
+      break;
+  }
+  outbox.Send(call.current.endpoint(), std::move(envelope));
+}
+
+void JobRouter::State::Respond(std::uint64_t call, api::JobAnswer answer) {
+  const auto it = calls.find(call);
+  if (it == calls.end()) {
+    return;
+  }
+  const RoutedCall& routed = it->second;
+  const bool is_final = answer.state() == api::COMPLETE || answer.state() == api::FAILED;
+  // An answer that is not acknowledged expires at its coordinator.
+  if (is_final && routed.WaitsForAnswer() && undelivered.size() < options.max_calls) {
+    undelivered[call] = routed.current;
+  }
+  *answer.mutable_ticket() = routed.ticket;
+  Remove(call);
+  api::JobResponse response;
+  *response.mutable_answer() = std::move(answer);
+  sink.OnJob(call, response);
+}
+
+void JobRouter::State::RespondFailed(std::uint64_t call, const api::Ticket& ticket,
+                                     api::Verdict verdict, api::Reason reason,
+                                     const std::string& message) {
+  api::JobResponse response;
+  *response.mutable_answer() =
+      schema::MakeFailedAnswer(ticket, schema::MakeError(verdict, reason, message));
+  // The ticket may be the removed call's own.
+  Remove(call);
+  sink.OnJob(call, response);
+}
+
+void JobRouter::State::Remove(std::uint64_t call) {
+  const auto it = calls.find(call);
+  if (it == calls.end()) {
+    return;
+  }
+  requests.erase(it->second.request);
+  requests.erase(it->second.poll_request);
+  timers.Erase(call);
+  watch.RemoveCall(it->second.current.endpoint(), call);
+  calls.erase(it);
+}
+
+void JobRouter::State::RespondLists(TimePoint now) {
+  for (const auto& [call, response] : listing.TakeDue(now)) {
+    sink.OnJobs(call, response);
+  }
+}
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/job_router_replies.cc
@@ -0,0 +1,238 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "coltsfoottide/schema/errors.h"
+#include "job_router_state.h"
+
+namespace coltsfoottide::core {
+namespace {
+
+constexpr int kMaxMoves = 4;
+// Polls only find replies that were lost, so they become rare.
+constexpr Duration kMaxPollInterval = std::chrono::seconds(8);
+
+// A caller gets the answer of its own ticket only.
+bool AnswersTicket(const wire::JobReply& reply, const api::Ticket& ticket) {
+  const api::Ticket& answered = reply.answer().ticket();
+  return !reply.answer().has_ticket() || (answered.sequence() == ticket.sequence() &&
+                                          answered.incarnation() == ticket.incarnation());
+}
+
+}  // namespace
+
+void JobRouter::OnMessage(const wire::Envelope& envelope, TimePoint now) {
+  switch (envelope.body_case()) {
+    case wire::Envelope::kTicketReply:
+      if (state_->stock.OnReply(envelope, now)) {
+        state_->ServeTicketCalls(now);
+      }
+      break;
+    case wire::Envelope::kJobReply:
+      state_->OnJobReply(envelope, now);
+      break;
+    case wire::Envelope::kJobList:
+      state_->listing.OnList(envelope.job_list());
+      state_->RespondLists(now);
+      break;
+    case wire::Envelope::kProbeReply:
+      state_->OnProbeReply(envelope, now);
+      break;
+    default:
+      break;
+  }
+}
+
+void JobRouter::SetCoordinators(const std::vector<api::WorkerInfo>& agents, TimePoint now) {
+  state_->stock.SetCoordinators(agents);
+  state_->ServeTicketCalls(now);
+}
+
+void JobRouter::OnLinkDown(const std::string& endpoint, TimePoint now) {
+  state_->stock.OnLinkDown(endpoint, now);
+  if (state_->watch.LinkDown(endpoint, now)) {
+    state_->SendAgain(endpoint, now);
+  }
+  state_->ServeTicketCalls(now);
+}
+
+void JobRouter::Tick(TimePoint now) {
+  for (const auto& action : state_->watch.Tick(now)) {
+    state_->Act(action, now);
+  }
+  for (const std::uint64_t call : state_->timers.TakeDue(now)) {
+    state_->OnCallDue(call, now);
+  }
+  state_->stock.Tick(now);
+  state_->ServeTicketCalls(now);
+  state_->RespondLists(now);
+}
+
+TimePoint JobRouter::NextWake() const {
+  TimePoint wake = std::min(state_->watch.NextWake(), state_->timers.Earliest());
+  if (!state_->ticket_calls.empty()) {
+    wake = std::min(wake, state_->ticket_calls.front().due);
+  }
+  return std::min({wake, state_->stock.NextWake(), state_->listing.NextWake()});
+}
+
+void JobRouter::State::OnJobReply(const wire::Envelope& envelope, TimePoint now) {
+  const wire::JobReply& reply = envelope.job_reply();
+  const auto found = requests.find(reply.request());
+  if (found == requests.end()) {
+    return;
+  }
+  RoutedCall& call = calls.at(found->second);
+  if (envelope.from() != call.current.endpoint() || !AnswersTicket(reply, call.current)) {
+    return;
+  }
+  watch.Heard(envelope.from(), now);
+  if (envelope.incarnation() != call.current.incarnation()) {
+    LoseReplaced(envelope.from(), envelope.incarnation());
+  } else if (reply.has_moved_to()) {
+    OnMoved(call, reply.moved_to(), now);
+  } else if (reply.request() == call.poll_request) {
+    OnPollReply(call, reply.answer(), now);
+  } else if (reply.answer().state() == api::RUNNING && call.WaitsForAnswer()) {
+    // Accepted; the answer follows under the same request number.
+    return;
+  } else {
+    Respond(call.call, reply.answer());
+  }
+}
+
+void JobRouter::State::OnPollReply(RoutedCall& call, const api::JobAnswer& answer, TimePoint now) {
+  requests.erase(call.poll_request);
+  call.poll_request = 0;
+  if (answer.state() != api::RUNNING) {
+    // The request or its reply was lost. Sent again, it attaches to the same
+    // job, or submits it if it never arrived.
+    Renumber(call);
+    Send(call, now);
+  } else if (!call.WaitsForAnswer()) {
+    Respond(call.call, answer);
+  }
+}
+
+void JobRouter::State::OnMoved(RoutedCall& call, const api::Ticket& successor, TimePoint now) {
+  if (++call.moves > kMaxMoves || successor.endpoint().empty()) {
+    RespondFailed(call.call, call.ticket, api::MAY_HAVE_RUN, api::COORDINATOR_LEAVING,
+                  "the ticket was moved too often");
+    return;
+  }
+  watch.RemoveCall(call.current.endpoint(), call.call);
+  call.current = successor;
+  watch.AddCall(successor.endpoint(), call.call, now);
+  requests.erase(call.poll_request);
+  call.poll_request = 0;
+  Renumber(call);
+  Send(call, now);
+}
+
+void JobRouter::State::OnProbeReply(const wire::Envelope& envelope, TimePoint now) {
+  const std::uint64_t* probe = watch.ProbeOf(envelope.from());
+  if (probe == nullptr || *probe == 0 || *probe != envelope.probe_reply().request()) {
+    return;
+  }
+  watch.Heard(envelope.from(), now);
+  LoseReplaced(envelope.from(), envelope.incarnation());
+}
+
+void JobRouter::State::LoseReplaced(const std::string& endpoint, std::uint64_t incarnation) {
+  for (const std::uint64_t number : watch.Calls(endpoint)) {
+    const auto it = calls.find(number);
+    if (it != calls.end() && it->second.current.incarnation() != incarnation) {
+      Lose(number, "another process runs at the coordinator's endpoint");
+    }
+  }
+}
+
+void JobRouter::State::OnCallDue(std::uint64_t number, TimePoint now) {
+  const auto it = calls.find(number);
+  if (it == calls.end()) {
+    return;
+  }
+  RoutedCall& call = it->second;
+  if (now < call.due) {
+    Poll(call, now);
+    SetTimer(call);
+  } else if (call.kind == RoutedCall::Kind::kWait) {
+    api::JobAnswer running;
+    running.set_state(api::RUNNING);
+    Respond(number, std::move(running));
+  } else if (call.kind != RoutedCall::Kind::kSubmit || watch.Silent(call.current.endpoint())) {
+    Lose(number, "the coordinator does not answer");
+  } else {
+    RespondFailed(number, call.ticket, api::MAY_HAVE_RUN, api::DEADLINE_EXCEEDED,
+                  "the coordinator did not answer by the deadline");
+  }
+}
+
+void JobRouter::State::Poll(RoutedCall& call, TimePoint now) {
+  call.poll_interval = std::min(2 * call.poll_interval, kMaxPollInterval);
+  call.next_poll = now + call.poll_interval;
+  if (call.kind == RoutedCall::Kind::kCancel || call.kind == RoutedCall::Kind::kStatus) {
+    Send(call, now);
+    return;
+  }
+  requests.erase(call.poll_request);
+  call.poll_request = next_request++;
+  requests[call.poll_request] = call.call;
+  wire::Envelope envelope;
+  envelope.mutable_status_job()->set_request(call.poll_request);
+  *envelope.mutable_status_job()->mutable_ticket() = call.current;
+  outbox.Send(call.current.endpoint(), std::move(envelope));
+}
+
+void JobRouter::State::Lose(std::uint64_t call, const std::string& message) {
+  const auto it = calls.find(call);
+  if (it != calls.end()) {
+    RespondFailed(call, it->second.ticket, api::MAY_HAVE_RUN, api::COORDINATOR_LOST, message);
+  }
+}
+
+void JobRouter::State::Act(const CoordinatorWatch::Action& action, TimePoint now) {
+  switch (action.step) {
+    case CoordinatorWatch::Step::kProbe:
+      Probe(action.endpoint);
+      break;
+    case CoordinatorWatch::Step::kAskAgain:
+      outbox.ResetLink(action.endpoint);
+      SendAgain(action.endpoint, now);
+      break;
+    case CoordinatorWatch::Step::kLost:
+      for (const std::uint64_t call : watch.Calls(action.endpoint)) {
+        Lose(call, "the coordinator does not answer");
+      }
+      break;
+  }
+}
+
+void JobRouter::State::SendAgain(const std::string& endpoint, TimePoint now) {
+  for (const std::uint64_t number : watch.Calls(endpoint)) {
+    const auto it = calls.find(number);
+    if (it != calls.end()) {
+      Send(it->second, now);
+    }
+  }
+  Probe(endpoint);
+}
+
+void JobRouter::State::Probe(const std::string& endpoint) {
+  std::uint64_t* probe = watch.ProbeOf(endpoint);
+  if (probe == nullptr) {
+    return;
+  }
+  // A probe without a reply is repeated with its number, so that the
+  // coordinator can tell that the reply was lost.
+  *probe = *probe == 0 ? next_request++ : *probe;
+  wire::Envelope envelope;
+  envelope.mutable_probe()->set_request(*probe);
+  outbox.Send(endpoint, std::move(envelope));
+}
+
+void JobRouter::State::SetTimer(const RoutedCall& call) {
+  timers.Set(call.call, std::min(call.due, call.next_poll));
+}
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/job_router_state.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "coltsfoottide/core/call_sink.h"
+#include "coltsfoottide/core/job_router.h"
+#include "coltsfoottide/core/outbox.h"
+#include "coordinator_watch.h"
+#include "deadline_set.h"
+#include "job_listing.h"
+#include "routed_call.h"
+#include "ticket_stock.h"
+
+namespace coltsfoottide::core {
+
+// The parts of a job router. job_router.cc starts and ends calls,
+// job_router_replies.cc follows what coordinators reply or fail to reply.
+struct JobRouter::State {
+  // An ObtainTickets that the stock could not serve at once.
+  struct TicketCall {
+    std::uint64_t call = 0;
+    std::uint32_t count = 0;
+    TimePoint due;
+  };
+
+  State(JobRouterOptions opts, Outbox& out, CallSink& target, std::uint64_t seed);
+
+  // Calls.
+  void ObtainTickets(std::uint64_t call, std::uint32_t count, TimePoint now);
+  // Answers ticket calls in order, as far as the stock and the time allow.
+  void ServeTicketCalls(TimePoint now);
+  void Begin(RoutedCall call, TimePoint now);
+  bool Refuse(std::uint64_t call, const api::Ticket& ticket);
+  // Sends the call's request; a repeated request keeps its number.
+  void Send(const RoutedCall& call, TimePoint now);
+  void Renumber(RoutedCall& call);
+  void Respond(std::uint64_t call, api::JobAnswer answer);
+  void RespondFailed(std::uint64_t call, const api::Ticket& ticket, api::Verdict verdict,
+                     api::Reason reason, const std::string& message);
+  void Remove(std::uint64_t call);
+  void RespondLists(TimePoint now);
+
+  // Replies and silence.
+  void OnJobReply(const wire::Envelope& envelope, TimePoint now);
+  void OnPollReply(RoutedCall& call, const api::JobAnswer& answer, TimePoint now);
+  void OnMoved(RoutedCall& call, const api::Ticket& successor, TimePoint now);
+  void OnProbeReply(const wire::Envelope& envelope, TimePoint now);
+  void OnCallDue(std::uint64_t call, TimePoint now);
+  void Poll(RoutedCall& call, TimePoint now);
+  void Lose(std::uint64_t call, const std::string& message);
+  // Loses the endpoint's calls whose coordinator was another process.
+  void LoseReplaced(const std::string& endpoint, std::uint64_t incarnation);
+  void Act(const CoordinatorWatch::Action& action, TimePoint now);
+  void SendAgain(const std::string& endpoint, TimePoint now);
+  void Probe(const std::string& endpoint);
+  void SetTimer(const RoutedCall& call);
+
+  JobRouterOptions options;
+  Outbox& outbox;
+  CallSink& sink;
+  std::mt19937_64 random;
+  std::uint64_t next_request;
+
+  TicketStock stock;
+  JobListing listing;
+  CoordinatorWatch watch;
+  std::deque<TicketCall> ticket_calls;
+  std::unordered_map<std::uint64_t, RoutedCall> calls;
+  std::unordered_map<std::uint64_t, std::uint64_t> requests;  // to calls
+  DeadlineSet<std::uint64_t> timers;
+  // Answers to acknowledge once they are delivered.
+  std::unordered_map<std::uint64_t, api::Ticket> undelivered;
+};
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/routed_call.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/schema/api.pb.h"
+
+namespace coltsfoottide::core {
+
+// A call about one ticket that waits for its coordinator.
+struct RoutedCall {
+  enum class Kind { kSubmit, kWait, kCancel, kStatus };
+
+  Kind kind = Kind::kStatus;
+  // Whether the call ends with the job's answer; others end with its state.
+  bool WaitsForAnswer() const { return kind == Kind::kWait || (kind == Kind::kSubmit && wait); }
+
+  std::uint64_t call = 0;
+  // The caller's ticket, and the one that replaces it at a successor.
+  api::Ticket ticket;
+  api::Ticket current;
+  int moves = 0;
+  // Of a Submit.
+  api::JobSpec job;
+  bool wait = false;
+  TimePoint accepted;
+  // Time of the response if none arrives, or TimePoint::max().
+  TimePoint due = TimePoint::max();
+  // Wire numbers of the call itself and of the last question for its state.
+  std::uint64_t request = 0;
+  std::uint64_t poll_request = 0;
+  TimePoint next_poll = TimePoint::max();
+  Duration poll_interval{};
+};
+
+}  // namespace coltsfoottide::core
