--- a/packages/core/include/coltsfoottide/core/coordinator.h
+++ b/packages/core/include/coltsfoottide/core/coordinator.h
@@ -20,6 +20,8 @@
   std::string data_centre;
   std::size_t max_tickets = 65536;
   std::size_t max_jobs = 4096;
+  // Payloads and results of running jobs; a submission beyond it is refused.
+  std::size_t max_job_bytes = 64 * 1024 * 1024;
   std::size_t max_answer_bytes = 64 * 1024 * 1024;
   Duration ticket_timeout = std::chrono::minutes(10);
   Duration answer_timeout = std::chrono::seconds(60);
--- a/packages/core/include/coltsfoottide/core/placement.h
+++ b/packages/core/include/coltsfoottide/core/placement.h
@@ -36,8 +36,8 @@
  public:
   virtual ~Placement() = default;
 
-  // Decides for one task among the eligible workers; `tries` counts the
-  // Starts of this task that were refused, and `tried` names those workers.
+  // Decides for one task among the eligible workers; `tried` names the workers
+  // that answered a Start of this task with BUSY.
   virtual PlacementDecision Place(const std::vector<WorkerView>& eligible,
                                   const std::string& own_data_centre, api::JobClass job_class,
                                   const std::vector<std::string>& tried, TimePoint now) = 0;
