--- a/packages/core/src/started_tasks.cc
+++ b/packages/core/src/started_tasks.cc
@@ -14,7 +14,7 @@
 
 StartedTasks::Task& StartedTasks::AddRunning(const wire::Start& start, const std::string& endpoint,
                                              TimePoint now) {
-  const TaskKey key = TaskKey::From(start.task());
+  const StartKey key = StartKey::From(start.task());
   Task& task = tasks_[key];
   task.id = start.task();
   task.endpoint = endpoint;
@@ -27,7 +27,7 @@
   return task;
 }
 
-StartedTasks::Task* StartedTasks::Find(const TaskKey& key) {
+StartedTasks::Task* StartedTasks::Find(const StartKey& key) {
   const auto it = tasks_.find(key);
   return it == tasks_.end() ? nullptr : &it->second;
 }
@@ -41,13 +41,13 @@
   task.result = std::move(result);
   task.order = next_order_++;
   bytes_ += task.bytes;
-  by_age_[task.order] = TaskKey::From(task.id);
+  by_age_[task.order] = StartKey::From(task.id);
   while (bytes_ > max_bytes_) {
     DropOldestResult();
   }
 }
 
-void StartedTasks::RemoveRunning(const TaskKey& key) {
+void StartedTasks::RemoveRunning(const StartKey& key) {
   const Task* task = Find(key);
   if (task != nullptr && !task->finished) {
     EndRunning(*task);
@@ -55,7 +55,7 @@
   }
 }
 
-void StartedTasks::Acknowledge(const TaskKey& key) {
+void StartedTasks::Acknowledge(const StartKey& key) {
   Task* task = Find(key);
   if (task != nullptr && task->finished) {
     DropResult(*task);
@@ -74,8 +74,8 @@
   if (it == by_coordinator_.end()) {
     return;
   }
-  const std::vector<TaskKey> keys(it->second.begin(), it->second.end());
-  for (const TaskKey& key : keys) {
+  const std::vector<StartKey> keys(it->second.begin(), it->second.end());
+  for (const StartKey& key : keys) {
     Find(key)->orphan = true;
     Acknowledge(key);
   }
@@ -92,7 +92,7 @@
 }
 
 void StartedTasks::DropOldestResult() {
-  const TaskKey key = by_age_.begin()->second;
+  const StartKey key = by_age_.begin()->second;
   Task& task = *Find(key);
   DropResult(task);
   if (task.orphan) {
@@ -115,7 +115,7 @@
   running_bulk_ -= task.job_class == api::BULK ? 1 : 0;
 }
 
-void StartedTasks::Erase(const TaskKey& key) {
+void StartedTasks::Erase(const StartKey& key) {
   const auto it = by_coordinator_.find(key.coordinator);
   it->second.erase(key);
   if (it->second.empty()) {
--- a/packages/core/src/started_tasks.h
+++ b/packages/core/src/started_tasks.h
@@ -9,7 +9,7 @@
 
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/schema/wire.pb.h"
-#include "task_key.h"
+#include "start_key.h"
 
 namespace coltsfoottide::core {
 
@@ -40,16 +40,16 @@
   Task& AddRunning(const wire::Start& start, const std::string& endpoint, TimePoint now);
 
   // Returns the task, or null if it has not started or is forgotten.
-  Task* Find(const TaskKey& key);
+  Task* Find(const StartKey& key);
 
   // Stores the result; drops the oldest results past the byte bound.
   void Finish(Task& task, wire::Result result, TimePoint now);
 
   // Forgets a task that did not start after all.
-  void RemoveRunning(const TaskKey& key);
+  void RemoveRunning(const StartKey& key);
 
   // Forgets a finished task; a running one is not affected.
-  void Acknowledge(const TaskKey& key);
+  void Acknowledge(const StartKey& key);
 
   // Drops the results of tasks finished at or before `limit`.
   void DropResultsBefore(TimePoint limit);
@@ -72,16 +72,16 @@
   void DropOldestResult();
   void DropResult(Task& task);
   void EndRunning(const Task& task);
-  void Erase(const TaskKey& key);
+  void Erase(const StartKey& key);
 
   std::size_t max_bytes_;
   std::size_t bytes_ = 0;
   std::uint32_t running_ = 0;
   std::uint32_t running_bulk_ = 0;
   std::uint64_t next_order_ = 1;
-  std::unordered_map<TaskKey, Task, TaskKeyHash> tasks_;
-  std::unordered_map<std::uint64_t, std::unordered_set<TaskKey, TaskKeyHash>> by_coordinator_;
-  std::map<std::uint64_t, TaskKey> by_age_;
+  std::unordered_map<StartKey, Task, StartKeyHash> tasks_;
+  std::unordered_map<std::uint64_t, std::unordered_set<StartKey, StartKeyHash>> by_coordinator_;
+  std::map<std::uint64_t, StartKey> by_age_;
 };
 
 }  // namespace coltsfoottide::core
--- a/packages/core/src/task_key.h
+++ b/packages/core/src/task_key.h
@@ -1,33 +1,18 @@
 #pragma once
 
-#include <compare>
-#include <cstddef>
 #include <cstdint>
-#include <functional>
-
-#include "coltsfoottide/schema/wire.pb.h"
+#include <tuple>
 
 namespace coltsfoottide::core {
 
-// Identity of one task of one submission, as a key of hash tables.
+// Names a task within one coordinator incarnation.
 struct TaskKey {
-  std::uint64_t coordinator = 0;
   std::uint64_t sequence = 0;
   std::uint32_t index = 0;
 
-  static TaskKey From(const wire::TaskId& id) {
-    return {id.coordinator(), id.sequence(), id.index()};
-  }
-  auto operator<=>(const TaskKey&) const = default;
-};
-
-struct TaskKeyHash {
-  std::size_t operator()(const TaskKey& key) const {
-    // The multiplier is 2^64 divided by the golden ratio; it spreads the
-    // consecutive sequence numbers.
-    constexpr std::uint64_t kMultiplier = 0x9E3779B97F4A7C15ULL;
-    const std::uint64_t mixed = (key.sequence * kMultiplier) ^ key.coordinator;
-    return std::hash<std::uint64_t>()((mixed * kMultiplier) + key.index);
+  bool operator==(const TaskKey&) const = default;
+  bool operator<(const TaskKey& other) const {
+    return std::tie(sequence, index) < std::tie(other.sequence, other.index);
   }
 };
 
--- a/packages/core/src/worker_starts.cc
+++ b/packages/core/src/worker_starts.cc
@@ -42,7 +42,7 @@
   const wire::Start& start = envelope.start();
   // A known task is looked up before anything may refuse the Start: a refusal
   // would wrongly say that the task has not started.
-  if (const StartedTasks::Task* known = tasks.Find(TaskKey::From(start.task()))) {
+  if (const StartedTasks::Task* known = tasks.Find(StartKey::From(start.task()))) {
     ++counts.duplicate_starts;
     AnswerKnown(*known, envelope.from(), now);
     return;
@@ -104,7 +104,7 @@
 
 void Worker::State::OnDone(const wire::TaskId& id, BackendOutcome outcome,
                            const std::string& output, TimePoint now) {
-  const TaskKey key = TaskKey::From(id);
+  const StartKey key = StartKey::From(id);
   StartedTasks::Task* task = tasks.Find(key);
   if (task == nullptr || task->finished) {
     return;
@@ -178,7 +178,7 @@
   for (const wire::TaskId& id : ack.tasks()) {
     // Only the coordinator that owns the task may make it forgotten.
     if (id.coordinator() == envelope.incarnation()) {
-      tasks.Acknowledge(TaskKey::From(id));
+      tasks.Acknowledge(StartKey::From(id));
     }
   }
 }
@@ -196,7 +196,7 @@
       link->window.RaiseFloor(resolve.floor());
     }
     for (const wire::TaskId& id : resolve.tasks()) {
-      const StartedTasks::Task* task = tasks.Find(TaskKey::From(id));
+      const StartedTasks::Task* task = tasks.Find(StartKey::From(id));
       wire::Resolved::Item& item = *resolved.add_items();
       *item.mutable_task() = id;
       if (task == nullptr) {
