Add the entry's control part: configuration, evidence, changes, admission

Cause: an entry has to follow the log, prove to agents that their configuration is complete, and admit jobs; only the interfaces existed.

ConfigState folds records. FreshnessWitness takes evidence from own reads, from a peer that reads, or from a majority of the roster. RosterKeeper, ChangeTracker and SnapshotPublisher append. Directory chooses candidates on a hash ring, OutlierDetector ejects, Admission checks and takes quota.

Ruled out: a majority of the present roster alone. Entries that register while others are cut off from the log could outvote those, whose evidence comes from the older roster. HasMajority asks for a majority of each roster that an entry may still hold. For this RosterItem has a new field, seat. Ruled out: the global directory version in Renewed, since each change of one worker would resend every agent's list; a fingerprint of the agent's own list is used.

Before: no code. Conclusion: the main flow can be integrated; tests of outages, truncation, quota shares and ejection follow.

--- a/packages/core/include/coltsfoottide/core/config_state.h
+++ b/packages/core/include/coltsfoottide/core/config_state.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "coltsfoottide/core/time.h"
@@ -48,6 +49,7 @@
   std::map<std::string, api::ConfigItem> items_;
   std::vector<api::RosterItem> roster_;
   std::deque<wire::ChangeOutcome> outcomes_;
+  std::unordered_map<std::string, wire::ChangeOutcome> outcome_index_;
 };
 
 }  // namespace coltsfoottide::core
--- a/packages/core/include/coltsfoottide/core/directory.h
+++ b/packages/core/include/coltsfoottide/core/directory.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -10,6 +12,9 @@
 
 namespace coltsfoottide::core {
 
+class CandidateRing;
+class OutlierDetector;
+
 // The agents that have announced themselves to an entry, with what they last
 // said of themselves.
 class Directory {
@@ -20,10 +25,19 @@
     std::uint32_t recent_starts = 0;
     std::uint32_t recent_failures = 0;
     bool ejected = false;
+    // Ejected, and offered as a candidate again to see how its tasks end.
+    bool probation = false;
+    // Heard from the agent itself rather than in another entry's sample.
+    bool announced = true;
+    // Unheard for the suspicion time, or its connection has closed.
+    bool suspected = false;
   };
 
   explicit Directory(Duration suspect_after = std::chrono::seconds(3),
                      Duration remove_after = std::chrono::seconds(10));
+  ~Directory();
+  Directory(const Directory&) = delete;
+  Directory& operator=(const Directory&) = delete;
 
   // Takes in an announcement. A new incarnation at an endpoint replaces the
   // older one.
@@ -35,11 +49,15 @@
   // Reports a closed connection: the agent is suspected until it is heard.
   void OnLinkDown(const std::string& endpoint);
 
+  // Sets the data centres that are out of service; their members are no
+  // candidates.
+  void SetOutDataCentres(const std::set<std::string>& names);
+
   // Removes members unheard for too long and decides on ejections.
   void Tick(TimePoint now);
 
-  // Changes whenever the set of members, a state or a resource changes (load
-  // does not count).
+  // Changes whenever the set of members, a state or a resource changes. Load
+  // does not count, nor does a number of slots that stays above zero.
   std::uint64_t version() const { return version_; }
 
   // Workers for one agent's coordinator: at most `limit` for each service, a
@@ -48,11 +66,12 @@
                                              const std::string& data_centre,
                                              std::size_t limit = 64) const;
 
-  // Agents that may issue tickets now, with those of `data_centre` first.
+  // Agents that may issue tickets now, with those of `data_centre` first. Those
+  // in data centres that are out are included only when there are no others.
   std::vector<api::WorkerInfo> Coordinators(const std::string& data_centre) const;
 
   // A random sample of up to `limit` announced workers a service, for other
-  // entries.
+  // entries. The same seed gives a stable sample as members come and go.
   std::vector<api::WorkerInfo> Sample(std::size_t limit, std::uint64_t seed) const;
 
   // Whether some known worker of the service offers what the task needs; sets
@@ -65,10 +84,21 @@
   bool Ejected(const std::string& endpoint) const;
 
  private:
+  Member* Admit(const api::WorkerInfo& info, bool announced, TimePoint now);
+
   Duration suspect_after_;
   Duration remove_after_;
+  bool Eligible(const Member& member) const;
+  void Rebuild() const;
+
   std::map<std::string, Member> members_;
+  std::set<std::string> out_;
   std::uint64_t version_ = 1;
+  std::unique_ptr<OutlierDetector> outliers_;
+  // Derived from the members when version_ has changed.
+  mutable std::unique_ptr<CandidateRing> ring_;
+  mutable std::map<std::string, std::vector<api::Resources>> offers_;
+  mutable std::uint64_t derived_version_ = 0;
 };
 
 }  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/demand_meter.cc
@@ -0,0 +1,25 @@
+#include "demand_meter.h"
+
+#include <cmath>
+
+namespace coltsfoottide::core {
+namespace {
+
+// Time in which old demand decays to 1/e: several status exchanges, so that
+// shares follow a shift of load between entries within seconds without
+// swinging with single jobs.
+constexpr double kDecaySeconds = 5;
+
+}  // namespace
+
+void DemandMeter::Add(double count, TimePoint now) {
+  rate_ = Rate(now) + count / kDecaySeconds;
+  updated_ = now;
+}
+
+double DemandMeter::Rate(TimePoint now) const {
+  const double seconds = std::chrono::duration<double>(now - updated_).count();
+  return seconds <= 0 ? rate_ : rate_ * std::exp(-seconds / kDecaySeconds);
+}
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/electorate.cc
@@ -0,0 +1,49 @@
+#include "electorate.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace coltsfoottide::core {
+namespace {
+
+// Whether a majority agrees among those whose seat is below the limit.
+bool MajorityBelow(const std::vector<api::RosterItem>& roster, const std::vector<bool>& agreed,
+                   std::uint64_t seat_limit) {
+  std::size_t size = 0;
+  std::size_t votes = 0;
+  for (std::size_t n = 0; n < roster.size(); ++n) {
+    if (roster[n].seat() < seat_limit) {
+      ++size;
+      votes += agreed[n] ? 1 : 0;
+    }
+  }
+  return size == 0 || votes >= MajorityOf(size);
+}
+
+}  // namespace
+
+std::size_t MajorityOf(std::size_t roster_size) { return roster_size / 2 + 1; }
+
+bool HasMajority(const std::vector<api::RosterItem>& roster,
+                 const std::function<bool(const api::RosterItem&)>& agrees,
+                 const std::function<std::uint64_t(const api::RosterItem&)>& reported) {
+  if (roster.empty()) {
+    return false;
+  }
+  std::vector<bool> agreed;
+  std::uint64_t oldest = std::numeric_limits<std::uint64_t>::max();
+  for (const auto& item : roster) {
+    agreed.push_back(agrees(item));
+    if (!agreed.back()) {
+      oldest = std::min(oldest, std::max(reported(item), item.version() + 1));
+    }
+  }
+  if (!MajorityBelow(roster, agreed, std::numeric_limits<std::uint64_t>::max())) {
+    return false;
+  }
+  return std::all_of(roster.begin(), roster.end(), [&](const api::RosterItem& item) {
+    return item.seat() < oldest || MajorityBelow(roster, agreed, item.seat());
+  });
+}
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/electorate.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "coltsfoottide/schema/api.pb.h"
+
+namespace coltsfoottide::core {
+
+// Number of entries that make a majority of a roster of this size.
+std::size_t MajorityOf(std::size_t roster_size);
+
+// Returns whether the entries that agree are a majority of the roster, and of
+// every smaller roster that an entry which has not agreed may still hold.
+// Without the latter, entries that register while others are cut off from the
+// log could outvote those others, who hold evidence from the older roster.
+// `reported` is the next offset that an entry is known to have folded, or 0; an
+// entry that votes has folded at least its own registration.
+bool HasMajority(const std::vector<api::RosterItem>& roster,
+                 const std::function<bool(const api::RosterItem&)>& agrees,
+                 const std::function<std::uint64_t(const api::RosterItem&)>& reported);
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/freshness_witness.cc
@@ -0,0 +1,105 @@
+#include "freshness_witness.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+#include <vector>
+
+#include "coltsfoottide/core/config_state.h"
+#include "electorate.h"
+#include "peer_table.h"
+
+namespace coltsfoottide::core {
+namespace {
+
+// Whether the status is known to be recent on this entry's own clock and
+// knows nothing beyond the folded configuration.
+bool Supports(const PeerTable::Peer& peer, const ConfigState& config, Duration validity,
+              TimePoint now) {
+  return peer.sent_after && now - *peer.sent_after <= validity &&
+         peer.reported <= config.next_offset();
+}
+
+}  // namespace
+
+FreshnessWitness::FreshnessWitness(std::string endpoint, std::uint64_t incarnation,
+                                   Duration validity)
+    : endpoint_(std::move(endpoint)), incarnation_(incarnation), validity_(validity) {}
+
+void FreshnessWitness::OnRead(TimePoint started, bool complete) {
+  read_ = started;
+  if (complete) {
+    complete_read_ = started;
+  }
+}
+
+void FreshnessWitness::OnInconsistent() {
+  read_.reset();
+  complete_read_.reset();
+}
+
+bool FreshnessWitness::LogReadable(TimePoint now) const {
+  return read_ && now - *read_ <= validity_;
+}
+
+std::optional<Duration> FreshnessWitness::ReadAge(TimePoint now) const {
+  if (!complete_read_ || now - *complete_read_ > validity_) {
+    return std::nullopt;
+  }
+  return now - *complete_read_;
+}
+
+std::optional<Duration> FreshnessWitness::Age(const ConfigState& config, const PeerTable& peers,
+                                              std::uint64_t known_next, TimePoint now) const {
+  if (const auto age = ReadAge(now)) {
+    return age;
+  }
+  if (LogReadable(now) || config.next_offset() == 0 || known_next > config.next_offset()) {
+    return std::nullopt;
+  }
+  const auto time = std::max(FromReader(config, peers, now), FromMajority(config, peers, now));
+  return time ? std::optional(now - *time) : std::nullopt;
+}
+
+std::optional<TimePoint> FreshnessWitness::FromReader(const ConfigState& config,
+                                                      const PeerTable& peers, TimePoint now) const {
+  std::optional<TimePoint> best;
+  const auto limit = static_cast<std::uint64_t>(validity_.count());
+  for (const auto& [endpoint, peer] : peers.peers()) {
+    if (!Supports(peer, config, validity_, now) || !peer.status.log_readable() ||
+        peer.status.log_read_age_us() > limit) {
+      continue;
+    }
+    const Duration read_age(peer.status.log_read_age_us());
+    best = std::max(best, std::optional(*peer.sent_after - read_age));
+  }
+  return best;
+}
+
+std::optional<TimePoint> FreshnessWitness::FromMajority(const ConfigState& config,
+                                                        const PeerTable& peers,
+                                                        TimePoint now) const {
+  std::vector<TimePoint> votes;
+  for (const auto& item : config.roster()) {
+    if (item.endpoint() == endpoint_) {
+      if (item.incarnation() == incarnation_) {
+        votes.push_back(now);
+      }
+      continue;
+    }
+    const PeerTable::Peer* peer = peers.Find(item.endpoint(), item.incarnation());
+    if (peer != nullptr && !peer->status.log_readable() &&
+        Supports(*peer, config, validity_, now)) {
+      votes.push_back(*peer->sent_after);
+    }
+  }
+  const std::size_t majority = MajorityOf(config.roster().size());
+  if (config.roster().empty() || votes.size() < majority) {
+    return std::nullopt;
+  }
+  // The evidence is as old as the oldest vote that the majority needs.
+  std::sort(votes.begin(), votes.end(), std::greater<>());
+  return votes[majority - 1];
+}
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/log_follower.cc
@@ -0,0 +1,106 @@
+#include "log_follower.h"
+
+#include <algorithm>
+
+#include "coltsfoottide/schema/wire.pb.h"
+
+namespace coltsfoottide::core {
+namespace {
+
+// Beyond this the oldest buffered records are dropped, and a snapshot of a
+// later state is needed.
+constexpr std::size_t kMaxBufferBytes = 16 * 1024 * 1024;
+
+}  // namespace
+
+std::uint64_t LogFollower::NextRead() const {
+  return buffering_ ? buffer_from_ + buffer_.size() : state_.next_offset();
+}
+
+FollowResult LogFollower::OnBatch(const LogBatch& batch, std::uint64_t known_at_start) {
+  if (batch.next < known_at_start || batch.first > batch.next) {
+    return FollowResult::kInconsistent;
+  }
+  known_next_ = std::max(known_next_, batch.next);
+  first_ = batch.first;
+  if (batch.first > NextRead()) {
+    StartBuffer(batch.first);
+  }
+  for (const auto& record : batch.records) {
+    if (record.offset < NextRead()) {
+      continue;
+    }
+    const bool taken = buffering_ ? Buffer(record) : state_.Fold(record.offset, record.data);
+    if (!taken) {
+      return FollowResult::kInconsistent;
+    }
+    NoteSnapshot(record);
+  }
+  if (NextRead() < batch.next) {
+    return FollowResult::kMore;
+  }
+  return buffering_ ? FollowResult::kWaitingForSnapshot : FollowResult::kReachedEnd;
+}
+
+void LogFollower::OnAppended(std::uint64_t offset, const std::string& record) {
+  known_next_ = std::max(known_next_, offset + 1);
+  if (!buffering_ && state_.Fold(offset, record)) {
+    NoteSnapshot({offset, record});
+  }
+}
+
+void LogFollower::OnAdopted() {
+  known_next_ = std::max(known_next_, state_.next_offset());
+  if (buffering_ && state_.next_offset() >= buffer_from_) {
+    FoldBuffer();
+  }
+}
+
+void LogFollower::NoteSnapshot(const LogBatch::Record& record) {
+  wire::LogRecord parsed;
+  if (!parsed.ParseFromString(record.data) || !parsed.has_snapshot()) {
+    return;
+  }
+  const wire::ConfigStateData& data = parsed.snapshot().state();
+  // A snapshot describes only records before itself.
+  if (data.next_offset() > record.offset) {
+    return;
+  }
+  snapshot_next_ = std::max(snapshot_next_, data.next_offset());
+  if (buffering_ && data.next_offset() >= buffer_from_) {
+    state_.Adopt(data);
+    FoldBuffer();
+  }
+}
+
+void LogFollower::StartBuffer(std::uint64_t from) {
+  buffering_ = true;
+  buffer_from_ = from;
+  buffer_bytes_ = 0;
+  buffer_.clear();
+}
+
+bool LogFollower::Buffer(const LogBatch::Record& record) {
+  if (record.offset != NextRead()) {
+    return false;
+  }
+  buffer_bytes_ += record.data.size();
+  buffer_.push_back(record);
+  while (buffer_bytes_ > kMaxBufferBytes) {
+    buffer_bytes_ -= buffer_.front().data.size();
+    buffer_.pop_front();
+    ++buffer_from_;
+  }
+  return true;
+}
+
+void LogFollower::FoldBuffer() {
+  for (const auto& record : buffer_) {
+    state_.Fold(record.offset, record.data);
+  }
+  buffering_ = false;
+  buffer_.clear();
+  buffer_bytes_ = 0;
+}
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/outlier_detector.cc
@@ -0,0 +1,141 @@
+#include "outlier_detector.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace coltsfoottide::core {
+namespace {
+
+constexpr std::uint32_t kMinFailures = 5;
+constexpr double kEjectRatio = 0.9;
+constexpr double kMedianLimit = 0.5;
+constexpr double kMaxEjectedShare = 0.3;
+constexpr Duration kFirstProbation = std::chrono::seconds(5);
+constexpr Duration kMaxProbation = std::chrono::seconds(60);
+// Tasks of a probation.
+constexpr std::uint64_t kProbationTasks = 3;
+
+double FailureRatio(const Directory::Member& member) {
+  return member.recent_starts == 0
+             ? 0
+             : static_cast<double>(member.recent_failures) / member.recent_starts;
+}
+
+bool FailsNearlyAll(const Directory::Member& member) {
+  return member.recent_failures >= kMinFailures && FailureRatio(member) >= kEjectRatio;
+}
+
+// Failure ratio of the median worker among those that have had starts; idle
+// ones say nothing of the service.
+double MedianRatio(const std::vector<Directory::Member*>& members) {
+  std::vector<double> ratios;
+  for (const auto* member : members) {
+    if (member->recent_starts > 0 && !member->ejected) {
+      ratios.push_back(FailureRatio(*member));
+    }
+  }
+  if (ratios.empty()) {
+    return 0;
+  }
+  const auto middle = ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
+  std::nth_element(ratios.begin(), middle, ratios.end());
+  return *middle;
+}
+
+}  // namespace
+
+bool OutlierDetector::Update(Members& members, TimePoint now) {
+  Forget(members);
+  bool changed = Probe(members, now);
+  std::set<std::string> services;
+  for (const auto& [endpoint, member] : members) {
+    if (!member.ejected && FailsNearlyAll(member)) {
+      services.insert(member.info.service());
+    }
+  }
+  for (const auto& service : services) {
+    changed = EjectFrom(service, members, now) || changed;
+  }
+  return changed;
+}
+
+void OutlierDetector::Forget(const Members& members) {
+  std::erase_if(ejections_, [&](const auto& it) {
+    const auto member = members.find(it.first);
+    return member == members.end() || !member->second.ejected ||
+           member->second.info.incarnation() != it.second.incarnation;
+  });
+}
+
+bool OutlierDetector::Probe(Members& members, TimePoint now) {
+  bool changed = false;
+  for (auto& [endpoint, ejection] : ejections_) {
+    Directory::Member& member = members.at(endpoint);
+    if (member.probation) {
+      changed = EndProbation(ejection, member, now) || changed;
+    } else if (now >= ejection.probation_at) {
+      member.probation = true;
+      ejection.starts = member.info.starts();
+      ejection.failures = member.info.failures();
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+bool OutlierDetector::EndProbation(Ejection& ejection, Directory::Member& member, TimePoint now) {
+  const std::uint64_t starts = member.info.starts() - ejection.starts;
+  const std::uint64_t failures = member.info.failures() - ejection.failures;
+  // A failure is counted when the task ends, so wait until none runs.
+  if (starts < kProbationTasks || member.info.busy() > 0) {
+    return false;
+  }
+  member.probation = false;
+  if (2 * failures < starts) {
+    member.ejected = false;
+    // The failures from before the ejection may still be in the window.
+    member.recent_starts = 0;
+    member.recent_failures = 0;
+  } else {
+    ejection.delay = std::min(2 * ejection.delay, kMaxProbation);
+    ejection.probation_at = now + ejection.delay;
+  }
+  return true;
+}
+
+bool OutlierDetector::EjectFrom(const std::string& service, Members& members, TimePoint now) {
+  std::vector<Directory::Member*> workers;
+  for (auto& [endpoint, member] : members) {
+    if (member.info.service() == service && member.announced && !member.suspected) {
+      workers.push_back(&member);
+    }
+  }
+  if (MedianRatio(workers) >= kMedianLimit) {
+    return false;
+  }
+  auto ejected = static_cast<std::size_t>(
+      std::count_if(workers.begin(), workers.end(), [](const auto* it) { return it->ejected; }));
+  const auto limit =
+      static_cast<std::size_t>(kMaxEjectedShare * static_cast<double>(workers.size()));
+  std::sort(workers.begin(), workers.end(), [](const auto* lhs, const auto* rhs) {
+    return lhs->recent_failures > rhs->recent_failures;
+  });
+  bool changed = false;
+  for (Directory::Member* member : workers) {
+    if (ejected >= limit) {
+      break;
+    }
+    if (member->ejected || !FailsNearlyAll(*member)) {
+      continue;
+    }
+    member->ejected = true;
+    member->probation = false;
+    ejections_[member->info.endpoint()] = {member->info.incarnation(), now + kFirstProbation,
+                                           kFirstProbation, 0, 0};
+    ++ejected;
+    changed = true;
+  }
+  return changed;
+}
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/peer_table.cc
@@ -0,0 +1,60 @@
+#include "peer_table.h"
+
+#include <algorithm>
+
+namespace coltsfoottide::core {
+namespace {
+
+// Statuses are sent every 250 to 500 ms and on changes; echoes of older ones
+// would be past the validity of evidence.
+constexpr std::size_t kMaxSent = 64;
+constexpr Duration kForgetAfter = std::chrono::minutes(1);
+
+}  // namespace
+
+void PeerTable::OnSent(TimePoint now) {
+  sent_.push_back(now.time_since_epoch().count());
+  if (sent_.size() > kMaxSent) {
+    sent_.pop_front();
+  }
+}
+
+bool PeerTable::OnStatus(const std::string& from, std::uint64_t incarnation,
+                         const wire::EntryStatus& status, TimePoint now) {
+  Peer& peer = peers_[from];
+  if (peer.incarnation == incarnation && status.sent_at_us() <= peer.status.sent_at_us()) {
+    return false;
+  }
+  const std::uint64_t earlier = peer.incarnation == incarnation ? peer.reported : 0;
+  peer.incarnation = incarnation;
+  peer.status = status;
+  peer.heard = now;
+  peer.reported = std::max(earlier, status.next_offset());
+  // An echo that this process has not sent belongs to an older incarnation.
+  const std::int64_t echo = status.echo_sent_at_us();
+  const bool own = std::find(sent_.begin(), sent_.end(), echo) != sent_.end();
+  peer.sent_after = own ? std::optional(TimePoint(Duration(echo))) : std::nullopt;
+  return true;
+}
+
+void PeerTable::Expire(const std::vector<api::RosterItem>& roster, TimePoint now) {
+  std::erase_if(peers_, [&](const auto& it) {
+    const bool rostered =
+        std::any_of(roster.begin(), roster.end(),
+                    [&](const api::RosterItem& item) { return item.endpoint() == it.first; });
+    return !rostered && now - it.second.heard > kForgetAfter;
+  });
+}
+
+const PeerTable::Peer* PeerTable::Find(const std::string& endpoint) const {
+  const auto it = peers_.find(endpoint);
+  return it == peers_.end() ? nullptr : &it->second;
+}
+
+const PeerTable::Peer* PeerTable::Find(const std::string& endpoint,
+                                       std::uint64_t incarnation) const {
+  const Peer* peer = Find(endpoint);
+  return peer != nullptr && peer->incarnation == incarnation ? peer : nullptr;
+}
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/renewal.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/schema/wire.pb.h"
+
+namespace coltsfoottide::core {
+
+class ConfigState;
+class Directory;
+
+// Makes the answers to agents' renewals. The directory version in them is a
+// fingerprint of the agent's own candidate list, so a list is sent only when
+// that agent's list has changed, whichever entry sent the last one.
+class Renewal {
+ public:
+  // Both must outlive the renewal.
+  Renewal(const ConfigState& config, const Directory& directory);
+
+  wire::Renewed Answer(const std::string& endpoint, const wire::Renew& renew,
+                       std::optional<Duration> evidence_age);
+
+  // Forgets agents that have left the directory.
+  void Expire();
+
+ private:
+  struct Known {
+    std::uint64_t directory_version = 0;
+    std::uint64_t fingerprint = 0;
+  };
+
+  void AddConfig(const wire::Renew& renew, wire::Renewed* renewed);
+  void AddCandidates(const std::string& endpoint, const wire::Renew& renew, wire::Renewed* renewed);
+
+  const ConfigState& config_;
+  const Directory& directory_;
+  // The state as agents get it, as of its next offset.
+  wire::ConfigStateData state_;
+  std::map<std::string, Known> known_;
+};
+
+}  // namespace coltsfoottide::core
--- /dev/null
+++ b/packages/core/src/roster_keeper.cc
@@ -0,0 +1,166 @@
+#include "roster_keeper.h"
+
+#include <algorithm>
+
+#include "coltsfoottide/core/config_state.h"
+#include "electorate.h"
+#include "peer_table.h"
+#include "record_appender.h"
+#include "stable_hash.h"
+
+namespace coltsfoottide::core {
+namespace {
+
+// Entries see the agreement at about the same time; each waits a different
+// part of this, so that mostly one of them appends the removal.
+constexpr std::uint64_t kRemovalJitterUs = 1'000'000;
+// Age up to which another entry's report of silent entries counts.
+constexpr Duration kReportValidity = std::chrono::seconds(2);
+
+}  // namespace
+
+RosterKeeper::RosterKeeper(const EntryControlOptions& options, const ConfigState& config,
+                           const PeerTable& peers, RecordAppender& appender)
+    : options_(options), config_(config), peers_(peers), appender_(appender) {}
+
+void RosterKeeper::Tick(std::optional<TimePoint> complete_read, TimePoint now) {
+  Observe(now);
+  if (request_ && now - appended_at_ > options_.append_search) {
+    request_.reset();
+    settle_after_ = now;
+  }
+  if (request_ || !complete_read || (settle_after_ && *complete_read <= *settle_after_)) {
+    return;
+  }
+  settle_after_.reset();
+  if (leaving_) {
+    if (OnRoster()) {
+      Remove(options_.endpoint, options_.incarnation, now);
+    }
+    return;
+  }
+  if (!OnRoster()) {
+    if (MayRegister(now)) {
+      wire::LogRecord record;
+      auto* entry = record.mutable_register_entry();
+      entry->set_endpoint(options_.endpoint);
+      entry->set_incarnation(options_.incarnation);
+      entry->set_data_centre(options_.data_centre);
+      Append(record, now);
+    }
+    return;
+  }
+  for (const auto& item : config_.roster()) {
+    if (RemovalDue(item, now)) {
+      Remove(item.endpoint(), item.incarnation(), now);
+      return;
+    }
+  }
+}
+
+bool RosterKeeper::OnAppendDone(std::uint64_t request, TimePoint now) {
+  if (request_ != request) {
+    return false;
+  }
+  request_.reset();
+  settle_after_ = now;
+  return true;
+}
+
+std::vector<std::string> RosterKeeper::Silent(TimePoint now) const {
+  std::vector<std::string> silent;
+  for (const auto& item : config_.roster()) {
+    if (IsSilent(item, now)) {
+      silent.push_back(item.endpoint());
+    }
+  }
+  return silent;
+}
+
+void RosterKeeper::Observe(TimePoint now) {
+  std::map<std::string, TimePoint> seen;
+  for (const auto& item : config_.roster()) {
+    const auto it = first_seen_.find(item.endpoint());
+    seen[item.endpoint()] = it == first_seen_.end() ? now : it->second;
+  }
+  first_seen_ = std::move(seen);
+  std::erase_if(agreed_since_, [&](const auto& it) { return !first_seen_.contains(it.first); });
+  was_on_roster_ = was_on_roster_ || OnRoster();
+}
+
+bool RosterKeeper::OnRoster() const {
+  return std::any_of(
+      config_.roster().begin(), config_.roster().end(), [&](const api::RosterItem& item) {
+        return item.endpoint() == options_.endpoint && item.incarnation() == options_.incarnation;
+      });
+}
+
+// An entry that was removed comes back only when it is in contact with a
+// rostered one; otherwise it would be removed and register again for as long
+// as it is cut off from the others but not from the log.
+bool RosterKeeper::MayRegister(TimePoint now) const {
+  if (!was_on_roster_ || config_.roster().empty()) {
+    return true;
+  }
+  return std::any_of(
+      config_.roster().begin(), config_.roster().end(), [&](const api::RosterItem& item) {
+        const PeerTable::Peer* peer = peers_.Find(item.endpoint());
+        return peer != nullptr && peer->sent_after && now - *peer->sent_after <= kReportValidity;
+      });
+}
+
+bool RosterKeeper::IsSilent(const api::RosterItem& item, TimePoint now) const {
+  if (item.endpoint() == options_.endpoint) {
+    return false;
+  }
+  const auto it = first_seen_.find(item.endpoint());
+  if (it == first_seen_.end()) {
+    return false;
+  }
+  const PeerTable::Peer* peer = peers_.Find(item.endpoint());
+  const TimePoint since = peer == nullptr ? it->second : std::max(peer->heard, it->second);
+  return now - since >= options_.peer_removal;
+}
+
+bool RosterKeeper::AgreedSilent(const api::RosterItem& target, TimePoint now) const {
+  const auto agrees = [&](const api::RosterItem& item) {
+    if (item.endpoint() == options_.endpoint) {
+      return item.incarnation() == options_.incarnation;
+    }
+    const PeerTable::Peer* peer = peers_.Find(item.endpoint(), item.incarnation());
+    if (peer == nullptr || now - peer->heard > kReportValidity) {
+      return false;
+    }
+    const auto& silent = peer->status.silent_entries();
+    return std::find(silent.begin(), silent.end(), target.endpoint()) != silent.end();
+  };
+  const auto reported = [&](const api::RosterItem& item) {
+    const PeerTable::Peer* peer = peers_.Find(item.endpoint(), item.incarnation());
+    return peer == nullptr ? 0 : peer->reported;
+  };
+  return HasMajority(config_.roster(), agrees, reported);
+}
+
+bool RosterKeeper::RemovalDue(const api::RosterItem& item, TimePoint now) {
+  if (!IsSilent(item, now) || !AgreedSilent(item, now)) {
+    agreed_since_.erase(item.endpoint());
+    return false;
+  }
+  const TimePoint since = agreed_since_.try_emplace(item.endpoint(), now).first->second;
+  const std::uint64_t hash = StableHash(options_.endpoint, StableHash(item.endpoint()));
+  return now - since >= Duration(hash % kRemovalJitterUs);
+}
+
+void RosterKeeper::Remove(const std::string& endpoint, std::uint64_t incarnation, TimePoint now) {
+  wire::LogRecord record;
+  record.mutable_remove_entry()->set_endpoint(endpoint);
+  record.mutable_remove_entry()->set_incarnation(incarnation);
+  Append(record, now);
+}
+
+void RosterKeeper::Append(const wire::LogRecord& record, TimePoint now) {
+  request_ = appender_.Append(record);
+  appended_at_ = now;
+}
+
+}  // namespace coltsfoottide::core
