Add the HTTP server and client over Qt with bounded memory and no resend

Cause: Qt 6.4.2's HttpServer buffers unfinished bodies without bound, takes a negative Content-Length, answers pipelined requests in completion order and crashes on writes to a gone socket; QNetworkAccessManager sends a POST again when a kept-alive connection closes under it.

The server frames requests itself from a socket with a 64 KB read buffer and gives Qt's parser one whole request at a time through a gate socket. Nothing more is read from a connection until the answer has been handed to the kernel. Ruled out: checking in a readyRead slot that runs before Qt's slot, because it cannot keep Qt's slot from reading the next request.

Before (trial with a buffered body, with a QByteArray body and with a device that can be rewound): a server that closed after reading a POST received it twice, body or no body.

--- a/packages/http/include/coltsfoottide/http/client.h
+++ b/packages/http/include/coltsfoottide/http/client.h
@@ -27,8 +27,10 @@
   std::string error;
 };
 
-// An HTTP/1.1 client on the current Qt thread. A request is sent at most
-// once, also when a kept-alive connection closes under it.
+// An HTTP/1.1 client on the current Qt thread. A POST is sent at most once,
+// also when a kept-alive connection closes under it; a GET may be sent again.
+// Redirects are not followed. Calls in progress at the end of the client are
+// aborted without a call of `done`.
 class Client {
  public:
   virtual ~Client() = default;
--- a/packages/http/include/coltsfoottide/http/server.h
+++ b/packages/http/include/coltsfoottide/http/server.h
@@ -14,6 +14,7 @@
   // Unique in this server.
   std::uint64_t id = 0;
   std::string method;
+  // Decoded, without the query.
   std::string path;
   // Names in lower case.
   std::map<std::string, std::string> headers;
@@ -53,7 +54,7 @@
   // answer.
   virtual void BeginStop() = 0;
 
-  // Number of requests without an answer.
+  // Number of requests whose answer has not been handed to the kernel.
   virtual std::size_t pending() const = 0;
   // Port in use.
   virtual std::uint16_t port() const = 0;
--- /dev/null
+++ b/packages/http/src/connection.cc
@@ -0,0 +1,171 @@
+#include "connection.h"
+
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "response_text.h"
+
+namespace coltsfoottide::http {
+
+namespace {
+
+// Bytes that Qt reads ahead from the kernel; TCP flow control holds back the
+// rest.
+constexpr qint64 kReadBufferBytes = 64 * 1024;
+// After a refusal the rest of the request is discarded for this long: closing
+// with unread bytes would reset the connection and could drop the answer.
+constexpr std::chrono::milliseconds kLingerTime = std::chrono::seconds(1);
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+
+}  // namespace
+
+Connection::Connection(qintptr descriptor, const ServerLimits& limits, Events events,
+                       QObject* parent)
+    : QObject(parent),
+      limits_(limits),
+      events_(std::move(events)),
+      gate_(new GateSocket(this, [this] { Refuse(kBadRequest); })),
+      framer_(limits.max_request_bytes) {
+  socket_.setReadBufferSize(kReadBufferBytes);
+  socket_.setSocketDescriptor(descriptor);
+  socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  timer_.setSingleShot(true);
+  connect(&socket_, &QTcpSocket::readyRead, this, [this] { OnReadable(); });
+  connect(&socket_, &QTcpSocket::bytesWritten, this, [this] { OnWritten(); });
+  connect(&socket_, &QTcpSocket::disconnected, this, [this] { OnDisconnected(); });
+  connect(&timer_, &QTimer::timeout, this, [this] { OnTimeout(); });
+  ArmReceiveTimer();
+}
+
+Connection::~Connection() {
+  socket_.disconnect(this);
+  if (gate_) gate_->End();
+}
+
+void Connection::BeginRequest(std::uint64_t id) {
+  request_id_ = id;
+  state_ = State::kInProgress;
+}
+
+void Connection::Respond(const Response& response) {
+  if (state_ != State::kInProgress) return;
+  state_ = State::kAnswering;
+  const bool keep_alive = head_.keep_alive && !stopping_;
+  close_after_answer_ = !keep_alive;
+  timer_.start(limits_.idle_time);
+  socket_.write(FormatResponse(response, keep_alive, head_.method != "HEAD"));
+  socket_.flush();
+  // Later, so that the next request is not reported from within this call.
+  if (socket_.bytesToWrite() == 0) {
+    QMetaObject::invokeMethod(
+        this, [this] { OnWritten(); }, Qt::QueuedConnection);
+  }
+}
+
+void Connection::BeginStop() {
+  stopping_ = true;
+  if (state_ != State::kReceiving) return;
+  // A request that has already arrived is answered.
+  socket_.waitForReadyRead(0);
+  if (state_ == State::kReceiving && framer_.state() == RequestFramer::State::kEmpty) Linger();
+}
+
+void Connection::OnReadable() {
+  if (state_ == State::kLingering) {
+    socket_.readAll();
+  } else if (state_ == State::kReceiving) {
+    Receive();
+  }
+}
+
+void Connection::Receive() {
+  using FramerState = RequestFramer::State;
+  while (framer_.wanted() > 0) {
+    const QByteArray bytes = socket_.read(framer_.wanted());
+    if (bytes.isEmpty()) break;
+    framer_.Append(bytes);
+  }
+  if (framer_.state() == FramerState::kRefused) return Refuse(framer_.refusal_status());
+  if (framer_.state() == FramerState::kComplete) return Dispatch();
+  if (framer_.state() == FramerState::kBody && framer_.head().expects_continue && !continue_sent_) {
+    continue_sent_ = true;
+    socket_.write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  ArmReceiveTimer();
+}
+
+void Connection::Dispatch() {
+  timer_.stop();
+  timed_state_ = RequestFramer::State::kRefused;
+  continue_sent_ = false;
+  head_ = framer_.head();
+  state_ = State::kParsing;
+  if (gate_) gate_->Feed(framer_.Take());
+  // The parser calls BeginRequest unless it disagrees with the framer.
+  if (state_ == State::kParsing) Refuse(kBadRequest);
+}
+
+// Restarts the timer only when the state changes, so that a peer cannot
+// extend a limit by sending single bytes.
+void Connection::ArmReceiveTimer() {
+  if (framer_.state() == timed_state_) return;
+  timed_state_ = framer_.state();
+  if (timed_state_ == RequestFramer::State::kEmpty) timer_.start(limits_.idle_time);
+  if (timed_state_ == RequestFramer::State::kHeader) timer_.start(limits_.header_time);
+  if (timed_state_ == RequestFramer::State::kBody) timer_.start(limits_.body_time);
+}
+
+void Connection::OnWritten() {
+  if (state_ != State::kAnswering || socket_.bytesToWrite() > 0) return;
+  events_.on_written(*this);
+  const bool next_is_here =
+      framer_.state() != RequestFramer::State::kEmpty || socket_.bytesAvailable() > 0;
+  if (close_after_answer_ || (stopping_ && !next_is_here)) return Linger();
+  state_ = State::kReceiving;
+  Receive();
+}
+
+void Connection::Refuse(int status) {
+  if (state_ == State::kLingering || state_ == State::kClosed) return;
+  Response response;
+  response.status = status;
+  response.content_type = "text/plain";
+  socket_.write(FormatResponse(response, false, true));
+  Linger();
+}
+
+// Half-closes after what is still to be written, and waits for the peer to
+// close.
+void Connection::Linger() {
+  state_ = State::kLingering;
+  timer_.start(kLingerTime);
+  socket_.flush();
+  if (socket_.bytesToWrite() > 0) return Close();
+  ::shutdown(static_cast<int>(socket_.socketDescriptor()), SHUT_WR);
+  socket_.readAll();
+}
+
+// Qt closes after writing what is queued, within the running timer.
+void Connection::Close() { socket_.disconnectFromHost(); }
+
+void Connection::OnTimeout() {
+  const bool receiving = state_ == State::kReceiving;
+  if (receiving && framer_.state() != RequestFramer::State::kEmpty) return Refuse(kRequestTimeout);
+  if (receiving) return Linger();
+  socket_.abort();
+}
+
+void Connection::OnDisconnected() {
+  const State last = std::exchange(state_, State::kClosed);
+  if (last == State::kClosed) return;
+  timer_.stop();
+  if (gate_) gate_->End();
+  if (last == State::kInProgress) events_.on_abandoned(*this);
+  if (last == State::kAnswering) events_.on_written(*this);
+  events_.on_closed(*this);
+  deleteLater();
+}
+
+}  // namespace coltsfoottide::http
--- /dev/null
+++ b/packages/http/src/connection.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <QObject>
+#include <QPointer>
+#include <QTcpSocket>
+#include <QTimer>
+#include <functional>
+
+#include "coltsfoottide/http/server.h"
+#include "gate_socket.h"
+#include "request_framer.h"
+
+namespace coltsfoottide::http {
+
+// One accepted connection: reads one request at a time within the limits,
+// passes it to Qt's parser through the gate socket, and writes its answer.
+// What follows the request stays in the kernel and in a read buffer of fixed
+// size until the answer has been written. Deletes itself once it has closed.
+class Connection : public QObject {
+ public:
+  struct Events {
+    // The last request got no answer because the peer has gone.
+    std::function<void(Connection&)> on_abandoned;
+    // The answer of the last request has been handed to the kernel.
+    std::function<void(Connection&)> on_written;
+    std::function<void(Connection&)> on_closed;
+  };
+
+  Connection(qintptr descriptor, const ServerLimits& limits, Events events, QObject* parent);
+  ~Connection() override;
+
+  // For Qt's HTTP server, which reads requests from it.
+  GateSocket* gate() { return gate_; }
+  // The request that the parser has read is now with the application, under
+  // the id.
+  void BeginRequest(std::uint64_t id);
+  std::uint64_t request_id() const { return request_id_; }
+  const RequestHead& head() const { return head_; }
+
+  // Writes the answer of the request in progress.
+  void Respond(const Response& response);
+
+  // Closes now if idle, otherwise after the answer.
+  void BeginStop();
+
+ private:
+  enum class State { kReceiving, kParsing, kInProgress, kAnswering, kLingering, kClosed };
+
+  void OnReadable();
+  void OnWritten();
+  void OnDisconnected();
+  void OnTimeout();
+  void Receive();
+  void Dispatch();
+  void ArmReceiveTimer();
+  void Refuse(int status);
+  void Linger();
+  void Close();
+
+  ServerLimits limits_;
+  Events events_;
+  QTcpSocket socket_;
+  QTimer timer_;
+  QPointer<GateSocket> gate_;
+  RequestFramer framer_;
+  RequestFramer::State timed_state_ = RequestFramer::State::kRefused;
+  RequestHead head_;
+  std::uint64_t request_id_ = 0;
+  State state_ = State::kReceiving;
+  bool stopping_ = false;
+  bool continue_sent_ = false;
+  bool close_after_answer_ = false;
+};
+
+}  // namespace coltsfoottide::http
--- /dev/null
+++ b/packages/http/src/gate_socket.cc
@@ -0,0 +1,54 @@
+#include "gate_socket.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace coltsfoottide::http {
+
+GateSocket::GateSocket(Connection* connection, std::function<void()> on_refused)
+    : connection_(connection), on_refused_(std::move(on_refused)) {
+  setOpenMode(QIODevice::ReadWrite);
+  setSocketState(QAbstractSocket::ConnectedState);
+}
+
+void GateSocket::Feed(QByteArray request) {
+  request_ = std::move(request);
+  read_ = 0;
+  // By name: the signal is private to QIODevice.
+  QMetaObject::invokeMethod(this, "readyRead", Qt::DirectConnection);
+}
+
+void GateSocket::End() {
+  connection_ = nullptr;
+  on_refused_ = nullptr;
+  setSocketState(QAbstractSocket::UnconnectedState);
+  QMetaObject::invokeMethod(this, "disconnected", Qt::DirectConnection);
+  deleteLater();
+}
+
+qint64 GateSocket::bytesAvailable() const {
+  return QTcpSocket::bytesAvailable() + request_.size() - read_;
+}
+
+void GateSocket::disconnectFromHost() {
+  if (auto refused = std::exchange(on_refused_, nullptr)) refused();
+}
+
+void GateSocket::close() { disconnectFromHost(); }
+
+qint64 GateSocket::readData(char* data, qint64 max_size) {
+  const qint64 n = std::min<qint64>(max_size, request_.size() - read_);
+  std::memcpy(data, request_.constData() + read_, static_cast<std::size_t>(n));
+  read_ += n;
+  if (read_ == request_.size()) {
+    request_.clear();
+    read_ = 0;
+  }
+  return n;
+}
+
+// Answers are written to the connection itself.
+qint64 GateSocket::writeData(const char* /*data*/, qint64 /*size*/) { return -1; }
+
+}  // namespace coltsfoottide::http
--- /dev/null
+++ b/packages/http/src/request_framer.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <QByteArray>
+#include <cstddef>
+
+#include "request_head.h"
+
+namespace coltsfoottide::http {
+
+// Finds the boundaries of HTTP/1.1 requests in a byte stream and refuses what
+// the server does not accept. Holds one request and at most one header's
+// worth of bytes after it.
+class RequestFramer {
+ public:
+  enum class State {
+    kEmpty,     // no byte of a request
+    kHeader,    // part of a header
+    kBody,      // a whole header, part of a body
+    kComplete,  // at least one whole request
+    kRefused,   // not acceptable, see refusal_status()
+  };
+
+  // Limit of one header; longer ones are refused with 431.
+  static constexpr qsizetype kMaxHeaderBytes = 32 * 1024;
+
+  // `max_request_bytes` limits the header and body of one request together.
+  explicit RequestFramer(std::size_t max_request_bytes);
+
+  // Number of bytes to append at most, to stay within the limits.
+  qsizetype wanted() const;
+
+  // Appends bytes and returns the new state.
+  State Append(const QByteArray& bytes);
+
+  // Removes and returns the whole request; what follows it is kept. Requires
+  // kComplete.
+  QByteArray Take();
+
+  State state() const { return state_; }
+  // Valid in kBody and kComplete.
+  const RequestHead& head() const { return head_; }
+  // HTTP status of the refusal.
+  int refusal_status() const { return refusal_status_; }
+
+ private:
+  void Evaluate();
+  void ReadHead();
+  void Refuse(int status);
+
+  qsizetype max_request_bytes_;
+  QByteArray buf_;
+  // Offset up to which no header end was found.
+  qsizetype searched_ = 0;
+  // Header and body bytes of the current request; 0 while the header is not whole.
+  qsizetype request_bytes_ = 0;
+  State state_ = State::kEmpty;
+  RequestHead head_;
+  int refusal_status_ = 0;
+};
+
+}  // namespace coltsfoottide::http
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -1,1 +1,132 @@
 #include "coltsfoottide/http/server.h"
+
+#include <QAbstractHttpServer>
+#include <QHostAddress>
+#include <QHttpServerRequest>
+#include <QHttpServerResponder>
+#include <QPointer>
+#include <unordered_map>
+#include <utility>
+
+#include "connection.h"
+#include "gate_socket.h"
+#include "listener.h"
+
+namespace coltsfoottide::http {
+
+namespace {
+
+Request ToRequest(const QHttpServerRequest& parsed, const RequestHead& head) {
+  Request request;
+  request.method = head.method.toStdString();
+  request.path = parsed.url().path().toStdString();
+  for (const auto& [name, value] : parsed.headers()) {
+    std::string& joined = request.headers[name.toLower().toStdString()];
+    if (!joined.empty()) joined += ", ";
+    joined += value.toStdString();
+  }
+  request.body = parsed.body().toStdString();
+  return request;
+}
+
+// Passes each request that Qt has parsed on, with the socket it came from.
+class Dispatcher : public QAbstractHttpServer {
+ public:
+  using Handler = std::function<void(const QHttpServerRequest&, QTcpSocket*)>;
+  explicit Dispatcher(Handler handler) : handler_(std::move(handler)) {}
+
+ protected:
+  bool handleRequest(const QHttpServerRequest& request, QTcpSocket* socket) override {
+    handler_(request, socket);
+    return true;
+  }
+  void missingHandler(const QHttpServerRequest& /*request*/, QTcpSocket* /*socket*/) override {}
+
+ private:
+  Handler handler_;
+};
+
+class QtServer : public Server {
+ public:
+  QtServer(const ServerLimits& limits, ServerCallbacks callbacks)
+      : callbacks_(std::move(callbacks)),
+        dispatcher_([this](const QHttpServerRequest& request, QTcpSocket* socket) {
+          OnParsed(request, socket);
+        }),
+        listener_(std::make_unique<Listener>(limits, MakeEvents())) {}
+
+  bool Listen(const QHostAddress& address, std::uint16_t port) {
+    if (!listener_->listen(address, port)) return false;
+    port_ = listener_->serverPort();
+    dispatcher_.bind(listener_.get());
+    return true;
+  }
+  std::string error() const { return listener_->errorString().toStdString(); }
+
+  bool Respond(std::uint64_t id, const Response& response) override {
+    const auto it = pending_.find(id);
+    if (it == pending_.end() || it->second.answered || !it->second.connection) return false;
+    it->second.answered = true;
+    it->second.connection->Respond(response);
+    return true;
+  }
+
+  void BeginStop() override { listener_->BeginStop(); }
+  std::size_t pending() const override { return pending_.size(); }
+  std::uint16_t port() const override { return port_; }
+
+ private:
+  struct Pending {
+    QPointer<Connection> connection;
+    bool answered = false;
+  };
+
+  Connection::Events MakeEvents() {
+    Connection::Events events;
+    events.on_abandoned = [this](Connection& it) {
+      pending_.erase(it.request_id());
+      if (callbacks_.on_abandoned) callbacks_.on_abandoned(it.request_id());
+    };
+    events.on_written = [this](Connection& it) { pending_.erase(it.request_id()); };
+    return events;
+  }
+
+  void OnParsed(const QHttpServerRequest& parsed, QTcpSocket* socket) {
+    auto* gate = dynamic_cast<GateSocket*>(socket);
+    if (gate == nullptr || gate->connection() == nullptr) return;
+    Connection* connection = gate->connection();
+    const std::uint64_t id = ++last_id_;
+    connection->BeginRequest(id);
+    pending_[id].connection = connection;
+    Request request = ToRequest(parsed, connection->head());
+    request.id = id;
+    callbacks_.on_request(std::move(request));
+  }
+
+  ServerCallbacks callbacks_;
+  std::unordered_map<std::uint64_t, Pending> pending_;
+  std::uint64_t last_id_ = 0;
+  std::uint16_t port_ = 0;
+  Dispatcher dispatcher_;
+  // After the dispatcher, its QObject parent, so that it is destroyed first.
+  std::unique_ptr<Listener> listener_;
+};
+
+}  // namespace
+
+std::variant<std::unique_ptr<Server>, ServerError> MakeServer(const std::string& address,
+                                                              std::uint16_t port,
+                                                              ServerLimits limits,
+                                                              ServerCallbacks callbacks) {
+  QHostAddress host;
+  if (!host.setAddress(QString::fromStdString(address))) {
+    return ServerError{"not an IP number: " + address};
+  }
+  auto server = std::make_unique<QtServer>(limits, std::move(callbacks));
+  if (!server->Listen(host, port)) {
+    return ServerError{address + ":" + std::to_string(port) + ": " + server->error()};
+  }
+  return server;
+}
+
+}  // namespace coltsfoottide::http
--- /dev/null
+++ b/packages/http/test/server_test.cc
@@ -0,0 +1,304 @@
+#include "coltsfoottide/http/server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <vector>
+
+#include "event_loop.h"
+
+namespace coltsfoottide::http {
+
+namespace {
+
+// A server with what it reported.
+struct Fixture {
+  explicit Fixture(ServerLimits limits = {}) {
+    ServerCallbacks callbacks;
+    callbacks.on_request = [this](Request it) { requests.push_back(std::move(it)); };
+    callbacks.on_abandoned = [this](std::uint64_t id) { abandoned.push_back(id); };
+    server = std::get<0>(MakeServer("127.0.0.1", 0, limits, std::move(callbacks)));
+  }
+
+  std::vector<Request> requests;
+  std::vector<std::uint64_t> abandoned;
+  std::unique_ptr<Server> server;
+};
+
+// A peer that writes bytes and records what comes back.
+struct RawPeer {
+  explicit RawPeer(const Fixture& fixture) {
+    QObject::connect(&socket, &QTcpSocket::readyRead, &socket,
+                     [this] { received += socket.readAll(); });
+    bool connected = false;
+    QObject scope;
+    QObject::connect(&socket, &QTcpSocket::connected, &scope, [&] { connected = true; });
+    socket.connectToHost(QHostAddress::LocalHost, fixture.server->port());
+    CPPUNIT_ASSERT(RunUntil([&] { return connected; }));
+  }
+  bool WaitFor(const char* text) {
+    return RunUntil([this, text] { return received.contains(text); });
+  }
+  bool WaitForClose() {
+    return RunUntil([this] { return socket.state() == QAbstractSocket::UnconnectedState; });
+  }
+
+  QTcpSocket socket;
+  QByteArray received;
+};
+
+QByteArray PostText(const QByteArray& path, const QByteArray& body) {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: h\r\nContent-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+Response TextResponse(std::string body, int status = 200) {
+  Response response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+class ServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServerTest);
+  CPPUNIT_TEST(KeepsConnectionAlive);
+  CPPUNIT_TEST(DropsAnswerToGonePeer);
+  CPPUNIT_TEST(HoldsBackPipelinedRequests);
+  CPPUNIT_TEST(StopsReadingWhileRequestInProgress);
+  CPPUNIT_TEST(RefusesOversizedBody);
+  CPPUNIT_TEST(RefusesEndlessHeader);
+  CPPUNIT_TEST(RefusesMalformedRequests);
+  CPPUNIT_TEST(ClosesSlowClients);
+  CPPUNIT_TEST(LimitsConnections);
+  CPPUNIT_TEST(StopAnswersRequestsInProgress);
+  CPPUNIT_TEST(SendsContinue);
+  CPPUNIT_TEST(ReportsPortInUse);
+  CPPUNIT_TEST(WritesStatusAndHeaders);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { EnsureApplication(); }
+
+  // Guards against a parser state that does not survive the first request.
+  void KeepsConnectionAlive() {
+    Fixture fixture;
+    RawPeer peer(fixture);
+    for (std::size_t i = 1; i <= 3; ++i) {
+      const QByteArray body = "body-" + QByteArray::number(qulonglong{i});
+      peer.socket.write(PostText("/v1/x", body));
+      CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == i; }));
+      const Request& request = fixture.requests.back();
+      CPPUNIT_ASSERT_EQUAL(body.toStdString(), request.body);
+      CPPUNIT_ASSERT_EQUAL(std::string("/v1/x"), request.path);
+      CPPUNIT_ASSERT_EQUAL(std::string("h"), request.headers.at("host"));
+      CPPUNIT_ASSERT(fixture.server->Respond(request.id, TextResponse("answer-" + request.body)));
+      CPPUNIT_ASSERT(peer.WaitFor(("answer-" + body).constData()));
+    }
+    CPPUNIT_ASSERT_EQUAL(QAbstractSocket::ConnectedState, peer.socket.state());
+  }
+
+  // A responder that outlives its socket crashes in Qt 6.4.2.
+  void DropsAnswerToGonePeer() {
+    Fixture fixture;
+    {
+      RawPeer peer(fixture);
+      peer.socket.write(PostText("/v1/x", "a"));
+      CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == 1; }));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.server->pending());
+      peer.socket.abort();
+    }
+    CPPUNIT_ASSERT(RunUntil([&] { return fixture.abandoned.size() == 1; }));
+    CPPUNIT_ASSERT_EQUAL(fixture.requests[0].id, fixture.abandoned[0]);
+    CPPUNIT_ASSERT(!fixture.server->Respond(fixture.requests[0].id, TextResponse("late")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.server->pending());
+  }
+
+  // Qt answers pipelined requests in the order of completion.
+  void HoldsBackPipelinedRequests() {
+    Fixture fixture;
+    RawPeer peer(fixture);
+    peer.socket.write(PostText("/1", "a") + PostText("/2", "b") + PostText("/3", "c"));
+    for (std::size_t i = 1; i <= 3; ++i) {
+      CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == i; }));
+      RunFor(std::chrono::milliseconds(20));
+      CPPUNIT_ASSERT_EQUAL(i, fixture.requests.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.server->pending());
+      const Request& request = fixture.requests.back();
+      CPPUNIT_ASSERT_EQUAL("/" + std::to_string(i), request.path);
+      CPPUNIT_ASSERT(fixture.server->Respond(request.id, TextResponse("<" + request.body + ">")));
+      // A second answer to the same request is ignored.
+      CPPUNIT_ASSERT(!fixture.server->Respond(request.id, TextResponse("twice")));
+    }
+    CPPUNIT_ASSERT(peer.WaitFor("<c>"));
+    CPPUNIT_ASSERT(peer.received.indexOf("<a>") < peer.received.indexOf("<b>"));
+    CPPUNIT_ASSERT(peer.received.indexOf("<b>") < peer.received.indexOf("<c>"));
+    CPPUNIT_ASSERT(!peer.received.contains("twice"));
+  }
+
+  // Bytes after a request in progress must not be buffered without bound.
+  void StopsReadingWhileRequestInProgress() {
+    Fixture fixture;
+    RawPeer peer(fixture);
+    constexpr qsizetype kFlood = 64 * 1024 * 1024;
+    peer.socket.write(PostText("/1", "a") + QByteArray(kFlood, 'x'));
+    CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == 1; }));
+    qint64 left = -1;
+    // Until the kernel's buffers are full.
+    while (left != peer.socket.bytesToWrite()) {
+      left = peer.socket.bytesToWrite();
+      RunFor(std::chrono::milliseconds(50));
+    }
+    CPPUNIT_ASSERT(left > kFlood / 2);
+  }
+
+  // The declared length is refused before any of the body is stored.
+  void RefusesOversizedBody() {
+    ServerLimits limits;
+    limits.max_request_bytes = 1000;
+    Fixture fixture(limits);
+    RawPeer peer(fixture);
+    peer.socket.write("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + QByteArray(1001, 'x'));
+    CPPUNIT_ASSERT(peer.WaitForClose());
+    CPPUNIT_ASSERT(peer.received.startsWith("HTTP/1.1 413 "));
+    CPPUNIT_ASSERT(fixture.requests.empty());
+  }
+
+  void RefusesEndlessHeader() {
+    Fixture fixture;
+    RawPeer peer(fixture);
+    peer.socket.write("GET / HTTP/1.1\r\nX: " + QByteArray(64 * 1024, 'x'));
+    CPPUNIT_ASSERT(peer.WaitForClose());
+    CPPUNIT_ASSERT(peer.received.startsWith("HTTP/1.1 431 "));
+    CPPUNIT_ASSERT(fixture.requests.empty());
+  }
+
+  // Qt takes a negative Content-Length as no limit.
+  void RefusesMalformedRequests() {
+    const std::vector<std::pair<QByteArray, QByteArray>> cases = {
+        {"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nContent-Length: abc\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "400"},
+        {"POST / HTTP/1.1\r\nContent-Length : 1\r\n\r\nx", "400"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "411"},
+        {"GET / HTTP/1.1\r\nUpgrade: websocket\r\n\r\n", "501"},
+        {"CONNECT h:1 HTTP/1.1\r\n\r\n", "501"},
+        {"GET / HTTP/2.0\r\n\r\n", "505"},
+        {"nonsense\r\n\r\n", "400"},
+    };
+    Fixture fixture;
+    for (const auto& [text, status] : cases) {
+      RawPeer peer(fixture);
+      peer.socket.write(text + PostText("/next", "x"));
+      CPPUNIT_ASSERT(peer.WaitForClose());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text.toStdString(), ("HTTP/1.1 " + status).toStdString(),
+                                   peer.received.left(12).toStdString());
+      CPPUNIT_ASSERT(fixture.requests.empty());
+    }
+  }
+
+  // Unfinished headers and bodies, and idle connections, end by themselves.
+  void ClosesSlowClients() {
+    ServerLimits limits;
+    limits.header_time = limits.body_time = limits.idle_time = std::chrono::milliseconds(50);
+    Fixture fixture(limits);
+    const std::vector<std::pair<QByteArray, QByteArray>> cases = {
+        {"POST / HT", "HTTP/1.1 408"},
+        {"POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab", "HTTP/1.1 408"},
+        {"", ""},
+    };
+    for (const auto& [text, answer] : cases) {
+      RawPeer peer(fixture);
+      peer.socket.write(text);
+      CPPUNIT_ASSERT(peer.WaitForClose());
+      CPPUNIT_ASSERT_EQUAL(answer.toStdString(), peer.received.left(12).toStdString());
+    }
+    CPPUNIT_ASSERT(fixture.requests.empty());
+    CPPUNIT_ASSERT(fixture.abandoned.empty());
+  }
+
+  void LimitsConnections() {
+    ServerLimits limits;
+    limits.max_connections = 2;
+    Fixture fixture(limits);
+    RawPeer first(fixture);
+    auto second = std::make_unique<RawPeer>(fixture);
+    RawPeer third(fixture);
+    CPPUNIT_ASSERT(third.WaitForClose());
+    CPPUNIT_ASSERT_EQUAL(QAbstractSocket::ConnectedState, first.socket.state());
+    // A closed connection makes room.
+    second->socket.abort();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      RawPeer peer(fixture);
+      const std::size_t before = fixture.requests.size();
+      peer.socket.write(PostText("/", "x"));
+      RunUntil([&] {
+        return fixture.requests.size() > before ||
+               peer.socket.state() == QAbstractSocket::UnconnectedState;
+      });
+      return fixture.requests.size() > before;
+    }));
+  }
+
+  void StopAnswersRequestsInProgress() {
+    Fixture fixture;
+    RawPeer idle(fixture);
+    RawPeer busy(fixture);
+    busy.socket.write(PostText("/", "x"));
+    CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == 1; }));
+    fixture.server->BeginStop();
+    CPPUNIT_ASSERT(idle.WaitForClose());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.server->pending());
+    QTcpSocket refused;
+    refused.connectToHost(QHostAddress::LocalHost, fixture.server->port());
+    CPPUNIT_ASSERT(
+        RunUntil([&] { return refused.error() == QAbstractSocket::ConnectionRefusedError; }));
+    CPPUNIT_ASSERT(fixture.server->Respond(fixture.requests[0].id, TextResponse("last")));
+    CPPUNIT_ASSERT(busy.WaitForClose());
+    CPPUNIT_ASSERT(busy.received.contains("Connection: close\r\n"));
+    CPPUNIT_ASSERT(busy.received.endsWith("last"));
+    CPPUNIT_ASSERT(RunUntil([&] { return fixture.server->pending() == 0; }));
+  }
+
+  void SendsContinue() {
+    Fixture fixture;
+    RawPeer peer(fixture);
+    peer.socket.write("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    CPPUNIT_ASSERT(peer.WaitFor("HTTP/1.1 100 Continue\r\n\r\n"));
+    peer.socket.write("ab");
+    CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"), fixture.requests[0].body);
+  }
+
+  void ReportsPortInUse() {
+    Fixture fixture;
+    const auto second = MakeServer("127.0.0.1", fixture.server->port(), {}, {});
+    CPPUNIT_ASSERT(std::holds_alternative<ServerError>(second));
+    CPPUNIT_ASSERT(std::holds_alternative<ServerError>(MakeServer("localhost", 0, {}, {})));
+  }
+
+  // A header value from elsewhere must not be able to add a header line.
+  void WritesStatusAndHeaders() {
+    Fixture fixture;
+    RawPeer peer(fixture);
+    peer.socket.write("HEAD /x HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("HEAD"), fixture.requests[0].method);
+    Response response = TextResponse("four", 503);
+    response.headers = {{"X-Not-Run", "1"}, {"X-Bad", "1\r\nX-Injected: 1"}};
+    CPPUNIT_ASSERT(fixture.server->Respond(fixture.requests[0].id, response));
+    CPPUNIT_ASSERT(peer.WaitForClose());
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503 Service Unavailable\r\n"
+                                     "Content-Type: application/json\r\nContent-Length: 4\r\n"
+                                     "X-Not-Run: 1\r\nConnection: close\r\n\r\n"),
+                         peer.received.toStdString());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerTest);
+
+}  // namespace coltsfoottide::http
