Handle the edge cases of the worker and the router

Worker: - A second Start of a known task did not enter the sequence window, so a third delivery after the acknowledgement could start the task again. It now does. - An ejected worker queued reservations it would not serve for 5 s; it refuses them. A reinstated worker ramps up. - Coordinators that were told "full" are told of a free slot also while bulk reservations wait, because that slot is the one kept for urgent tasks.

Router: - Jobs are dropped once the coordinator has confirmed them and are asked for with WaitJob from then on; unconfirmed ones are bounded to 128 MB. Before, 20,000 calls could keep 20 GB. - A question for the state no longer replaces the request number of its call, which dropped an answer on its way. Ruled out: answering from the reply to the question, since only the request itself can submit a job that was lost. - Ticket and list calls count towards the bound of calls.

--- a/packages/core/src/job_router.cc
+++ b/packages/core/src/job_router.cc
@@ -13,6 +13,8 @@
 constexpr Duration kTicketTimeout = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds kDefaultWait = std::chrono::seconds(30);
 constexpr std::size_t kMaxListed = 64;
+// Jobs are kept until their coordinator has confirmed them, to send them again.
+constexpr std::size_t kMaxJobBytes = 128 * 1024 * 1024;
 // The coordinator answers at the deadline itself; the entry does so this much
 // later if that answer is missing.
 constexpr Duration kDeadlineGrace = std::chrono::milliseconds(250);
@@ -87,7 +89,8 @@
 }
 
 void JobRouter::ListJobs(std::uint64_t call, const api::ListJobsRequest& request, TimePoint now) {
-  state_->listing.Begin(call, state_->stock.Endpoints(kMaxListed), request.limit(), now);
+  const std::size_t asked = state_->Pending() < state_->options.max_calls ? kMaxListed : 0;
+  state_->listing.Begin(call, state_->stock.Endpoints(asked), request.limit(), now);
   state_->RespondLists(now);
 }
 
@@ -108,16 +111,19 @@
   state_->outbox.Send(node.mapped().endpoint(), std::move(envelope));
 }
 
-std::size_t JobRouter::pending() const {
-  return state_->calls.size() + state_->ticket_calls.size() + state_->listing.pending();
-}
+std::size_t JobRouter::pending() const { return state_->Pending(); }
 
 void JobRouter::State::ObtainTickets(std::uint64_t call, std::uint32_t count, TimePoint now) {
+  api::ObtainTicketsResponse refusal;
   if (count > static_cast<std::uint32_t>(schema::kMaxTicketsPerCall)) {
-    api::ObtainTicketsResponse response;
-    *response.mutable_error() = schema::MakeError(api::NOT_RUN, api::INVALID_REQUEST,
-                                                  "at most 1000 tickets can be obtained at once");
-    sink.OnTickets(call, response);
+    *refusal.mutable_error() = schema::MakeError(api::NOT_RUN, api::INVALID_REQUEST,
+                                                 "at most 1000 tickets can be obtained at once");
+  } else if (Pending() >= options.max_calls) {
+    *refusal.mutable_error() =
+        schema::MakeError(api::NOT_RUN, api::OVERLOADED, "the entry has too many calls");
+  }
+  if (refusal.has_error()) {
+    sink.OnTickets(call, refusal);
     return;
   }
   ticket_calls.push_back({call, std::max<std::uint32_t>(count, 1), now + kTicketTimeout});
@@ -149,9 +155,11 @@
 }
 
 void JobRouter::State::Begin(RoutedCall call, TimePoint now) {
-  if (Refuse(call.call, call.ticket)) {
+  call.job_bytes = call.job.ByteSizeLong();
+  if (Refuse(call)) {
     return;
   }
+  job_bytes += call.job_bytes;
   call.current = call.ticket;
   call.accepted = now;
   call.poll_interval = options.silence_limit;
@@ -165,20 +173,25 @@
   Send(routed, now);
 }
 
-bool JobRouter::State::Refuse(std::uint64_t call, const api::Ticket& ticket) {
-  if (ticket.endpoint().empty()) {
-    RespondFailed(call, ticket, api::NOT_RUN, api::TICKET_REQUIRED, "the request has no ticket");
+bool JobRouter::State::Refuse(const RoutedCall& call) {
+  if (call.ticket.endpoint().empty()) {
+    RespondFailed(call.call, call.ticket, api::NOT_RUN, api::TICKET_REQUIRED,
+                  "the request has no ticket");
     return true;
   }
-  if (calls.size() >= options.max_calls) {
+  if (Pending() >= options.max_calls || job_bytes + call.job_bytes > kMaxJobBytes) {
     // The ticket may have been submitted before, here or at another entry.
-    RespondFailed(call, ticket, api::MAY_HAVE_RUN, api::OVERLOADED,
+    RespondFailed(call.call, call.ticket, api::MAY_HAVE_RUN, api::OVERLOADED,
                   "the entry has too many calls; repeat the call with the same ticket");
     return true;
   }
   return false;
 }
 
+std::size_t JobRouter::State::Pending() const {
+  return calls.size() + ticket_calls.size() + listing.pending();
+}
+
 void JobRouter::State::Renumber(RoutedCall& call) {
   requests.erase(call.request);
   call.request = next_request++;
@@ -193,6 +206,10 @@
   };
   switch (call.kind) {
     case RoutedCall::Kind::kSubmit: {
+      if (call.confirmed) {
+        fill(envelope.mutable_wait_job());
+        break;
+      }
       wire::SubmitJob* submit = envelope.mutable_submit_job();
       fill(submit);
       *submit->mutable_job() = call.job;
@@ -249,6 +266,7 @@
   if (it == calls.end()) {
     return;
   }
+  job_bytes -= it->second.job_bytes;
   requests.erase(it->second.request);
   requests.erase(it->second.poll_request);
   timers.Erase(call);
--- a/packages/core/src/job_router_replies.cc
+++ b/packages/core/src/job_router_replies.cc
@@ -94,8 +94,8 @@
   } else if (reply.request() == call.poll_request) {
     OnPollReply(call, reply.answer(), now);
   } else if (reply.answer().state() == api::RUNNING && call.WaitsForAnswer()) {
-    // Accepted; the answer follows under the same request number.
-    return;
+    // The answer follows under the same request number.
+    Confirm(call);
   } else {
     Respond(call.call, reply.answer());
   }
@@ -107,13 +107,21 @@
   if (answer.state() != api::RUNNING) {
     // The request or its reply was lost. Sent again, it attaches to the same
     // job, or submits it if it never arrived.
-    Renumber(call);
     Send(call, now);
-  } else if (!call.WaitsForAnswer()) {
+    return;
+  }
+  Confirm(call);
+  if (!call.WaitsForAnswer()) {
     Respond(call.call, answer);
   }
 }
 
+void JobRouter::State::Confirm(RoutedCall& call) {
+  call.confirmed = true;
+  job_bytes -= std::exchange(call.job_bytes, 0);
+  call.job.clear_tasks();
+}
+
 void JobRouter::State::OnMoved(RoutedCall& call, const api::Ticket& successor, TimePoint now) {
   if (++call.moves > kMaxMoves || successor.endpoint().empty()) {
     RespondFailed(call.call, call.ticket, api::MAY_HAVE_RUN, api::COORDINATOR_LEAVING,
--- a/packages/core/src/job_router_state.h
+++ b/packages/core/src/job_router_state.h
@@ -34,7 +34,8 @@
   // Answers ticket calls in order, as far as the stock and the time allow.
   void ServeTicketCalls(TimePoint now);
   void Begin(RoutedCall call, TimePoint now);
-  bool Refuse(std::uint64_t call, const api::Ticket& ticket);
+  bool Refuse(const RoutedCall& call);
+  std::size_t Pending() const;
   // Sends the call's request; a repeated request keeps its number.
   void Send(const RoutedCall& call, TimePoint now);
   void Renumber(RoutedCall& call);
@@ -47,6 +48,7 @@
   // Replies and silence.
   void OnJobReply(const wire::Envelope& envelope, TimePoint now);
   void OnPollReply(RoutedCall& call, const api::JobAnswer& answer, TimePoint now);
+  void Confirm(RoutedCall& call);
   void OnMoved(RoutedCall& call, const api::Ticket& successor, TimePoint now);
   void OnProbeReply(const wire::Envelope& envelope, TimePoint now);
   void OnCallDue(std::uint64_t call, TimePoint now);
@@ -70,6 +72,7 @@
   CoordinatorWatch watch;
   std::deque<TicketCall> ticket_calls;
   std::unordered_map<std::uint64_t, RoutedCall> calls;
+  std::size_t job_bytes = 0;                                  // of the jobs in `calls`
   std::unordered_map<std::uint64_t, std::uint64_t> requests;  // to calls
   DeadlineSet<std::uint64_t> timers;
   // Answers to acknowledge once they are delivered.
--- a/packages/core/src/routed_call.h
+++ b/packages/core/src/routed_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 #include "coltsfoottide/core/time.h"
@@ -23,6 +24,9 @@
   // Of a Submit.
   api::JobSpec job;
   bool wait = false;
+  std::size_t job_bytes = 0;
+  // The coordinator has the job; the tasks are no longer kept here.
+  bool confirmed = false;
   TimePoint accepted;
   // Time of the response if none arrives, or TimePoint::max().
   TimePoint due = TimePoint::max();
--- a/packages/core/src/worker.cc
+++ b/packages/core/src/worker.cc
@@ -72,6 +72,9 @@
 }
 
 void Worker::SetEjected(bool ejected, TimePoint now) {
+  if (state_->probation.ejected() && !ejected) {
+    state_->ramp_up.Begin(now);
+  }
   state_->probation.SetEjected(ejected, now);
   state_->Settle(now);
 }
--- a/packages/core/src/worker_load.cc
+++ b/packages/core/src/worker_load.cc
@@ -78,8 +78,8 @@
   }
   next_load_check = TimePoint::max();
   for (auto& [incarnation, link] : sessions.links()) {
-    const bool slots_unknown = link.told_full && !full && was_accepting && queue.size() == 0 &&
-                               now - link.heard <= kActiveTime;
+    const bool slots_unknown =
+        link.told_full && !full && was_accepting && now - link.heard <= kActiveTime;
     if (link.told_accepting == was_accepting && !slots_unknown) {
       continue;
     }
--- a/packages/core/src/worker_slots.cc
+++ b/packages/core/src/worker_slots.cc
@@ -25,7 +25,10 @@
 
 void Worker::State::OnReserve(const wire::Envelope& envelope, TimePoint now) {
   const wire::Reserve& reserve = envelope.reserve();
-  std::optional<wire::StartRefusal> refusal = NotAccepting(now);
+  std::optional<wire::StartRefusal> refusal;
+  if (!Accepting(now)) {
+    refusal = NotAccepting(now).value_or(wire::BUSY);
+  }
   if (sessions.FindCurrent(envelope.incarnation(), reserve.session()) == nullptr) {
     refusal = wire::UNKNOWN_SESSION;
   } else if (queue.Contains(envelope.incarnation(), reserve.reservation())) {
--- a/packages/core/src/worker_starts.cc
+++ b/packages/core/src/worker_starts.cc
@@ -40,14 +40,17 @@
 
 void Worker::State::OnStart(const wire::Envelope& envelope, TimePoint now) {
   const wire::Start& start = envelope.start();
+  CoordinatorLink* link = sessions.FindCurrent(envelope.incarnation(), start.session());
   // A known task is looked up before anything may refuse the Start: a refusal
   // would wrongly say that the task has not started.
   if (const StartedTasks::Task* known = tasks.Find(TaskKey::From(start.task()))) {
     ++counts.duplicate_starts;
+    if (link != nullptr) {
+      link->window.Add(start.link_sequence(), true);
+    }
     AnswerKnown(*known, envelope.from(), now);
     return;
   }
-  CoordinatorLink* link = sessions.FindCurrent(envelope.incarnation(), start.session());
   auto refusal = CheckSession(start, link);
   if (!refusal) {
     if (link->window.Find(start.link_sequence()) == StartWindow::Seen::kStarted) {
--- a/packages/core/test/job_router_test.cc
+++ b/packages/core/test/job_router_test.cc
@@ -85,7 +85,7 @@
     CPPUNIT_ASSERT(it.outbox.resets.empty());
     it.Run(milliseconds(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.outbox.resets.size());
-    CPPUNIT_ASSERT_EQUAL(2L, it.Count(&wire::Envelope::has_submit_job));
+    CPPUNIT_ASSERT_EQUAL(2L, it.outbox.Count(&wire::Envelope::has_submit_job));
     it.Run(milliseconds(1999));
     CPPUNIT_ASSERT(it.sink.jobs.empty());
     it.Run(milliseconds(1));
@@ -94,7 +94,7 @@
     RouterHarness down;
     down.Submit(7, down.MakeTicket(1, 100));
     down.router.OnLinkDown(down.EndpointOf(1), down.now);
-    CPPUNIT_ASSERT_EQUAL(2L, down.Count(&wire::Envelope::has_submit_job));
+    CPPUNIT_ASSERT_EQUAL(2L, down.outbox.Count(&wire::Envelope::has_submit_job));
     down.Run(seconds(1));
     AssertFailed(down, api::MAY_HAVE_RUN, api::COORDINATOR_LOST);
   }
@@ -107,7 +107,7 @@
     it.Run(seconds(20));
     CPPUNIT_ASSERT(it.sink.jobs.empty());
     CPPUNIT_ASSERT(it.outbox.resets.empty());
-    CPPUNIT_ASSERT_EQUAL(1L, it.Count(&wire::Envelope::has_submit_job));
+    CPPUNIT_ASSERT_EQUAL(1L, it.outbox.Count(&wire::Envelope::has_submit_job));
     it.Reply(1, request, api::COMPLETE);
     CPPUNIT_ASSERT_EQUAL(api::COMPLETE, it.sink.jobs.at(0).second.answer().state());
   }
--- a/packages/core/test/router_harness.h
+++ b/packages/core/test/router_harness.h
@@ -131,11 +131,6 @@
     }
   }
 
-  long Count(bool (wire::Envelope::*has)() const) const {
-    return std::ranges::count_if(outbox.sent,
-                                 [&](const auto& item) { return (item.second.*has)(); });
-  }
-
   const wire::Envelope& last() const { return outbox.sent.back().second; }
 
   TimePoint now{std::chrono::seconds(100)};
--- a/packages/core/test/worker_harness.h
+++ b/packages/core/test/worker_harness.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -20,6 +21,19 @@
   }
   void ResetLink(const std::string& endpoint) override { resets.push_back(endpoint); }
 
+  // Returns the last message of a kind, or an empty one.
+  wire::Envelope Last(bool (wire::Envelope::*has)() const) const {
+    wire::Envelope last;
+    for (const auto& [endpoint, envelope] : sent) {
+      last = (envelope.*has)() ? envelope : last;
+    }
+    return last;
+  }
+
+  long Count(bool (wire::Envelope::*has)() const) const {
+    return std::ranges::count_if(sent, [&](const auto& item) { return (item.second.*has)(); });
+  }
+
   std::vector<std::pair<std::string, wire::Envelope>> sent;
   std::vector<std::string> resets;
 };
@@ -69,7 +83,7 @@
     wire::Envelope envelope;
     envelope.mutable_hello()->set_nonce(nonce);
     Receive(coordinator, envelope);
-    return outbox.sent.back().second.hello_ack().session();
+    return outbox.Last(&wire::Envelope::has_hello_ack).hello_ack().session();
   }
 
   static wire::TaskId Task(std::uint64_t coordinator, std::uint64_t sequence) {
--- a/packages/core/test/worker_test.cc
+++ b/packages/core/test/worker_test.cc
@@ -193,22 +193,15 @@
                             const wire::Envelope& start) {
     const std::size_t runs = it.backend.runs.size();
     it.Receive(1, start);
-    const auto& sent = it.outbox.sent;
-    auto reply = sent.end() - 1;
-    while (!reply->second.has_refused()) {
-      --reply;
-    }
-    CPPUNIT_ASSERT_EQUAL(refusal, reply->second.refused().refusal());
-    CPPUNIT_ASSERT_EQUAL(start.start().link_sequence(), reply->second.refused().link_sequence());
+    const wire::Refused refused = it.outbox.Last(&wire::Envelope::has_refused).refused();
+    CPPUNIT_ASSERT_EQUAL(refusal, refused.refusal());
+    CPPUNIT_ASSERT_EQUAL(start.start().link_sequence(), refused.link_sequence());
     CPPUNIT_ASSERT_EQUAL(runs, it.backend.runs.size());
   }
 
   static void AssertOffer(const WorkerHarness& it, std::uint64_t reservation) {
-    std::uint64_t offered = 0;
-    for (const auto& [endpoint, envelope] : it.outbox.sent) {
-      offered = envelope.has_offer() ? envelope.offer().reservation() : offered;
-    }
-    CPPUNIT_ASSERT_EQUAL(reservation, offered);
+    CPPUNIT_ASSERT_EQUAL(reservation,
+                         it.outbox.Last(&wire::Envelope::has_offer).offer().reservation());
   }
 };
 
