--- a/packages/core/test/worker_parts_test.cc
+++ b/packages/core/test/worker_parts_test.cc
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr TimePoint kStart{seconds(100)};
+
 class WorkerPartsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WorkerPartsTest);
   CPPUNIT_TEST(PermitsOnlyWithFoldedEvidence);
@@ -23,59 +25,59 @@
 
   void PermitsOnlyWithFoldedEvidence() {
     StartPermission permission;
-    CPPUNIT_ASSERT(!permission.Permits(at));
+    CPPUNIT_ASSERT(!permission.Permits(kStart));
     // Evidence counts only once the configuration it speaks of is folded.
-    permission.OnEvidence(at, 5);
-    CPPUNIT_ASSERT(!permission.Permits(at));
+    permission.OnEvidence(kStart, 5);
+    CPPUNIT_ASSERT(!permission.Permits(kStart));
     permission.OnConfig(5, false);
-    CPPUNIT_ASSERT(permission.Permits(at + seconds(3)));
-    CPPUNIT_ASSERT(!permission.Permits(at + seconds(3) + Duration(1)));
-    permission.OnEvidence(at - seconds(1), 5);
-    CPPUNIT_ASSERT(permission.Permits(at + seconds(3)));
+    CPPUNIT_ASSERT(permission.Permits(kStart + seconds(3)));
+    CPPUNIT_ASSERT(!permission.Permits(kStart + seconds(3) + Duration(1)));
+    permission.OnEvidence(kStart - seconds(1), 5);
+    CPPUNIT_ASSERT(permission.Permits(kStart + seconds(3)));
     permission.OnConfig(6, true);
     permission.OnConfig(5, false);
-    CPPUNIT_ASSERT(!permission.Permits(at));
+    CPPUNIT_ASSERT(!permission.Permits(kStart));
     permission.OnConfig(7, false);
-    CPPUNIT_ASSERT(permission.Permits(at));
+    CPPUNIT_ASSERT(permission.Permits(kStart));
   }
 
   void HalvesTheLimitOncePerBurst() {
     ConcurrencyLimit limit(8);
-    limit.OnRefusal(at, at + milliseconds(1));
-    limit.OnRefusal(at, at + milliseconds(2));
-    CPPUNIT_ASSERT_EQUAL(4U, limit.Value(at + milliseconds(2)));
-    limit.OnSuccess(at + milliseconds(900));
-    CPPUNIT_ASSERT_EQUAL(4U, limit.Value(at + seconds(1)));
-    limit.OnSuccess(at + milliseconds(1001));
-    CPPUNIT_ASSERT_EQUAL(5U, limit.Value(at + seconds(2)));
+    limit.OnRefusal(kStart, kStart + milliseconds(1));
+    limit.OnRefusal(kStart, kStart + milliseconds(2));
+    CPPUNIT_ASSERT_EQUAL(4U, limit.Value(kStart + milliseconds(2)));
+    limit.OnSuccess(kStart + milliseconds(900));
+    CPPUNIT_ASSERT_EQUAL(4U, limit.Value(kStart + seconds(1)));
+    limit.OnSuccess(kStart + milliseconds(1001));
+    CPPUNIT_ASSERT_EQUAL(5U, limit.Value(kStart + seconds(2)));
     limit.SetSlots(1);
-    limit.OnRefusal(at + seconds(2), at + seconds(2));
-    CPPUNIT_ASSERT_EQUAL(0U, limit.Value(at + seconds(2)));
-    CPPUNIT_ASSERT_EQUAL(1U, limit.Value(at + seconds(3)));
+    limit.OnRefusal(kStart + seconds(2), kStart + seconds(2));
+    CPPUNIT_ASSERT_EQUAL(0U, limit.Value(kStart + seconds(2)));
+    CPPUNIT_ASSERT_EQUAL(1U, limit.Value(kStart + seconds(3)));
   }
 
   void OpensSlotsInSteps() {
     RampUp ramp(seconds(2));
-    CPPUNIT_ASSERT_EQUAL(8U, ramp.Open(8, at));
-    ramp.Begin(at);
-    CPPUNIT_ASSERT_EQUAL(2U, ramp.Open(8, at));
-    CPPUNIT_ASSERT_EQUAL(1U, ramp.Open(1, at));
-    CPPUNIT_ASSERT_EQUAL(4U, ramp.Open(8, at + seconds(1)));
-    CPPUNIT_ASSERT_EQUAL(8U, ramp.Open(8, at + seconds(2)));
+    CPPUNIT_ASSERT_EQUAL(8U, ramp.Open(8, kStart));
+    ramp.Begin(kStart);
+    CPPUNIT_ASSERT_EQUAL(2U, ramp.Open(8, kStart));
+    CPPUNIT_ASSERT_EQUAL(1U, ramp.Open(1, kStart));
+    CPPUNIT_ASSERT_EQUAL(4U, ramp.Open(8, kStart + seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(8U, ramp.Open(8, kStart + seconds(2)));
   }
 
   void DoublesTheProbationDelay() {
     Probation probation;
-    probation.SetEjected(true, at);
-    CPPUNIT_ASSERT_EQUAL(0U, probation.Open(8, at + milliseconds(4999)));
-    CPPUNIT_ASSERT_EQUAL(1U, probation.Open(8, at + seconds(5)));
+    probation.SetEjected(true, kStart);
+    CPPUNIT_ASSERT_EQUAL(0U, probation.Open(8, kStart + milliseconds(4999)));
+    CPPUNIT_ASSERT_EQUAL(1U, probation.Open(8, kStart + seconds(5)));
     for (int n = 0; n < 3; ++n) {
-      probation.OnStart(at + seconds(5));
+      probation.OnStart(kStart + seconds(5));
     }
-    CPPUNIT_ASSERT_EQUAL(0U, probation.Open(8, at + seconds(14)));
-    CPPUNIT_ASSERT_EQUAL(1U, probation.Open(8, at + seconds(15)));
-    probation.SetEjected(false, at);
-    CPPUNIT_ASSERT_EQUAL(8U, probation.Open(8, at));
+    CPPUNIT_ASSERT_EQUAL(0U, probation.Open(8, kStart + seconds(14)));
+    CPPUNIT_ASSERT_EQUAL(1U, probation.Open(8, kStart + seconds(15)));
+    probation.SetEjected(false, kStart);
+    CPPUNIT_ASSERT_EQUAL(8U, probation.Open(8, kStart));
   }
 
   void TellsRepeatedFromOvertakenStarts() {
@@ -91,8 +93,6 @@
     CPPUNIT_ASSERT(window.Find(300) == StartWindow::Seen::kTooOld);
     CPPUNIT_ASSERT(window.Find(301) == StartWindow::Seen::kNew);
   }
-
-  const TimePoint at{seconds(100)};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerPartsTest);
