Never start a task after its acknowledgement, and check the router

A coordinator that keeps to the protocol sends such a Start only after a Resolve, whose floor refuses the first one; the worker should not depend on that. Ruled out: a narrower model in the property, and remembering every task for the length of its session, which is not bounded. Now the last 1024 acknowledged tasks are remembered; their Starts are ignored and a Resolve answers FINISHED.

A Cancel or Status without a reply is repeated every second.

--- a/packages/core/src/job_router_replies.cc
+++ b/packages/core/src/job_router_replies.cc
@@ -177,12 +177,13 @@
 }
 
 void JobRouter::State::Poll(RoutedCall& call, TimePoint now) {
-  call.poll_interval = std::min(2 * call.poll_interval, kMaxPollInterval);
-  call.next_poll = now + call.poll_interval;
   if (call.kind == RoutedCall::Kind::kCancel || call.kind == RoutedCall::Kind::kStatus) {
+    call.next_poll = now + options.silence_limit;
     Send(call, now);
     return;
   }
+  call.poll_interval = std::min(2 * call.poll_interval, kMaxPollInterval);
+  call.next_poll = now + call.poll_interval;
   requests.erase(call.poll_request);
   call.poll_request = next_request++;
   requests[call.poll_request] = call.call;
--- a/packages/core/src/started_tasks.cc
+++ b/packages/core/src/started_tasks.cc
@@ -9,6 +9,8 @@
 // Memory of a stored result besides its text, so that empty results are
 // bounded as well.
 constexpr std::size_t kResultOverheadBytes = 256;
+// About 100 bytes each; a worker finishes tens of tasks a second.
+constexpr std::size_t kMaxForgotten = 1024;
 
 }  // namespace
 
@@ -57,9 +59,17 @@
 
 void StartedTasks::Acknowledge(const TaskKey& key) {
   Task* task = Find(key);
-  if (task != nullptr && task->finished) {
-    DropResult(*task);
-    Erase(key);
+  if (task == nullptr || !task->finished) {
+    return;
+  }
+  DropResult(*task);
+  Erase(key);
+  if (forgotten_.insert(key).second) {
+    forgotten_order_.push_back(key);
+  }
+  if (forgotten_order_.size() > kMaxForgotten) {
+    forgotten_.erase(forgotten_order_.front());
+    forgotten_order_.pop_front();
   }
 }
 
--- a/packages/core/src/started_tasks.h
+++ b/packages/core/src/started_tasks.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -51,6 +52,10 @@
   // Forgets a finished task; a running one is not affected.
   void Acknowledge(const TaskKey& key);
 
+  // Returns whether the task is among the finished ones forgotten last. A
+  // Start of it that comes late must not run.
+  bool RecentlyForgotten(const TaskKey& key) const { return forgotten_.contains(key); }
+
   // Drops the results of tasks finished at or before `limit`.
   void DropResultsBefore(TimePoint limit);
 
@@ -82,6 +87,8 @@
   std::unordered_map<TaskKey, Task, TaskKeyHash> tasks_;
   std::unordered_map<std::uint64_t, std::unordered_set<TaskKey, TaskKeyHash>> by_coordinator_;
   std::map<std::uint64_t, TaskKey> by_age_;
+  std::unordered_set<TaskKey, TaskKeyHash> forgotten_;
+  std::deque<TaskKey> forgotten_order_;
 };
 
 }  // namespace coltsfoottide::core
--- a/packages/core/src/worker_starts.cc
+++ b/packages/core/src/worker_starts.cc
@@ -43,12 +43,16 @@
   CoordinatorLink* link = sessions.FindCurrent(envelope.incarnation(), start.session());
   // A known task is looked up before anything may refuse the Start: a refusal
   // would wrongly say that the task has not started.
-  if (const StartedTasks::Task* known = tasks.Find(TaskKey::From(start.task()))) {
+  const TaskKey key = TaskKey::From(start.task());
+  const StartedTasks::Task* known = tasks.Find(key);
+  if (known != nullptr || tasks.RecentlyForgotten(key)) {
     ++counts.duplicate_starts;
     if (link != nullptr) {
       link->window.Add(start.link_sequence(), true);
     }
-    AnswerKnown(*known, envelope.from(), now);
+    if (known != nullptr) {
+      AnswerKnown(*known, envelope.from(), now);
+    }
     return;
   }
   auto refusal = CheckSession(start, link);
@@ -203,7 +207,8 @@
       wire::Resolved::Item& item = *resolved.add_items();
       *item.mutable_task() = id;
       if (task == nullptr) {
-        item.set_standing(wire::NEVER_STARTED);
+        const bool forgotten = tasks.RecentlyForgotten(TaskKey::From(id));
+        item.set_standing(forgotten ? wire::FINISHED : wire::NEVER_STARTED);
       } else if (!task->finished) {
         item.set_standing(wire::RUNNING);
       } else {
--- a/packages/core/test/job_router_test.cc
+++ b/packages/core/test/job_router_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(LosesCallsOfAReplacedProcess);
   CPPUNIT_TEST(IgnoresRepliesThatAreNotItsOwn);
   CPPUNIT_TEST(ReturnsRunningAfterTheWaitTime);
+  CPPUNIT_TEST(RepeatsAStatusWithoutAReply);
+  CPPUNIT_TEST(FetchesALostAnswer);
   CPPUNIT_TEST(ListsWhatArrivedInTime);
   CPPUNIT_TEST_SUITE_END();
 
@@ -127,6 +129,12 @@
                          it.sink.jobs.at(0).second.answer().ticket().sequence());
     it.router.OnDelivered(7, it.now);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, it.last().answer_ack().ticket().sequence());
+    // A silent successor is found out like any other coordinator.
+    RouterHarness silent;
+    silent.Submit(7, silent.MakeTicket(1, 100));
+    silent.Move(1, silent.last().submit_job().request(), silent.MakeTicket(2, 200));
+    silent.Run(seconds(3));
+    AssertFailed(silent, api::MAY_HAVE_RUN, api::COORDINATOR_LOST);
     // Coordinators that move a ticket in a circle must not keep a call for ever.
     RouterHarness circle;
     circle.Submit(7, circle.MakeTicket(1, 100));
@@ -181,6 +189,33 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, it.sink.jobs[0].second.answer().ticket().sequence());
   }
 
+  // The reply can be lost with a connection while the coordinator is alive.
+  void RepeatsAStatusWithoutAReply() {
+    RouterHarness it;
+    api::StatusRequest request;
+    *request.mutable_ticket() = it.MakeTicket(1, 100);
+    it.router.Status(7, request, it.now);
+    it.KeepAlive(milliseconds(2900));
+    CPPUNIT_ASSERT_EQUAL(3L, it.outbox.Count(&wire::Envelope::has_status_job));
+    it.KeepAlive(milliseconds(100));
+    AssertFailed(it, api::MAY_HAVE_RUN, api::COORDINATOR_LOST);
+  }
+
+  // A lost answer of a live coordinator is fetched again.
+  void FetchesALostAnswer() {
+    RouterHarness it;
+    it.Submit(7, it.MakeTicket(1, 100));
+    const std::uint64_t request = it.last().submit_job().request();
+    it.KeepAlive(seconds(1));
+    const std::uint64_t poll =
+        it.outbox.Last(&wire::Envelope::has_status_job).status_job().request();
+    it.Reply(1, poll, api::COMPLETE);
+    CPPUNIT_ASSERT(it.sink.jobs.empty());
+    CPPUNIT_ASSERT_EQUAL(request, it.last().submit_job().request());
+    it.Reply(1, request, api::COMPLETE);
+    CPPUNIT_ASSERT_EQUAL(api::COMPLETE, it.sink.jobs.at(0).second.answer().state());
+  }
+
   void ListsWhatArrivedInTime() {
     RouterHarness it;
     it.SetCoordinators({1, 2});
--- a/packages/core/test/router_harness.h
+++ b/packages/core/test/router_harness.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -110,7 +111,10 @@
   // probes.
   void Run(Duration by) {
     const TimePoint end = now + by;
-    while (router.NextWake() <= end) {
+    for (int wakes = 0; router.NextWake() <= end; ++wakes) {
+      if (wakes > kMaxWakes) {
+        throw std::runtime_error("the router wakes without end");
+      }
       now = std::max(now, router.NextWake());
       router.Tick(now);
       AnswerProbes();
@@ -118,6 +122,18 @@
     now = end;
   }
 
+  // Moves time on while coordinator 1 answers probes and nothing else.
+  void KeepAlive(Duration by) {
+    const TimePoint end = now + by;
+    while (now < end) {
+      Run(std::chrono::milliseconds(100));
+      const wire::Envelope probe = outbox.Last(&wire::Envelope::has_probe);
+      wire::Envelope reply;
+      reply.mutable_probe_reply()->set_request(probe.probe().request());
+      Deliver(1, reply);
+    }
+  }
+
   void AnswerProbes() {
     for (; answer_probes && answered < outbox.sent.size(); ++answered) {
       const wire::Envelope sent = outbox.sent[answered].second;
@@ -133,6 +149,8 @@
 
   const wire::Envelope& last() const { return outbox.sent.back().second; }
 
+  static constexpr int kMaxWakes = 10'000;
+
   TimePoint now{std::chrono::seconds(100)};
   RecordingOutbox outbox;
   RecordingSink sink;
--- a/packages/core/test/worker_test.cc
+++ b/packages/core/test/worker_test.cc
@@ -68,7 +68,12 @@
     *ack.mutable_result_ack()->add_tasks() = it.Task(1, 1);
     it.Receive(1, ack);
     it.Start(1, session, 1);
+    wire::Envelope late = it.MakeStart(1, session, 2);
+    *late.mutable_start()->mutable_task() = it.Task(1, 1);
+    it.Receive(1, late);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.backend.runs.size());
+    it.Resolve(1, session, 2, {1});
+    CPPUNIT_ASSERT_EQUAL(wire::FINISHED, it.last().resolved().items(0).standing());
   }
 
   void RefusesStartsWithTheReason() {
