Add the stand-ins of the log and of a backend server

Cause: experiments need the platform's log and backend servers with their faults: outages, slowness, replies lost after the write, tasks that fail, straggle, hang or lose their connection.

http::Server gains Drop(id), which closes a connection instead of answering, and http::Request gains the query, which was discarded.

Ruled out: Qt timers for run times.

--- a/packages/http/include/coltsfoottide/http/server.h
+++ b/packages/http/include/coltsfoottide/http/server.h
@@ -16,6 +16,8 @@
   std::string method;
   // Decoded, without the query.
   std::string path;
+  // What follows the '?', percent-encoded.
+  std::string query;
   // Names in lower case.
   std::map<std::string, std::string> headers;
   std::string body;
@@ -50,6 +52,11 @@
   // gone, are ignored. Returns whether it was written to an open connection.
   virtual bool Respond(std::uint64_t id, const Response& response) = 0;
 
+  // Closes the connection of a request instead of answering it; ignored when
+  // the request has been answered or its connection is gone. on_abandoned is
+  // not called.
+  virtual void Drop(std::uint64_t id) = 0;
+
   // Stops listening; idle connections close at once, others after their
   // answer.
   virtual void BeginStop() = 0;
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -64,6 +64,15 @@
   }
 }
 
+void Connection::Drop() {
+  if (state_ != State::kInProgress) return;
+  state_ = State::kAnswering;
+  // Later, because the parser may still be in the call that reported the
+  // request.
+  QMetaObject::invokeMethod(
+      this, [this] { socket_.abort(); }, Qt::QueuedConnection);
+}
+
 void Connection::BeginStop() {
   stopping_ = true;
   if (state_ != State::kReceiving) return;
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -40,6 +40,9 @@
   // Writes the answer of the request in progress.
   void Respond(const Response& response);
 
+  // Closes without an answer to the request in progress.
+  void Drop();
+
   // Closes now if idle, otherwise after the answer.
   void BeginStop();
 
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -20,6 +20,7 @@
   Request request;
   request.method = head.method.toStdString();
   request.path = parsed.url().path().toStdString();
+  request.query = parsed.url().query(QUrl::FullyEncoded).toStdString();
   for (const auto& [name, value] : parsed.headers()) {
     std::string& joined = request.headers[name.toLower().toStdString()];
     if (!joined.empty()) joined += ", ";
@@ -71,6 +72,13 @@
     return true;
   }
 
+  void Drop(std::uint64_t id) override {
+    const auto it = pending_.find(id);
+    if (it == pending_.end() || it->second.answered || !it->second.connection) return;
+    it->second.answered = true;
+    it->second.connection->Drop();
+  }
+
   void BeginStop() override { listener_->BeginStop(); }
   std::size_t pending() const override { return pending_.size(); }
   std::uint16_t port() const override { return port_; }
--- /dev/null
+++ b/packages/standin/include/coltsfoottide/standin/field_reader.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <QJsonObject>
+#include <QString>
+#include <QStringList>
+#include <optional>
+#include <string>
+
+namespace coltsfoottide::standin {
+
+// Reads the known fields of a JSON object and reports the first field that is
+// unknown or has a wrong value. A field that is absent leaves its target
+// unchanged.
+//
+//   FieldReader reader(body);
+//   reader.ReadInteger("slow_ms", 0, 60000, &controls.slow_ms);
+//   if (const auto error = reader.Finish()) { ... }
+class FieldReader {
+ public:
+  // Parses the text; text that is not a JSON object is an error at Finish.
+  explicit FieldReader(const std::string& json);
+
+  void ReadInteger(const QString& key, int min, int max, int* target);
+  void ReadBoolean(const QString& key, bool* target);
+  // Sets the target to the index of the value in `choices`.
+  void ReadChoice(const QString& key, const QStringList& choices, int* target);
+
+  // Returns what is wrong, or nothing if all fields were read.
+  std::optional<std::string> Finish();
+
+ private:
+  QJsonValue Take(const QString& key);
+  void Fail(const QString& key, const QString& expected);
+
+  QJsonObject object_;
+  std::optional<std::string> error_;
+};
+
+}  // namespace coltsfoottide::standin
--- /dev/null
+++ b/packages/standin/include/coltsfoottide/standin/log_controls.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <QJsonObject>
+#include <optional>
+#include <string>
+
+namespace coltsfoottide::standin {
+
+enum class Outage {
+  kNone,
+  // Every call is answered with status 503.
+  kError,
+  // No call is answered.
+  kHang,
+  // The connection of every call is closed without an answer.
+  kDrop,
+};
+
+// Switches of the stand-in log. As JSON:
+// {"outage":"none|error|hang|drop","slow_ms":0,"sync_ms":5,"lose_replies":0,
+//  "refuse_appends":0}; fields that are absent keep their value.
+struct LogControls {
+  Outage outage = Outage::kNone;
+  // Added to the time of every read and append.
+  int slow_ms = 0;
+  // Time of one synced write; appends are written one at a time.
+  int sync_ms = 5;
+  // This many further appends take effect and get no reply.
+  int lose_replies = 0;
+  // This many further appends get status 503 without effect.
+  int refuse_appends = 0;
+};
+
+// Changes the fields given; on an error returns it and changes nothing.
+std::optional<std::string> ApplyControls(const std::string& json, LogControls* controls);
+
+QJsonObject ToJson(const LogControls& controls);
+
+}  // namespace coltsfoottide::standin
--- /dev/null
+++ b/packages/standin/test/http_caller.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <QEventLoop>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/http/client.h"
+
+namespace coltsfoottide::standin {
+
+// Makes calls to a service on this thread and waits for the answers.
+class HttpCaller {
+ public:
+  explicit HttpCaller(std::uint16_t port) : base_("http://127.0.0.1:" + std::to_string(port)) {}
+
+  http::ClientResponse Post(const std::string& path, const std::string& body) {
+    return PostAll(path, {body}).front();
+  }
+
+  // Sends all bodies at once; returns the answers in the order of the bodies.
+  std::vector<http::ClientResponse> PostAll(const std::string& path,
+                                            const std::vector<std::string>& bodies) {
+    std::vector<http::ClientResponse> responses(bodies.size());
+    std::size_t open = bodies.size();
+    QEventLoop loop;
+    for (std::size_t n = 0; n < bodies.size(); ++n) {
+      client_->Post(base_ + path, {{"X-Start-Id", "start-1"}}, bodies[n], kTimeLimit,
+                    [&, n](http::ClientResponse response) {
+                      responses[n] = std::move(response);
+                      if (--open == 0) {
+                        loop.quit();
+                      }
+                    });
+    }
+    loop.exec();
+    return responses;
+  }
+
+  http::ClientResponse Get(const std::string& path) {
+    http::ClientResponse got;
+    QEventLoop loop;
+    client_->Get(base_ + path, kTimeLimit, [&](http::ClientResponse response) {
+      got = std::move(response);
+      loop.quit();
+    });
+    loop.exec();
+    return got;
+  }
+
+ private:
+  static constexpr std::chrono::milliseconds kTimeLimit{3000};
+
+  std::string base_;
+  std::unique_ptr<http::Client> client_ = http::MakeClient(16);
+};
+
+}  // namespace coltsfoottide::standin
