Add the console and the open-loop load generator

Cause: callers and operators need a program for jobs, tickets and configuration, and experiments need load whose response times are not hidden by a generator that waits for answers.

submit prints its ticket before it sends the job, so that the same submission can be repeated through any entry. A refusal "not run" after an attempt without an answer is reported as may-have-run, because the entry that refuses does not know about the lost attempt; taking the refusal at its word was ruled out. Flags are Abseil's, assigned through its reflection interface: its own parser exits with status 1 on a wrong flag and cannot tell which flags belong to which command.

load draws the send times and jobs from a printed seed in advance, counts response times from the intended time, and checks that every result is the job's own. Tickets are fetched in batches of 20 and taken at random, since a batch comes from one coordinator.

Tested against fake entries on loopback that complete, refuse or drop a submission.

--- /dev/null
+++ b/packages/console/include/coltsfoottide/console/dispatcher_sender.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <QObject>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/console/history_file.h"
+#include "coltsfoottide/console/job_sender.h"
+#include "coltsfoottide/console/ticket_pool.h"
+#include "coltsfoottide/http/client.h"
+
+namespace coltsfoottide::console {
+
+// Submits jobs through the entries in turn. An attempt without an answer is
+// repeated with the same ticket through the next entry until 5 s after the
+// job's deadline.
+class DispatcherSender final : public JobSender, private QObject {
+ public:
+  DispatcherSender(http::Client& client, std::vector<std::string> entries, TicketPool& tickets,
+                   HistoryFile& history, std::uint64_t seed);
+
+  void Send(DrawnJob job, JobOutcome outcome, Done done) override;
+
+ private:
+  // A job on its way.
+  struct Submission {
+    DrawnJob job;
+    JobOutcome outcome;
+    Done done;
+    api::Ticket ticket;
+    std::string body;
+    core::TimePoint give_up_at;
+  };
+
+  void OnTicket(const std::shared_ptr<Submission>& submission, const api::Ticket& ticket);
+  void Attempt(const std::shared_ptr<Submission>& submission);
+  void OnReply(const std::shared_ptr<Submission>& submission, const http::ClientResponse& reply);
+  void Retry(const std::shared_ptr<Submission>& submission);
+  void Finish(const std::shared_ptr<Submission>& submission, const api::JobAnswer& answer);
+  bool ResultsMatch(const DrawnJob& job, const api::JobAnswer& answer) const;
+
+  http::Client& client_;
+  std::vector<std::string> entries_;
+  TicketPool& tickets_;
+  HistoryFile& history_;
+  std::uint64_t seed_;
+  std::size_t next_entry_ = 0;
+};
+
+}  // namespace coltsfoottide::console
--- /dev/null
+++ b/packages/console/include/coltsfoottide/console/history_file.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <fstream>
+#include <string>
+
+#include "coltsfoottide/console/job_outcome.h"
+
+namespace coltsfoottide::console {
+
+// A record of a load run for a checker, one JSON object a line:
+//
+//   {"event":"run","seed":S,"mix":M,"at_us":T}
+//   {"event":"submit","job":N,"attempt":A,"ticket":...,"to":URL,"tasks":K,
+//    "team":...,"class":...,"idempotent":B,"deadline_ms":D,"intended_us":T,
+//    "at_us":T}
+//   {"event":"answer","job":N,"attempts":A,"ticket":...,"answered":B,
+//    "maybe_sent":B,"state":...,"verdict":...,"reason":...,"results_ok":B,
+//    "starts":K,"response_us":R,"at_us":T}
+//
+// Times are microseconds on CLOCK_BOOTTIME, as in a backend server's record.
+class HistoryFile {
+ public:
+  // Creates the file unless the path is empty; returns whether it could be
+  // opened.
+  bool Open(const std::string& path);
+
+  void AddRun(std::uint64_t seed, const std::string& mix, core::TimePoint now);
+  // Records an attempt before it is sent.
+  void AddSubmit(const JobOutcome& outcome, const api::JobSpec& job, const std::string& to,
+                 core::TimePoint now);
+  void AddAnswer(const JobOutcome& outcome);
+
+ private:
+  std::ofstream file_;
+};
+
+}  // namespace coltsfoottide::console
--- /dev/null
+++ b/packages/console/include/coltsfoottide/console/job_outcome.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <string>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/schema/api.pb.h"
+
+namespace coltsfoottide::console {
+
+// What became of one job of a load run.
+struct JobOutcome {
+  std::uint64_t number = 0;
+  std::string team;
+  api::JobClass job_class = api::JOB_CLASS_UNSPECIFIED;
+  int tasks = 0;
+  core::Duration deadline{};
+  core::Duration ideal{};
+  core::TimePoint intended_at;
+  // First attempt; unset when the job was never sent.
+  core::TimePoint sent_at;
+  core::TimePoint ended_at;
+  int attempts = 0;
+  // An answer came; otherwise the fields below are unset.
+  bool answered = false;
+  // Some attempt may have reached its peer.
+  bool maybe_sent = false;
+  // Empty for a direct call.
+  std::string ticket;
+  api::JobState state = api::JOB_STATE_UNSPECIFIED;
+  api::Verdict verdict = api::VERDICT_UNSPECIFIED;
+  api::Reason reason = api::REASON_UNSPECIFIED;
+  std::string message;
+  std::uint32_t starts = 0;
+  // For a complete job: every task's result is its own echo.
+  bool results_ok = true;
+
+  core::Duration response() const { return ended_at - intended_at; }
+  bool complete() const { return answered && state == api::COMPLETE; }
+  bool in_time() const { return answered && response() <= deadline; }
+};
+
+}  // namespace coltsfoottide::console
--- /dev/null
+++ b/packages/console/include/coltsfoottide/console/job_sender.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <functional>
+
+#include "coltsfoottide/console/drawn_job.h"
+#include "coltsfoottide/console/job_outcome.h"
+
+namespace coltsfoottide::console {
+
+// Sends jobs of a load run.
+class JobSender {
+ public:
+  using Done = std::function<void(JobOutcome)>;
+
+  virtual ~JobSender() = default;
+
+  // Sends a job and calls `done` once, with the fields of `outcome` from
+  // `sent_at` on filled in.
+  virtual void Send(DrawnJob job, JobOutcome outcome, Done done) = 0;
+};
+
+}  // namespace coltsfoottide::console
--- /dev/null
+++ b/packages/console/include/coltsfoottide/console/options.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace coltsfoottide::console {
+
+// Values of the console's flags; see options.cc for their help.
+struct Options {
+  // Base URLs of entries, "http://IP:PORT".
+  std::vector<std::string> entries;
+  bool json = false;
+
+  bool wait = false;
+  std::string ticket;
+  std::chrono::milliseconds timeout{};
+
+  bool once = false;
+  std::chrono::milliseconds interval{};
+  std::uint32_t limit = 0;
+  std::uint32_t max_deadline_ms = 0;
+
+  // Options of `load`.
+  double rate = 0;
+  double load = 0;
+  std::uint64_t seed = 0;
+  std::chrono::milliseconds duration{};
+  std::string mix;
+  std::chrono::milliseconds run_time{};
+  int connections = 0;
+  std::vector<std::string> direct;
+  std::string history;
+  std::string report;
+};
+
+// Reads the flags. Entries come from --entry or, when it is empty, from the
+// environment variable COLTSFOOTTIDE_ENTRY.
+Options ReadOptions();
+
+}  // namespace coltsfoottide::console
--- /dev/null
+++ b/packages/console/src/view_commands.cc
@@ -0,0 +1,112 @@
+#include "coltsfoottide/console/view_commands.h"
+
+#include <string>
+
+#include "coltsfoottide/console/view_tables.h"
+#include "coltsfoottide/schema/json.h"
+
+namespace coltsfoottide::console {
+namespace {
+
+constexpr std::chrono::milliseconds kCallTime{5000};
+
+ExitStatus Unreachable(CommandContext& context) {
+  context.err << "no entry answered\n";
+  return ExitStatus::kUnreachable;
+}
+
+// Calls an entry and prints the response as JSON or with `print`.
+template <typename Request, typename Response, typename Print>
+ExitStatus View(CommandContext& context, const std::string& method, const Request& request,
+                Response response, Print print) {
+  const auto result = context.client.Call(method, request, &response, kCallTime);
+  if (result.end != CallEnd::kAnswered) {
+    return Unreachable(context);
+  }
+  if (context.options.json) {
+    context.out << schema::ToJson(response) << std::endl;
+  } else {
+    print(response);
+  }
+  return ExitStatus::kOk;
+}
+
+template <typename Print>
+ExitStatus ViewConfig(CommandContext& context, Print print) {
+  return View(context, "Operator/GetConfig", api::GetConfigRequest(), api::GetConfigResponse(),
+              print);
+}
+
+// Prints the quantiles of all series, and the histogram of each.
+void PrintSeries(CommandContext& context, const api::GetMetricsResponse& metrics) {
+  SeriesTable(metrics).Print(context.out);
+  for (const api::LatencySeries& series : metrics.series()) {
+    context.out << "\nresponse times of " << series.team() << ", "
+                << api::JobClass_Name(series.job_class()) << '\n';
+    HistogramTable(series).Print(context.out);
+  }
+  context.out << '\n';
+}
+
+}  // namespace
+
+ExitStatus RunZoneList(CommandContext& context) {
+  return ViewConfig(context, [&](const auto& config) { ZoneTable(config).Print(context.out); });
+}
+
+ExitStatus RunConfigGet(CommandContext& context) {
+  return ViewConfig(context, [&](const auto& config) { ConfigTable(config).Print(context.out); });
+}
+
+ExitStatus RunEntries(CommandContext& context) {
+  return ViewConfig(context, [&](const auto& config) { RosterTable(config).Print(context.out); });
+}
+
+ExitStatus RunConfigStatus(CommandContext& context) {
+  Table table({"ENTRY", "NEXT OFFSET", "IN FORCE OFFSET", "LOG READABLE", "ROSTER"});
+  bool answered = false;
+  for (const std::string& entry : context.client.entries()) {
+    api::GetConfigResponse config;
+    const CallEnd end = context.client.CallOne(entry, "Operator/GetConfig", api::GetConfigRequest(),
+                                               &config, kCallTime);
+    if (end != CallEnd::kAnswered) {
+      table.AddRow({entry, "no answer"});
+      continue;
+    }
+    answered = true;
+    if (context.options.json) {
+      context.out << R"({"entry":")" << entry << R"(","status":)" << schema::ToJson(config) << "}"
+                  << std::endl;
+    }
+    table.AddRow({entry, std::to_string(config.next_offset()),
+                  std::to_string(config.in_force_offset()), config.log_readable() ? "yes" : "no",
+                  std::to_string(config.roster_size())});
+  }
+  if (!context.options.json) {
+    table.Print(context.out);
+  }
+  return answered ? ExitStatus::kOk : Unreachable(context);
+}
+
+ExitStatus RunWorkers(CommandContext& context) {
+  return View(context, "Operator/ListWorkers", api::ListWorkersRequest(),
+              api::ListWorkersResponse(),
+              [&](const auto& workers) { WorkerTable(workers).Print(context.out); });
+}
+
+ExitStatus RunJobs(CommandContext& context) {
+  api::ListJobsRequest request;
+  request.set_limit(context.options.limit);
+  return View(context, "Operator/ListJobs", request, api::ListJobsResponse(),
+              [&](const auto& jobs) { JobTable(jobs).Print(context.out); });
+}
+
+ExitStatus RunMetrics(CommandContext& context) {
+  return View(context, "Operator/GetMetrics", api::GetMetricsRequest(), api::GetMetricsResponse(),
+              [&](const auto& metrics) {
+                PrintSeries(context, metrics);
+                CounterTable(metrics).Print(context.out);
+              });
+}
+
+}  // namespace coltsfoottide::console
