Add the nng link hub: one PULL listener, one PUSH socket for each peer

Cause: processes need ordered links that report a lost connection and a refused dial, with bounded queues and no thread for each peer.

One message at a time is with nng; the rest waits in the link's own queue, so that a reset or a failure drops it. nng's asynchronous dialer reports no failure, so a plain stream connection is opened first and its result reports a refusal at once; any dial ends after 2 s. A link fails once and is replaced by a new one. Ruled out: blocking dials on threads, because silent endpoints would hold all of them.

Conclusion: operations are stopped before nng_close. A full queue fails the link rather than leaving a gap without notice.

--- a/packages/link/include/coltsfoottide/link/link_hub.h
+++ b/packages/link/include/coltsfoottide/link/link_hub.h
@@ -14,22 +14,27 @@
   virtual ~LinkHub() = default;
 
   // Queues a message to the endpoint, dialling it when there is no
-  // connection. While there is none, up to 1024 messages wait; when a dial
-  // fails they are dropped and `on_down` is called.
+  // connection. Up to 1024 messages wait for a dial and up to 8192 (64 MB) for
+  // an open connection; past that, and when a dial fails or takes over 2 s,
+  // the connection is closed, what waits is dropped and `on_down` is called.
+  // A message over 4 MB is dropped with a call of `on_down`; the connection
+  // stays. A message to the hub's own endpoint arrives on another thread.
   virtual void Send(const std::string& endpoint, std::string message) = 0;
 
   // Closes the connection to the endpoint and drops what waits for it. What
   // was handed to the network before may still arrive.
   virtual void Reset(const std::string& endpoint) = 0;
 
-  // Stops all traffic; no callback runs after the return.
+  // Stops all traffic; no callback runs after the return. Must not be called
+  // from a callback.
   virtual void Close() = 0;
 
   // Endpoint that this hub listens on, with the port in use.
   virtual const std::string& endpoint() const = 0;
 };
 
-// Called from network threads.
+// Called from network threads; `on_message` and `on_down` may run at the same
+// time, each of them one call at a time for one sender.
 struct LinkCallbacks {
   std::function<void(std::string message)> on_message;
   // The connection to an endpoint has closed or could not be opened.
--- /dev/null
+++ b/packages/link/src/push_link.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <nng/nng.h>
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace coltsfoottide::link {
+
+// The outgoing half of a link: one nng PUSH socket that dials one endpoint
+// once. After a failure it stays failed; the hub makes a new one.
+class PushLink {
+ public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  // Limits of what waits for one endpoint, before and after the connection
+  // is open.
+  static constexpr std::size_t kMaxDialQueue = 1024;
+  static constexpr std::size_t kMaxQueue = 8192;
+  static constexpr std::size_t kMaxQueueBytes = std::size_t{64} * 1024 * 1024;
+  // A dial that has not succeeded after this time has failed.
+  static constexpr std::chrono::milliseconds kDialLimit = std::chrono::seconds(2);
+
+  enum class PushResult {
+    kQueued,
+    // The link has failed or was closed before; the message is still the
+    // caller's.
+    kClosed,
+    // The queue is full; the link has failed and everything is dropped.
+    kOverflow,
+  };
+
+  // `on_failed` is called at most once, from any thread, with no lock held.
+  PushLink(std::string endpoint, std::function<void()> on_failed);
+  ~PushLink();
+  PushLink(const PushLink&) = delete;
+  PushLink& operator=(const PushLink&) = delete;
+
+  // Begins to dial; a failure is reported by `on_failed`.
+  void Dial(TimePoint now);
+
+  // Queues a message, which is moved from only with kQueued.
+  PushResult Push(std::string& message, TimePoint now);
+
+  // Drops the queue and refuses messages from now on; reports no failure.
+  void Abandon();
+
+  // Closes the socket and waits for nng's callbacks. Not for nng's threads.
+  void Close();
+
+  // Fails the link if its dial took too long.
+  void CheckDial(TimePoint now);
+
+  // Abandons the link if it has had nothing to send for `limit`; returns
+  // whether it did.
+  bool AbandonIfIdle(TimePoint now, std::chrono::milliseconds limit);
+
+  // Whether it has failed or was abandoned.
+  bool closed();
+  const std::string& endpoint() const { return endpoint_; }
+
+ private:
+  enum class State { kDialling, kUp, kClosed };
+
+  static void OnProbed(void* self);
+  static void OnSent(void* self);
+  static void OnPipe(nng_pipe pipe, nng_pipe_ev event, void* self);
+
+  bool Open();
+  bool StartProbe();
+  bool StartDialer();
+  void SendNext();
+  void Fail();
+  // Returns whether the link was open.
+  bool MarkClosed();
+
+  const std::string endpoint_;
+  const std::string url_;
+  const std::function<void()> on_failed_;
+
+  std::mutex mutex_;
+  State state_ = State::kDialling;
+  std::deque<std::string> queue_;
+  std::size_t queue_bytes_ = 0;
+  bool sending_ = false;
+  TimePoint dialled_at_;
+  TimePoint used_at_;
+
+  // Held while the socket is opened or closed.
+  std::mutex socket_mutex_;
+  bool socket_closed_ = false;
+  nng_socket socket_ = NNG_SOCKET_INITIALIZER;
+  nng_stream_dialer* probe_ = nullptr;
+  nng_aio* const probe_aio_;
+  nng_aio* const send_aio_;
+};
+
+}  // namespace coltsfoottide::link
