--- a/packages/core/include/coltsfoottide/core/coordinator.h
+++ b/packages/core/include/coltsfoottide/core/coordinator.h
@@ -30,7 +30,10 @@
   Duration silence_limit = std::chrono::seconds(1);
   // Silence after which a worker is lost and its tasks may have run.
   Duration lost_limit = std::chrono::seconds(5);
-  Duration ack_delay = std::chrono::milliseconds(200);
+  // Time that results are gathered for one acknowledgement. A coordinator and
+  // a worker exchange one or two tasks a second, so a short delay sends about
+  // one acknowledgement for each result.
+  Duration ack_delay = std::chrono::seconds(5);
 };
 
 // Counters of a coordinator; they only grow.
--- a/packages/core/src/coordinator_links.cc
+++ b/packages/core/src/coordinator_links.cc
@@ -124,11 +124,12 @@
 
 void Coordinator::State::OnLinkDown(const std::string& endpoint, TimePoint now) {
   WorkerLink* link = FindLink(endpoint);
-  if (link == nullptr) {
+  // A silent link is being asked already, over a connection that may be
+  // refused again and again.
+  if (link == nullptr || link->silent || link->hello_nonce != 0) {
     return;
   }
-  link->silent = true;
-  UpdateOpen(*link);
+  MarkSilent(*link, now);
   if (!link->outstanding.empty()) {
     ResolveAll(*link, true, now);
   } else if (link->candidate) {
@@ -136,6 +137,14 @@
   }
 }
 
+// Nothing is placed on the worker until it is heard; what waits for a slot of
+// it is placed elsewhere.
+void Coordinator::State::MarkSilent(WorkerLink& link, TimePoint now) {
+  link.silent = true;
+  UpdateOpen(link);
+  DropWorkerReservations(link, true, now);
+}
+
 void Coordinator::State::OnHeard(WorkerLink& link, TimePoint now) {
   link.last_heard = now;
   link.resolves = 0;
--- a/packages/core/src/coordinator_resolution.cc
+++ b/packages/core/src/coordinator_resolution.cc
@@ -74,8 +74,7 @@
 // messages wait to be read, so a worker is lost only after it was asked.
 void Coordinator::State::CheckSilence(WorkerLink& link, TimePoint now) {
   const TimePoint since = std::max(link.last_heard, link.outstanding_since);
-  link.silent = true;
-  UpdateOpen(link);
+  MarkSilent(link, now);
   if (link.resolves > 0 && since + options.lost_limit <= now) {
     return LoseOutstanding(link, 0, "the worker has not answered", now);
   }
@@ -95,10 +94,8 @@
 
 void Coordinator::State::ResolveOverdue(WorkerLink& link, TimePoint now) {
   std::vector<TaskKey> tasks;
-  for (auto& [key, outstanding] : link.outstanding) {
+  for (const auto& [key, outstanding] : link.outstanding) {
     if (outstanding.ask_at <= now) {
-      outstanding.ask_after = std::min(2 * outstanding.ask_after, kMaxAskAfter);
-      outstanding.ask_at = now + outstanding.ask_after;
       tasks.push_back(key);
     }
   }
@@ -113,7 +110,9 @@
                                       TimePoint now) {
   std::map<std::uint64_t, wire::Envelope> by_session;
   for (const TaskKey& key : tasks) {
-    const WorkerLink::Outstanding& outstanding = link.outstanding[key];
+    WorkerLink::Outstanding& outstanding = link.outstanding[key];
+    outstanding.ask_after = std::min(2 * outstanding.ask_after, kMaxAskAfter);
+    outstanding.ask_at = now + outstanding.ask_after;
     wire::Resolve* resolve = by_session[outstanding.session].mutable_resolve();
     *resolve->add_tasks() = MakeTaskId(key);
     resolve->set_floor(std::max(resolve->floor(), outstanding.link_sequence));
--- a/packages/core/src/coordinator_state.h
+++ b/packages/core/src/coordinator_state.h
@@ -122,6 +122,7 @@
   void OnLoadUpdate(WorkerLink& link, const wire::LoadUpdate& update, TimePoint now);
   void CloseSession(WorkerLink& link, TimePoint now);
   void OnLinkDown(const std::string& endpoint, TimePoint now);
+  void MarkSilent(WorkerLink& link, TimePoint now);
   void OnHeard(WorkerLink& link, TimePoint now);
   void UpdateOpen(const WorkerLink& link);
   void AddAck(WorkerLink& link, const wire::Result& result, TimePoint now);
--- a/packages/core/src/load_view.cc
+++ b/packages/core/src/load_view.cc
@@ -10,6 +10,10 @@
 // A worker that did not accept work is asked again after this time without a
 // message from it; its next message says when it accepts again.
 constexpr Duration kAskAgain = std::chrono::milliseconds(500);
+// After this time without a message, a worker is assumed to have served its
+// queue and freed a slot: a Start that is refused costs two messages, waiting
+// for a reservation elsewhere costs two to six.
+constexpr Duration kStaleWord = std::chrono::milliseconds(500);
 // Assumed until the round trip of a worker is measured.
 constexpr Duration kDefaultRoundTrip = std::chrono::milliseconds(5);
 // Bounds the record of starts on their way to one worker.
@@ -108,9 +112,9 @@
   return workers != nullptr &&
          std::any_of(workers->begin(), workers->end(), [job_class, now](const auto& item) {
            const Entry& entry = item.second;
-           return Usable(entry, now) && entry.load.queued() == 0 &&
+           return Usable(entry, now) && Queued(entry, now) == 0 &&
                   (entry.load.accepting() || AskAgainAt(entry) <= now) &&
-                  UsableSlots(FreeSlots(entry), entry.load.slots(), job_class) > 0;
+                  UsableSlots(FreeSlots(entry, now), entry.load.slots(), job_class) > 0;
          });
 }
 
@@ -153,9 +157,16 @@
   return next;
 }
 
-int LoadView::FreeSlots(const Entry& entry) {
-  return static_cast<int>(entry.load.slots()) - static_cast<int>(entry.load.busy()) -
-         static_cast<int>(entry.in_flight.size());
+int LoadView::FreeSlots(const Entry& entry, TimePoint now) {
+  const int slots = static_cast<int>(entry.load.slots());
+  const int free =
+      slots - static_cast<int>(entry.load.busy()) - static_cast<int>(entry.in_flight.size());
+  const bool stale = entry.heard + kStaleWord <= now;
+  return free + (stale && free >= 0 && free <= 1 && free < slots ? 1 : 0);
+}
+
+std::uint32_t LoadView::Queued(const Entry& entry, TimePoint now) {
+  return entry.heard + kStaleWord <= now ? 0 : entry.load.queued();
 }
 
 bool LoadView::Usable(const Entry& entry, TimePoint now) {
@@ -170,9 +181,9 @@
   view.endpoint = entry.info.endpoint();
   view.data_centre = entry.info.data_centre();
   view.rack = entry.info.rack();
-  view.free_slots = FreeSlots(entry);
+  view.free_slots = FreeSlots(entry, now);
   view.slots = entry.load.slots();
-  view.queued = entry.load.queued();
+  view.queued = Queued(entry, now);
   view.age = now - entry.heard;
   return view;
 }
--- a/packages/core/src/load_view.h
+++ b/packages/core/src/load_view.h
@@ -60,7 +60,9 @@
     // Send times of own starts that the load may not include.
     std::deque<TimePoint> in_flight;
   };
-  static int FreeSlots(const Entry& entry);
+  // Free slots as last told, less own starts since then.
+  static int FreeSlots(const Entry& entry, TimePoint now);
+  static std::uint32_t Queued(const Entry& entry, TimePoint now);
   static bool Usable(const Entry& entry, TimePoint now);
   static TimePoint AskAgainAt(const Entry& entry);
   static WorkerView MakeView(const Entry& entry, TimePoint now);
--- a/packages/core/test/coordinator_harness.h
+++ b/packages/core/test/coordinator_harness.h
@@ -79,6 +79,7 @@
     wire::Load load;
     load.set_slots(slots);
     load.set_busy(busy);
+    load.set_queued(queued);
     load.set_accepting(accepting);
     load.set_version(++version);
     return load;
@@ -204,6 +205,8 @@
   RecordingOutbox outbox;
   TimePoint now{std::chrono::seconds(1000)};
   Coordinator coordinator;
+  // Queue that workers report from now on.
+  std::uint32_t queued = 0;
   std::uint64_t sessions = 500;
   std::uint64_t version = 0;
   std::uint64_t requests = 0;
--- a/packages/core/test/coordinator_test.cc
+++ b/packages/core/test/coordinator_test.cc
@@ -121,6 +121,10 @@
   void SecondBusyLeadsToReservations() {
     CoordinatorHarness h;
     h.AddWorkers({"w1", "w2", "w3"});
+    h.queued = 2;
+    wire::Envelope update;
+    *update.mutable_load_update()->mutable_load() = h.MakeLoad(8, 8);
+    h.Deliver("w3", update);
     h.Submit(CoordinatorHarness::MakeJob(1));
     for (int n = 0; n < 2; ++n) {
       const auto [worker, start] = h.TakeOne(Envelope::kStart);
@@ -140,6 +144,7 @@
   // Guards against a second start through another worker's reservation.
   void OfferForAStartedTaskIsDeclined() {
     CoordinatorHarness h;
+    h.queued = 1;
     h.AddWorkers({"w1", "w2"}, 0);
     h.Submit(CoordinatorHarness::MakeJob(1));
     const auto reserves = h.Take(Envelope::kReserve);
