--- a/packages/core/src/answer_store.h
+++ b/packages/core/src/answer_store.h
@@ -10,8 +10,9 @@
 
 namespace coltsfoottide::core {
 
-// Answers of ended jobs, kept until acknowledged, until they expire, or until
-// newer ones need the space.
+// Answers of ended jobs, kept until they expire or newer ones need the space.
+// An acknowledged answer was written to its caller, which may still have lost
+// it, so it is kept as well, but is the first to go for space.
 class AnswerStore {
  public:
   struct Entry {
@@ -25,7 +26,7 @@
   // Returns the sequences of older answers that were dropped to make space.
   std::vector<std::uint64_t> Add(std::uint64_t sequence, Entry entry);
   const Entry* Find(std::uint64_t sequence) const;
-  bool Remove(std::uint64_t sequence);
+  void Acknowledge(std::uint64_t sequence);
 
   // Drops the answers of jobs that ended at least `timeout` ago and returns
   // their sequences.
@@ -33,21 +34,28 @@
   // End time of the oldest answer, or TimePoint::max().
   TimePoint OldestEnd() const;
   bool empty() const { return entries_.empty(); }
+  bool all_acknowledged() const { return waiting_.empty(); }
   std::size_t bytes() const { return bytes_; }
 
  private:
   struct Slot {
     Entry entry;
     std::size_t bytes = 0;
+    bool acknowledged = false;
     std::list<std::uint64_t>::iterator place;
   };
-  std::uint64_t DropOldest();
+  std::list<std::uint64_t>& ListOf(const Slot& slot);
+  std::uint64_t Drop(std::uint64_t sequence);
+  // The oldest acknowledged answer, or the oldest one if there is none.
+  std::uint64_t FirstToGo() const;
+  TimePoint EndOf(const std::list<std::uint64_t>& list) const;
 
   std::size_t max_bytes_;
   std::size_t bytes_ = 0;
   std::map<std::uint64_t, Slot> entries_;
-  // Oldest first.
-  std::list<std::uint64_t> order_;
+  // Sequences in the order of the ends and of the acknowledgements.
+  std::list<std::uint64_t> waiting_;
+  std::list<std::uint64_t> acknowledged_;
 };
 
 }  // namespace coltsfoottide::core
--- a/packages/core/src/coordinator_jobs.cc
+++ b/packages/core/src/coordinator_jobs.cc
@@ -227,8 +227,8 @@
 
 void Coordinator::State::OnAnswerAck(const wire::AnswerAck& ack) {
   const api::Ticket& ticket = ack.ticket();
-  if (ticket.incarnation() == options.incarnation && answers.Remove(ticket.sequence())) {
-    tickets.Retire(ticket.sequence());
+  if (ticket.incarnation() == options.incarnation) {
+    answers.Acknowledge(ticket.sequence());
   }
 }
 
--- /dev/null
+++ b/packages/daemon/app/main.cc
@@ -0,0 +1,4 @@
+#include "coltsfoottide/daemon/daemon_main.h"
+#include "coltsfoottide/daemon/runtime_parts.h"
+
+int main(int argc, char** argv) { return coltsfoottide::daemon::DaemonMain(argc, argv, {}); }
--- /dev/null
+++ b/packages/daemon/include/coltsfoottide/daemon/config_digest.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace coltsfoottide::core {
+class ConfigState;
+}  // namespace coltsfoottide::core
+
+namespace coltsfoottide::daemon {
+
+// Returns 48 bits of a SHA-256 over items and roster; the same in every
+// process that has folded the same records.
+std::uint64_t ConfigDigest(const core::ConfigState& config);
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/include/coltsfoottide/daemon/daemon_main.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace coltsfoottide::daemon {
+
+struct RuntimeParts;
+
+// The main function of a daemon: reads flags and settings, runs the role until
+// the stop signal. Returns the exit status: 0, or 2 when the start failed.
+int DaemonMain(int argc, char** argv, const RuntimeParts& parts);
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/include/coltsfoottide/daemon/hub_outbox.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "coltsfoottide/core/outbox.h"
+
+namespace coltsfoottide::link {
+class LinkHub;
+}  // namespace coltsfoottide::link
+
+namespace coltsfoottide::daemon {
+
+// Sends envelopes over a link hub, stamped with this process's identity.
+class HubOutbox : public core::Outbox {
+ public:
+  HubOutbox(link::LinkHub& hub, std::uint64_t incarnation);
+
+  void Send(const std::string& endpoint, wire::Envelope envelope) override;
+  void ResetLink(const std::string& endpoint) override;
+
+  // Messages and bytes sent so far.
+  std::uint64_t messages() const { return messages_; }
+  std::uint64_t bytes() const { return bytes_; }
+
+ private:
+  link::LinkHub& hub_;
+  std::uint64_t incarnation_;
+  std::uint64_t messages_ = 0;
+  std::uint64_t bytes_ = 0;
+};
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/include/coltsfoottide/daemon/runtime.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace coltsfoottide::daemon {
+
+class Logger;
+class Metrics;
+struct RuntimeParts;
+struct Settings;
+
+// Why a daemon could not start, in one line.
+struct RuntimeError {
+  std::string message;
+};
+
+// A daemon process in one role. Made, started and destroyed on the Qt thread.
+class Runtime {
+ public:
+  virtual ~Runtime() = default;
+
+  // Opens the sockets and starts the threads.
+  virtual std::optional<RuntimeError> Start() = 0;
+
+  // Stops gracefully: takes no new work, ends what is in progress, and then
+  // calls `stopped` on the Qt thread.
+  virtual void BeginStop(std::function<void()> stopped) = 0;
+};
+
+// Makes the runtime of the role in the settings.
+std::unique_ptr<Runtime> MakeRuntime(const Settings& settings, const RuntimeParts& parts,
+                                     Logger& logger, Metrics& metrics);
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon_main.cc
@@ -0,0 +1,105 @@
+#include "coltsfoottide/daemon/daemon_main.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <QCoreApplication>
+#include <QTimer>
+#include <chrono>
+#include <iostream>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coltsfoottide/daemon/logging.h"
+#include "coltsfoottide/daemon/metrics.h"
+#include "coltsfoottide/daemon/runtime.h"
+#include "coltsfoottide/daemon/runtime_parts.h"
+#include "coltsfoottide/daemon/settings.h"
+#include "coltsfoottide/daemon/stop_signal.h"
+
+ABSL_FLAG(std::string, settings, "", "path of the TOML settings file");
+ABSL_FLAG(std::string, role, "", "entry or agent; overrides the settings file");
+ABSL_FLAG(std::string, listen, "", "IP:port for links; overrides the settings file");
+ABSL_FLAG(std::string, http_listen, "", "IP:port for HTTP; overrides the settings file");
+ABSL_FLAG(std::string, data_centre, "", "data centre; overrides the settings file");
+ABSL_FLAG(std::string, rack, "", "rack; overrides the settings file");
+ABSL_FLAG(std::string, log_level, "", "debug, info, warn or error; overrides the settings file");
+ABSL_FLAG(std::string, log_url, "", "URL of the platform's log; overrides the settings file");
+ABSL_FLAG(std::string, backend_url, "", "URL of the backend server; overrides the settings file");
+ABSL_FLAG(std::string, service, "", "service of the backend server; overrides the settings file");
+ABSL_FLAG(std::string, placement, "", "hybrid or random; overrides the settings file");
+
+namespace coltsfoottide::daemon {
+namespace {
+
+constexpr int kBadSettings = 2;
+// Time for the last answers to leave the sockets before the process ends.
+constexpr std::chrono::milliseconds kExitDelay{50};
+
+std::vector<Override> FlagOverrides() {
+  const std::vector<Override> all = {
+      {"role", absl::GetFlag(FLAGS_role)},
+      {"listen", absl::GetFlag(FLAGS_listen)},
+      {"http_listen", absl::GetFlag(FLAGS_http_listen)},
+      {"data_centre", absl::GetFlag(FLAGS_data_centre)},
+      {"rack", absl::GetFlag(FLAGS_rack)},
+      {"log_level", absl::GetFlag(FLAGS_log_level)},
+      {"log_url", absl::GetFlag(FLAGS_log_url)},
+      {"backend_url", absl::GetFlag(FLAGS_backend_url)},
+      {"service", absl::GetFlag(FLAGS_service)},
+      {"placement", absl::GetFlag(FLAGS_placement)},
+  };
+  std::vector<Override> given;
+  for (const Override& item : all) {
+    if (!item.value.empty()) {
+      given.push_back(item);
+    }
+  }
+  return given;
+}
+
+int RunDaemon(const Settings& settings, const RuntimeParts& parts) {
+  const std::string process =
+      std::string(settings.role == Role::kEntry ? "entry " : "agent ") + settings.listen;
+  auto logger = MakeJsonLogger(settings.log_level, process);
+  auto metrics = MakeMetrics();
+  std::unique_ptr<Runtime> runtime;
+  auto stop = MakeStopSignal([&runtime, &parts] {
+    if (parts.abrupt_stop) {
+      QCoreApplication::quit();
+      return;
+    }
+    runtime->BeginStop([] { QTimer::singleShot(kExitDelay, [] { QCoreApplication::quit(); }); });
+  });
+  runtime = MakeRuntime(settings, parts, *logger, *metrics);
+  if (const auto error = runtime->Start()) {
+    std::cerr << absl::GetFlag(FLAGS_settings) << ": " << error->message << std::endl;
+    return kBadSettings;
+  }
+  return QCoreApplication::exec();
+}
+
+}  // namespace
+
+int DaemonMain(int argc, char** argv, const RuntimeParts& parts) {
+  absl::SetProgramUsageMessage(
+      "Dispatcher for sub-second tasks: one entry or agent process.\n"
+      "coltsfoottided --settings=FILE [--role=entry|agent] [overrides]");
+  absl::ParseCommandLine(argc, argv);
+  const QCoreApplication application(argc, argv);
+  const std::string path = absl::GetFlag(FLAGS_settings);
+  if (path.empty()) {
+    std::cerr << "coltsfoottided: --settings=FILE is required; see --help" << std::endl;
+    return kBadSettings;
+  }
+  const auto settings = LoadSettings(path, FlagOverrides());
+  if (const auto* error = std::get_if<SettingsError>(&settings)) {
+    std::cerr << error->message << std::endl;
+    return kBadSettings;
+  }
+  return RunDaemon(std::get<Settings>(settings), parts);
+}
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/src/entry_runtime.cc
@@ -0,0 +1,395 @@
+#include "entry_runtime.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "coltsfoottide/core/admission.h"
+#include "coltsfoottide/core/config_state.h"
+#include "coltsfoottide/core/directory.h"
+#include "coltsfoottide/core/job_router.h"
+#include "coltsfoottide/daemon/boot_clock.h"
+#include "coltsfoottide/daemon/config_digest.h"
+#include "coltsfoottide/daemon/endpoint.h"
+#include "coltsfoottide/daemon/engine.h"
+#include "coltsfoottide/daemon/hub_outbox.h"
+#include "coltsfoottide/daemon/identity.h"
+#include "coltsfoottide/daemon/log_client.h"
+#include "coltsfoottide/daemon/logging.h"
+#include "coltsfoottide/daemon/metrics.h"
+#include "coltsfoottide/daemon/qt_post.h"
+#include "coltsfoottide/link/link_hub.h"
+#include "coltsfoottide/schema/errors.h"
+#include "coltsfoottide/schema/validation.h"
+
+namespace coltsfoottide::daemon {
+namespace {
+
+constexpr core::Duration kViewInterval = std::chrono::milliseconds(200);
+constexpr core::Duration kRebalanceInterval = std::chrono::milliseconds(500);
+// Time between the stop signal and the exit at least, so that the removal
+// from the roster is appended and queued answers leave.
+constexpr core::Duration kStopLinger = std::chrono::milliseconds(500);
+
+const api::Error* ErrorOf(const api::JobResponse& response) {
+  return response.answer().has_error() ? &response.answer().error() : nullptr;
+}
+
+}  // namespace
+
+EntryRuntime::EntryRuntime(Settings settings, Logger& logger, Metrics& metrics)
+    : settings_(std::move(settings)),
+      logger_(logger),
+      metrics_(metrics),
+      incarnation_(MakeIncarnation()),
+      view_(std::make_unique<EntryView>()) {}
+
+EntryRuntime::~EntryRuntime() {
+  if (engine_) {
+    engine_->Stop();
+  }
+  if (hub_) {
+    hub_->Close();
+  }
+}
+
+std::optional<RuntimeError> EntryRuntime::Start() {
+  engine_ = std::make_unique<Engine>([this](core::TimePoint now) { Tick(now); },
+                                     [this] { return NextWake(); });
+  auto hub = link::MakeNngLinkHub(
+      settings_.listen,
+      {[this](std::string buf) {
+         engine_->Post([this, buf = std::move(buf)](core::TimePoint now) { OnWire(buf, now); });
+       },
+       [this](const std::string& endpoint) {
+         engine_->Post([this, endpoint](core::TimePoint now) {
+           router_->OnLinkDown(endpoint, now);
+           control_->OnLinkDown(endpoint, now);
+         });
+       }});
+  if (auto* error = std::get_if<link::LinkError>(&hub)) {
+    return RuntimeError{"listen: " + error->message};
+  }
+  hub_ = std::move(std::get<std::unique_ptr<link::LinkHub>>(hub));
+  outbox_ = std::make_unique<HubOutbox>(*hub_, incarnation_);
+
+  const auto http = ParseEndpoint(settings_.http_listen);
+  auto server =
+      http::MakeServer(http->address, http->port, {},
+                       {[this](http::Request request) { OnHttp(std::move(request)); },
+                        [this](std::uint64_t id) {
+                          open_calls_.erase(id);
+                          open_call_count_ = open_calls_.size();
+                          engine_->Post([this, id](core::TimePoint) { router_->Abandon(id); });
+                        }});
+  if (auto* error = std::get_if<http::ServerError>(&server)) {
+    return RuntimeError{"http_listen: " + error->message};
+  }
+  server_ = std::move(std::get<std::unique_ptr<http::Server>>(server));
+
+  log_ = std::make_unique<LogClient>(
+      settings_.log_url,
+      LogClientCallbacks{[this](std::uint64_t request, std::optional<std::uint64_t> offset) {
+                           engine_->Post([this, request, offset](core::TimePoint now) {
+                             control_->OnAppendDone(request, offset, now);
+                           });
+                         },
+                         [this](std::uint64_t request, std::optional<core::LogBatch> batch) {
+                           engine_->Post(
+                               [this, request, batch = std::move(batch)](core::TimePoint now) {
+                                 control_->OnReadDone(request, batch, now);
+                               });
+                         }});
+  core::EntryControlOptions options;
+  options.endpoint = hub_->endpoint();
+  options.incarnation = incarnation_;
+  options.data_centre = settings_.data_centre;
+  std::copy_if(settings_.entries.begin(), settings_.entries.end(),
+               std::back_inserter(options.peers),
+               [this](const std::string& endpoint) { return endpoint != hub_->endpoint(); });
+  control_ = std::make_unique<core::EntryControl>(
+      options, *log_, *outbox_, static_cast<core::ChangeSink&>(*this), MakeIncarnation());
+  router_ = std::make_unique<core::JobRouter>(
+      core::JobRouterOptions(), *outbox_, static_cast<core::CallSink&>(*this), MakeIncarnation());
+  admission_ = std::make_unique<core::Admission>();
+  logger_.Info("entry started", {{"endpoint", hub_->endpoint()},
+                                 {"http", std::to_string(server_->port())},
+                                 {"incarnation", std::to_string(incarnation_)},
+                                 {"data_centre", settings_.data_centre}});
+  engine_->Start();
+  return std::nullopt;
+}
+
+void EntryRuntime::OnHttp(http::Request request) {
+  if (request.method == "GET" && (request.path == "/healthz" || request.path == "/metrics")) {
+    WriteProbe(request.id, request.path);
+    return;
+  }
+  auto decoded = DecodeCall(request);
+  if (auto* refusal = std::get_if<http::Response>(&decoded)) {
+    server_->Respond(request.id, *refusal);
+    return;
+  }
+  OnCall(request.id, std::move(std::get<ApiCall>(decoded)));
+}
+
+void EntryRuntime::WriteProbe(std::uint64_t id, const std::string& path) {
+  http::Response response;
+  if (path == "/metrics") {
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = metrics_.ReportText();
+  } else {
+    const bool healthy =
+        view_.Read([](const EntryView& view) { return view.configured && view.fresh; });
+    response.status = healthy ? 200 : 503;
+    response.body = healthy ? R"({"healthy":true})" : R"({"healthy":false})";
+  }
+  server_->Respond(id, response);
+}
+
+void EntryRuntime::OnCall(std::uint64_t id, ApiCall call) {
+  OpenCall open{call.format, BootNow(), {}, api::JOB_CLASS_UNSPECIFIED, false};
+  if (const auto* submit = std::get_if<api::SubmitRequest>(&call.request)) {
+    open.team = submit->job().team();
+    open.job_class = submit->job().job_class();
+    open.is_submit = submit->wait();
+  }
+  open_calls_.emplace(id, std::move(open));
+  open_call_count_ = open_calls_.size();
+  if (RefuseEarly(id, call) || AnswerFromView(id, call)) {
+    return;
+  }
+  engine_->Post([this, id, request = std::move(call.request)](core::TimePoint now) {
+    Dispatch(id, request, now);
+  });
+}
+
+bool EntryRuntime::RefuseEarly(std::uint64_t id, const ApiCall& call) {
+  std::optional<api::Error> error;
+  const api::Ticket* ticket = nullptr;
+  if (const auto* submit = std::get_if<api::SubmitRequest>(&call.request)) {
+    ticket = &submit->ticket();
+    error = schema::ValidateJob(submit->job());
+  } else if (const auto* change = std::get_if<api::ChangeConfigRequest>(&call.request)) {
+    error = schema::ValidateChange(*change);
+    if (error) {
+      api::ChangeConfigResponse response;
+      *response.mutable_error() = *error;
+      Write(id, response, &*error);
+      return true;
+    }
+  }
+  if (!error) {
+    return false;
+  }
+  api::JobResponse response;
+  *response.mutable_answer() = schema::MakeFailedAnswer(*ticket, *error);
+  Write(id, response, &*error);
+  return true;
+}
+
+bool EntryRuntime::AnswerFromView(std::uint64_t id, const ApiCall& call) {
+  if (std::holds_alternative<api::GetConfigRequest>(call.request)) {
+    Write(id, view_.Read([](const EntryView& view) { return view.config; }), nullptr);
+    return true;
+  }
+  if (std::holds_alternative<api::ListWorkersRequest>(call.request)) {
+    Write(id, view_.Read([](const EntryView& view) { return view.workers; }), nullptr);
+    return true;
+  }
+  if (std::holds_alternative<api::GetMetricsRequest>(call.request)) {
+    Write(id, metrics_.Report(), nullptr);
+    return true;
+  }
+  return false;
+}
+
+void EntryRuntime::Write(std::uint64_t id, const google::protobuf::Message& message,
+                         const api::Error* error) {
+  const auto it = open_calls_.find(id);
+  if (it == open_calls_.end()) {
+    return;
+  }
+  const OpenCall call = std::move(it->second);
+  open_calls_.erase(it);
+  open_call_count_ = open_calls_.size();
+  const bool written = server_->Respond(id, EncodeResponse(message, call.format, error));
+  if (call.is_submit && error == nullptr) {
+    metrics_.Observe(call.team, call.job_class, BootNow() - call.received);
+  }
+  if (written) {
+    engine_->Post([this, id](core::TimePoint now) { router_->OnDelivered(id, now); });
+  }
+}
+
+void EntryRuntime::OnWire(const std::string& buf, core::TimePoint now) {
+  wire::Envelope envelope;
+  if (!envelope.ParseFromString(buf)) {
+    logger_.Warn("unreadable message dropped", {{"bytes", std::to_string(buf.size())}});
+    return;
+  }
+  if (envelope.body_case() == wire::Envelope::kProbe) {
+    wire::Envelope reply;
+    reply.mutable_probe_reply()->set_request(envelope.probe().request());
+    outbox_->Send(envelope.from(), std::move(reply));
+    return;
+  }
+  control_->OnMessage(envelope, now);
+  router_->OnMessage(envelope, now);
+}
+
+void EntryRuntime::Dispatch(std::uint64_t id, const ApiRequest& request, core::TimePoint now) {
+  if (const auto* tickets = std::get_if<api::ObtainTicketsRequest>(&request)) {
+    router_->ObtainTickets(id, *tickets, now);
+  } else if (const auto* submit = std::get_if<api::SubmitRequest>(&request)) {
+    Submit(id, *submit, now);
+  } else if (const auto* wait = std::get_if<api::WaitRequest>(&request)) {
+    router_->Wait(id, *wait, now);
+  } else if (const auto* cancel = std::get_if<api::CancelRequest>(&request)) {
+    router_->Cancel(id, *cancel, now);
+  } else if (const auto* status = std::get_if<api::StatusRequest>(&request)) {
+    router_->Status(id, *status, now);
+  } else if (const auto* jobs = std::get_if<api::ListJobsRequest>(&request)) {
+    router_->ListJobs(id, *jobs, now);
+  } else if (const auto* change = std::get_if<api::ChangeConfigRequest>(&request)) {
+    logger_.Info("configuration change requested", {{"change_id", change->change_id()}});
+    control_->Change(id, *change, now);
+  }
+}
+
+void EntryRuntime::Submit(std::uint64_t id, const api::SubmitRequest& request,
+                          core::TimePoint now) {
+  if (request.has_ticket()) {
+    if (auto error = admission_->Admit(request, control_->config(), control_->directory(), now)) {
+      api::JobResponse response;
+      *response.mutable_answer() = schema::MakeFailedAnswer(request.ticket(), std::move(*error));
+      OnJob(id, response);
+      return;
+    }
+  }
+  router_->Submit(id, request, now);
+}
+
+void EntryRuntime::OnTickets(std::uint64_t call, const api::ObtainTicketsResponse& response) {
+  PostToQt([this, call, response] {
+    Write(call, response, response.has_error() ? &response.error() : nullptr);
+  });
+}
+
+void EntryRuntime::OnJob(std::uint64_t call, const api::JobResponse& response) {
+  if (const api::Error* error = ErrorOf(response)) {
+    metrics_.Add("failed_" + api::Reason_Name(error->reason()) + "_total", 1);
+    logger_.Debug("call failed", {{"verdict", api::Verdict_Name(error->verdict())},
+                                  {"reason", api::Reason_Name(error->reason())},
+                                  {"message", error->message()}});
+  }
+  PostToQt([this, call, response] { Write(call, response, ErrorOf(response)); });
+}
+
+void EntryRuntime::OnJobs(std::uint64_t call, const api::ListJobsResponse& response) {
+  PostToQt([this, call, response] { Write(call, response, nullptr); });
+}
+
+void EntryRuntime::OnChange(std::uint64_t call, const api::ChangeConfigResponse& response) {
+  logger_.Info("configuration change answered",
+               {{"version", std::to_string(response.version())},
+                {"accepted", response.accepted() ? "true" : "false"},
+                {"in_force", response.in_force() ? "true" : "false"},
+                {"message", response.error().message()}});
+  PostToQt([this, call, response] {
+    Write(call, response, response.has_error() ? &response.error() : nullptr);
+  });
+}
+
+void EntryRuntime::Tick(core::TimePoint now) {
+  control_->Tick(now);
+  router_->Tick(now);
+  if (control_->directory().version() != published_directory_) {
+    published_directory_ = control_->directory().version();
+    router_->SetCoordinators(control_->directory().Coordinators(settings_.data_centre), now);
+  }
+  if (now >= next_rebalance_) {
+    next_rebalance_ = now + kRebalanceInterval;
+    Rebalance(now);
+  }
+  if (now >= next_view_) {
+    next_view_ = now + kViewInterval;
+    PublishView(now);
+    PublishMetrics();
+  }
+  if (leaving_) {
+    FinishStopWhenIdle(now);
+  }
+}
+
+core::TimePoint EntryRuntime::NextWake() const {
+  return std::min({next_view_, next_rebalance_, control_->NextWake(), router_->NextWake()});
+}
+
+void EntryRuntime::Rebalance(core::TimePoint now) {
+  control_->SetDemand(admission_->Demand(now));
+  admission_->Rebalance(control_->config(), control_->PeerDemand(now), now);
+}
+
+void EntryRuntime::PublishView(core::TimePoint now) {
+  const bool evidence = control_->EvidenceAge(now).has_value();
+  if (evidence != evidence_) {
+    logger_.Info(evidence ? "configuration evidence is fresh" : "configuration evidence expired",
+                 {{"log_readable", control_->LogReadable(now) ? "true" : "false"}});
+  }
+  evidence_ = evidence;
+  auto view = std::make_unique<EntryView>();
+  const wire::ConfigStateData state = control_->config().ToData();
+  view->configured = state.next_offset() > 0;
+  view->fresh = evidence;
+  view->config.set_next_offset(state.next_offset());
+  *view->config.mutable_items() = state.items();
+  *view->config.mutable_roster() = state.roster();
+  view->config.set_log_readable(control_->LogReadable(now));
+  view->config.set_in_force_offset(control_->InForceOffset(now));
+  for (api::WorkerInfo& worker : control_->directory().List(now)) {
+    *view->workers.add_workers() = std::move(worker);
+  }
+  view_.Publish(std::move(view));
+}
+
+void EntryRuntime::PublishMetrics() {
+  metrics_.Set("open_calls", open_call_count_);
+  metrics_.Set("router_pending", router_->pending());
+  metrics_.Set("config_offset", control_->config().next_offset());
+  metrics_.Set("config_digest", ConfigDigest(control_->config()));
+  metrics_.Set("evidence_fresh", evidence_ ? 1 : 0);
+  metrics_.Set("known_agents", control_->directory().members().size());
+  metrics_.Set("link_messages_total", outbox_->messages());
+  metrics_.Set("link_bytes_total", outbox_->bytes());
+}
+
+void EntryRuntime::BeginStop(std::function<void()> stopped) {
+  server_->BeginStop();
+  engine_->Post([this, stopped = std::move(stopped)](core::TimePoint now) {
+    if (leaving_) {
+      return;
+    }
+    logger_.Info("stopping", {{"open_calls", std::to_string(open_call_count_)}});
+    leaving_ = true;
+    stopped_ = stopped;
+    stop_earliest_ = now + kStopLinger;
+    stop_deadline_ = now + settings_.drain_limit;
+    control_->BeginLeave(now);
+  });
+}
+
+void EntryRuntime::FinishStopWhenIdle(core::TimePoint now) {
+  if (!stopped_) {
+    return;
+  }
+  const bool idle = open_call_count_ == 0 && now >= stop_earliest_;
+  if (!idle && now < stop_deadline_) {
+    return;
+  }
+  logger_.Info("stopped", {{"idle", idle ? "true" : "false"}});
+  // Gives the answers written last time to leave the sockets.
+  PostToQt(std::exchange(stopped_, nullptr));
+}
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/src/hub_outbox.cc
@@ -0,0 +1,23 @@
+#include "coltsfoottide/daemon/hub_outbox.h"
+
+#include <utility>
+
+#include "coltsfoottide/link/link_hub.h"
+
+namespace coltsfoottide::daemon {
+
+HubOutbox::HubOutbox(link::LinkHub& hub, std::uint64_t incarnation)
+    : hub_(hub), incarnation_(incarnation) {}
+
+void HubOutbox::Send(const std::string& endpoint, wire::Envelope envelope) {
+  envelope.set_from(hub_.endpoint());
+  envelope.set_incarnation(incarnation_);
+  std::string buf = envelope.SerializeAsString();
+  ++messages_;
+  bytes_ += buf.size();
+  hub_.Send(endpoint, std::move(buf));
+}
+
+void HubOutbox::ResetLink(const std::string& endpoint) { hub_.Reset(endpoint); }
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/src/identity.cc
@@ -0,0 +1,13 @@
+#include "coltsfoottide/daemon/identity.h"
+
+#include <random>
+
+namespace coltsfoottide::daemon {
+
+std::uint64_t MakeIncarnation() {
+  std::random_device device;
+  std::uniform_int_distribution<std::uint64_t> bits(1);
+  return bits(device);
+}
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/src/stop_signal.cc
@@ -0,0 +1,50 @@
+#include "coltsfoottide/daemon/stop_signal.h"
+
+#include <signal.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <QObject>
+#include <QSocketNotifier>
+#include <utility>
+
+namespace coltsfoottide::daemon {
+namespace {
+
+class SignalFdStop : public StopSignal {
+ public:
+  explicit SignalFdStop(std::function<void()> on_stop)
+      : fd_(OpenSignalFd()), notifier_(fd_, QSocketNotifier::Read), on_stop_(std::move(on_stop)) {
+    QObject::connect(&notifier_, &QSocketNotifier::activated, &notifier_, [this] { OnReadable(); });
+  }
+  ~SignalFdStop() override { close(fd_); }
+
+ private:
+  static int OpenSignalFd() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+  }
+
+  void OnReadable() {
+    signalfd_siginfo info{};
+    if (read(fd_, &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) {
+      on_stop_();
+    }
+  }
+
+  int fd_;
+  QSocketNotifier notifier_;
+  std::function<void()> on_stop_;
+};
+
+}  // namespace
+
+std::unique_ptr<StopSignal> MakeStopSignal(std::function<void()> on_stop) {
+  return std::make_unique<SignalFdStop>(std::move(on_stop));
+}
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/proof/app/main.cc
@@ -0,0 +1,17 @@
+#include <iostream>
+#include <string>
+
+#include "coltsfoottide/daemon/daemon_main.h"
+#include "coltsfoottide/proof/broken_parts.h"
+
+// coltsfoottided-broken VARIANT [flags of coltsfoottided]
+int main(int argc, char** argv) {
+  const std::string variant = argc > 1 ? argv[1] : "";
+  const auto parts = coltsfoottide::proof::MakeBrokenParts(variant);
+  if (!parts) {
+    std::cerr << "coltsfoottided-broken: unknown variant '" << variant << "'" << std::endl;
+    return 2;
+  }
+  argv[1] = argv[0];
+  return coltsfoottide::daemon::DaemonMain(argc - 1, argv + 1, *parts);
+}
--- /dev/null
+++ b/packages/proof/src/broken_parts.cc
@@ -0,0 +1,188 @@
+#include "coltsfoottide/proof/broken_parts.h"
+
+#include <unistd.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+#include "coltsfoottide/core/outbox.h"
+#include "coltsfoottide/daemon/backend_client.h"
+
+namespace coltsfoottide::proof {
+namespace {
+
+using daemon::RuntimeParts;
+using Edit = std::function<void(api::JobAnswer& answer)>;
+
+// Every this many tasks or answers are broken.
+constexpr int kBrokenEvery = 10;
+
+// Changes the answers that a coordinator sends.
+class EditingOutbox : public core::Outbox {
+ public:
+  EditingOutbox(core::Outbox& inner, Edit edit) : inner_(inner), edit_(std::move(edit)) {}
+
+  void Send(const std::string& endpoint, wire::Envelope envelope) override {
+    if (envelope.has_job_reply() && envelope.job_reply().has_answer()) {
+      edit_(*envelope.mutable_job_reply()->mutable_answer());
+    }
+    inner_.Send(endpoint, std::move(envelope));
+  }
+  void ResetLink(const std::string& endpoint) override { inner_.ResetLink(endpoint); }
+
+ private:
+  core::Outbox& inner_;
+  Edit edit_;
+};
+
+RuntimeParts EditAnswers(Edit edit) {
+  RuntimeParts parts;
+  parts.wrap_outbox = [edit = std::move(edit)](core::Outbox& inner) {
+    return std::make_unique<EditingOutbox>(inner, edit);
+  };
+  return parts;
+}
+
+// Remembers the tasks in progress, so that they can be sent again.
+class RepeatingBackend : public core::BackendPort {
+ public:
+  RepeatingBackend(core::BackendPort& inner, bool always) : inner_(inner), always_(always) {}
+
+  void Run(const wire::Start& start, core::Duration time_limit) override {
+    inner_.Run(start, time_limit);
+    if (always_ && ++count_ % kBrokenEvery == 0) {
+      inner_.Run(start, time_limit);
+    }
+    starts_[daemon::StartId(start.task())] = {start, time_limit};
+  }
+
+  // Runs the task again, once.
+  bool Again(const wire::TaskId& task) {
+    const auto it = starts_.find(daemon::StartId(task));
+    if (it == starts_.end()) {
+      return false;
+    }
+    inner_.Run(it->second.first, it->second.second);
+    starts_.erase(it);
+    return true;
+  }
+
+ private:
+  core::BackendPort& inner_;
+  bool always_;
+  int count_ = 0;
+  std::map<std::string, std::pair<wire::Start, core::Duration>> starts_;
+};
+
+RuntimeParts DoubleStart() {
+  RuntimeParts parts;
+  parts.wrap_backend = [](core::BackendPort& inner) {
+    return std::make_unique<RepeatingBackend>(inner, true);
+  };
+  return parts;
+}
+
+RuntimeParts RetryAfterFailure() {
+  RuntimeParts parts;
+  auto backend = std::make_shared<RepeatingBackend*>(nullptr);
+  parts.wrap_backend = [backend](core::BackendPort& inner) {
+    auto wrapped = std::make_unique<RepeatingBackend>(inner, false);
+    *backend = wrapped.get();
+    return wrapped;
+  };
+  parts.send_again = [backend](const wire::TaskId& task, core::BackendOutcome outcome) {
+    const bool failed =
+        outcome == core::BackendOutcome::kFailed || outcome == core::BackendOutcome::kUnknown;
+    return failed && (*backend)->Again(task);
+  };
+  return parts;
+}
+
+RuntimeParts PartialAnswer() {
+  return EditAnswers([count = 0](api::JobAnswer& answer) mutable {
+    if (answer.state() == api::COMPLETE && ++count % kBrokenEvery == 0) {
+      answer.mutable_results()->RemoveLast();
+    }
+  });
+}
+
+RuntimeParts SwappedAnswer() {
+  return EditAnswers([count = 0, last = api::JobAnswer()](api::JobAnswer& answer) mutable {
+    if (answer.state() != api::COMPLETE) {
+      return;
+    }
+    api::JobAnswer kept = answer;
+    if (++count % kBrokenEvery == 0 && last.results_size() == answer.results_size()) {
+      *answer.mutable_results() = last.results();
+    }
+    last = std::move(kept);
+  });
+}
+
+RuntimeParts FalseNotRun() {
+  return EditAnswers([](api::JobAnswer& answer) {
+    if (answer.state() == api::FAILED) {
+      answer.mutable_error()->set_verdict(api::NOT_RUN);
+    }
+  });
+}
+
+RuntimeParts IgnoreDataCentreOut() {
+  RuntimeParts parts;
+  parts.edit_config = [](wire::ConfigStateData& state) {
+    for (api::ConfigItem& item : *state.mutable_items()) {
+      if (item.has_data_centre()) {
+        item.mutable_data_centre()->set_out(false);
+      }
+    }
+  };
+  return parts;
+}
+
+RuntimeParts DivergingConfig() {
+  RuntimeParts parts;
+  parts.edit_config = [](wire::ConfigStateData& state) {
+    if (state.items_size() > 0 && getpid() % 2 == 0) {
+      state.mutable_items()->RemoveLast();
+    }
+  };
+  return parts;
+}
+
+RuntimeParts IgnoreHealth() {
+  RuntimeParts parts;
+  parts.edit_health = [](daemon::BackendHealth& health) {
+    health.serving = true;
+    health.lease = std::chrono::milliseconds(-1);
+  };
+  return parts;
+}
+
+RuntimeParts AbruptStop() {
+  RuntimeParts parts;
+  parts.abrupt_stop = true;
+  return parts;
+}
+
+}  // namespace
+
+std::optional<RuntimeParts> MakeBrokenParts(const std::string& variant) {
+  const std::map<std::string, std::function<RuntimeParts()>> variants = {
+      {"double-start", DoubleStart},
+      {"partial-answer", PartialAnswer},
+      {"ignore-data-centre-out", IgnoreDataCentreOut},
+      {"swapped-answer", SwappedAnswer},
+      {"false-not-run", FalseNotRun},
+      {"retry-after-failure", RetryAfterFailure},
+      {"ignore-health", IgnoreHealth},
+      {"abrupt-stop", AbruptStop},
+      {"diverging-config", DivergingConfig},
+  };
+  const auto it = variants.find(variant);
+  return it == variants.end() ? std::nullopt : std::optional(it->second());
+}
+
+}  // namespace coltsfoottide::proof
--- /dev/null
+++ b/scripts/lib/experiments.py
@@ -0,0 +1,516 @@
+"""The experiments of scripts/prove: one for each guarantee.
+
+Each runs processes under faults, records a history and returns what is wrong
+with it. Verdicts depend on invariants of the history, not on how far the
+processes got: slow machines have fewer runs, not other verdicts.
+"""
+
+import random
+import signal
+import threading
+import time
+
+from fleet import ATLAS, INZIRA, Fleet, call, wait_until
+from history import (check_always, check_no_starts_between, check_starts_at_most_once)
+from recorder import Recorder, boot_us, decode, post
+
+# "A few seconds" of the guarantees on data centres and leaving servers: the
+# 3 s validity of a start permission, the time of one health check, and the
+# hand-over to the backend server.
+FEW_SECONDS_US = 4_000_000
+
+
+def small(layout, workers=6):
+    return type(layout)(layout.service, layout.data_centres, workers=workers, slots=4)
+
+
+def set_zone(entry, name, out, wait_ms=0):
+    return post(entry.url, "/v1/Operator/ChangeConfig",
+                {"data_centre": {"name": name, "out": out}, "wait_in_force_ms": wait_ms},
+                timeout=30.0)
+
+
+def metrics_of(process):
+    """The plain counters of a daemon's /metrics, by name."""
+    values = {}
+    for line in call(process.url + "/metrics", timeout=2.0).splitlines():
+        words = line.split()
+        if len(words) == 2 and not line.startswith("#") and "{" not in line:
+            values[words[0].removeprefix("coltsfoottide_")] = float(words[1])
+    return values
+
+
+def settle(rec):
+    """Ends the clients and waits for tasks that still run."""
+    rec.finish()
+    time.sleep(1.0)
+
+
+class Killer:
+    """Injects process faults at random times until stopped."""
+
+    def __init__(self, rec, rng, actions, pause=(0.3, 1.0)):
+        self.rec = rec
+        self.rng = rng
+        self.actions = actions
+        self.pause = pause
+
+    def run(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.rng.choice(self.actions)()
+            self.rec.fault()
+            time.sleep(self.rng.uniform(*self.pause))
+
+
+def kill_and_restart(process):
+    process.kill()
+    process.start()
+
+
+def pause_for(process, seconds):
+    process.pause()
+    time.sleep(seconds)
+    process.resume()
+
+
+def starts_at_most_once(fleet, rec, rng):
+    rec.start_clients(24, repeat=2)
+    time.sleep(1.0)
+    agents = fleet.agents
+    actions = [
+        lambda: kill_and_restart(rng.choice(agents)),
+        lambda: pause_for(rng.choice(agents), 0.7),
+        lambda: pause_for(rng.choice(agents), 6.0),
+        lambda: kill_and_restart(rng.choice(fleet.entries)),
+    ]
+    Killer(rec, rng, actions).run(25)
+    settle(rec)
+    return check_always(rec.calls, rec.starts())
+
+
+def complete_or_failed(fleet, rec, rng):
+    rec.start_clients(24)
+    time.sleep(1.0)
+    n = len(fleet.agents)
+
+    def kill_backend():
+        index = rng.randrange(n)
+        kill_and_restart(fleet.backends[index])
+
+    def switch_backend():
+        backend = rng.choice(fleet.backends)
+        fleet.control(backend, rng.choice(
+            [{"fail": True}, {"straggle": 10}, {"drop": True}, {"drop_before_start": True}]))
+        time.sleep(0.5)
+        fleet.control(backend, {"fail": False, "straggle": 1, "drop": False,
+                                "drop_before_start": False})
+
+    actions = [kill_backend, switch_backend,
+               lambda: kill_and_restart(rng.choice(fleet.agents)),
+               lambda: pause_for(rng.choice(fleet.agents), 1.5)]
+    Killer(rec, rng, actions).run(20)
+    settle(rec)
+    return check_always(rec.calls, rec.starts())
+
+
+def data_centre_out(fleet, rec, rng):
+    errors = []
+    rec.start_clients(16)
+    time.sleep(1.0)
+    centre = fleet.layout.data_centres[0]
+    inside = lambda s: s.data_centre == centre
+    paused, cut = fleet.agents_of(centre)[:2]
+    # The agent is paused across the change; the other agents are told.
+    paused.pause()
+    rec.fault()
+    spans = []
+    begin = _take_out(fleet, centre, errors)
+    time.sleep(5.0)
+    paused.resume()
+    time.sleep(2.0)
+    spans.append((begin, boot_us()))
+    _return(fleet, centre, errors)
+    time.sleep(2.0)
+    # The agent is cut from all entries: they are paused after the change
+    # until the permission has expired.
+    begin = _take_out(fleet, centre, errors)
+    for entry in fleet.entries:
+        entry.pause()
+        rec.fault()
+    time.sleep(5.0)
+    for entry in fleet.entries:
+        entry.resume()
+    time.sleep(1.0)
+    spans.append((begin, boot_us()))
+    _return(fleet, centre, errors)
+    time.sleep(2.0)
+    # The log is out of reach of all: work goes on where nothing has changed.
+    before = len(rec.starts())
+    fleet.control(fleet.log, {"outage": "hang"})
+    rec.fault()
+    time.sleep(8.0)
+    middle_us = boot_us()
+    time.sleep(3.0)
+    late = [s for s in rec.starts() if s.time_us > middle_us]
+    if not late:
+        errors.append(f"no start in the last 3 s of a log outage ({before} before)")
+    fleet.control(fleet.log, {"outage": "none"})
+    settle(rec)
+    starts = rec.starts()
+    for begin, end in spans:
+        errors += check_no_starts_between(starts, inside, begin + FEW_SECONDS_US, end)
+    if not any(inside(s) for s in starts):
+        errors.append("no start in the data centre at all")
+    return errors + check_always(rec.calls, starts)
+
+
+def _take_out(fleet, centre, errors):
+    reply = set_zone(fleet.entries[0], centre, True)
+    if not reply or not reply.get("accepted"):
+        errors.append(f"taking out {centre} was not accepted: {reply}")
+    return boot_us()
+
+
+def _return(fleet, centre, errors):
+    def accepted():
+        reply = set_zone(fleet.entries[0], centre, False)
+        return bool(reply and reply.get("accepted"))
+    wait_until(accepted, f"return of {centre} accepted", 15.0, 0.5)
+
+
+def own_answer(fleet, rec, rng):
+    rec.start_clients(32, repeat=1)
+    threads = [threading.Thread(target=_abandon_requests, args=(fleet, rec, n), daemon=True)
+               for n in range(4)]
+    for thread in threads:
+        thread.start()
+    Killer(rec, rng, [lambda: pause_for(rng.choice(fleet.agents), 0.4)], (0.1, 0.4)).run(12)
+    for thread in threads:
+        thread.join()
+    settle(rec)
+    return check_always(rec.calls, rec.starts())
+
+
+def _abandon_requests(fleet, rec, n):
+    """Submits jobs and closes the connection before the answer."""
+    rng = random.Random(f"{rec.seed}/abandon/{n}")
+    end = time.monotonic() + 10
+    number = 0
+    while time.monotonic() < end:
+        ticket = rec.obtain_ticket(rng)
+        job = rec.job(f"a{rec.seed}.{n}.{number}", rng, run_ms=200)
+        entry = rng.choice(fleet.entries)
+        post(entry.url, "/v1/Caller/Submit", {"ticket": ticket, "job": job, "wait": True},
+             timeout=rng.uniform(0.01, 0.15))
+        rec.fault()
+        number += 1
+
+
+def not_run_is_true(fleet, rec, rng):
+    # 24 slots and 64 clients with short deadlines: most jobs are refused.
+    rec.deadline_ms = 500
+    rec.start_clients(64, repeat=1)
+    threads = [threading.Thread(target=_cancel_jobs, args=(fleet, rec, n), daemon=True)
+               for n in range(4)]
+    for thread in threads:
+        thread.start()
+    centre = fleet.layout.data_centres[1]
+    actions = [
+        lambda: pause_for(rng.choice(fleet.agents), 1.4),
+        lambda: set_zone(fleet.entries[0], centre, rng.random() < 0.5),
+        lambda: _refuse_for(fleet, rng),
+        lambda: fleet.control(rng.choice(fleet.backends), {"slots": rng.randint(1, 4)}),
+    ]
+    Killer(rec, rng, actions).run(20)
+    for thread in threads:
+        thread.join()
+    settle(rec)
+    errors = check_always(rec.calls, rec.starts())
+    refused = [c for c in rec.calls
+               if any(a.get("error", {}).get("verdict") == "NOT_RUN" for a in c.answers)]
+    if not refused:
+        errors.append("no job was refused, so nothing was shown")
+    return errors
+
+
+def _refuse_for(fleet, rng):
+    backend = rng.choice(fleet.backends)
+    fleet.control(backend, {"drop_before_start": True})
+    time.sleep(0.3)
+    fleet.control(backend, {"drop_before_start": False})
+
+
+def _cancel_jobs(fleet, rec, n):
+    """Submits without waiting, cancels at a random time and records the end."""
+    rng = random.Random(f"{rec.seed}/cancel/{n}")
+    end = time.monotonic() + 18
+    number = 0
+    while time.monotonic() < end:
+        name = f"c{rec.seed}.{n}.{number}"
+        number += 1
+        ticket = rec.obtain_ticket(rng)
+        job = rec.job(name, rng)
+        record = type(rec.calls[0])(name, len(job["tasks"])) if rec.calls else None
+        if ticket is None or record is None:
+            continue
+        entry = rng.choice(fleet.entries)
+        post(entry.url, "/v1/Caller/Submit", {"ticket": ticket, "job": job, "wait": False})
+        time.sleep(rng.uniform(0, 0.1))
+        post(rng.choice(fleet.entries).url, "/v1/Caller/Cancel", {"ticket": ticket})
+        for _ in range(40):
+            answer = decode(post(rng.choice(fleet.entries).url, "/v1/Caller/Wait",
+                                 {"ticket": ticket, "timeout_ms": 5000}))
+            if answer and answer["state"] in ("COMPLETE", "FAILED"):
+                record.answers.append(answer)
+                break
+            time.sleep(0.05)
+        record.lost = not record.answers
+        rec.calls.append(record)
+        rec.fault()
+
+
+def non_idempotent_once(fleet, rec, rng):
+    rec.start_clients(24, repeat=2, idempotent=False)
+    time.sleep(0.5)
+
+    def switch(switches, seconds):
+        backend = rng.choice(fleet.backends)
+        fleet.control(backend, switches)
+        time.sleep(seconds)
+        fleet.control(backend, {"fail": False, "straggle": 1, "drop": False, "hang": "none"})
+
+    actions = [lambda: switch({"fail": True}, 0.4), lambda: switch({"drop": True}, 0.4),
+               lambda: switch({"straggle": 40}, 0.6), lambda: switch({"hang": "tasks"}, 0.5),
+               lambda: kill_and_restart(rng.choice(fleet.backends)),
+               lambda: pause_for(rng.choice(fleet.agents), 1.5)]
+    Killer(rec, rng, actions).run(20)
+    settle(rec)
+    return check_always(rec.calls, rec.starts())
+
+
+def leaving_server(fleet, rec, rng):
+    errors = []
+    rec.start_clients(24)
+    time.sleep(1.5)
+    spans = []
+
+    def leave(n, action, undo, seconds=4.0):
+        begin = boot_us()
+        action()
+        rec.fault()
+        time.sleep(FEW_SECONDS_US / 1e6 + seconds)
+        spans.append((f"backend-{n}", begin, boot_us()))
+        undo()
+
+    agents, backends = fleet.agents, fleet.backends
+    leave(0, agents[0].begin_stop, lambda: (agents[0].wait(), agents[0].start()))
+    leave(1, lambda: fleet.control(backends[1], {"leaving": True}),
+          lambda: fleet.control(backends[1], {"leaving": False}), 1.0)
+    leave(2, lambda: fleet.control(backends[2], {"lease_ms": 0}),
+          lambda: fleet.control(backends[2], {"lease_ms": -1}), 1.0)
+    leave(3, agents[3].kill, agents[3].start, 1.0)
+
+    # A frozen agent has its backend server leave meanwhile.
+    def freeze():
+        agents[4].pause()
+        fleet.control(backends[4], {"leaving": True})
+        time.sleep(4.0)
+        agents[4].resume()
+    leave(4, freeze, lambda: fleet.control(backends[4], {"leaving": False}), 1.0)
+    settle(rec)
+    starts = rec.starts()
+    for backend, begin, end in spans:
+        errors += check_no_starts_between(
+            starts, lambda s, b=backend: s.backend == b, begin + FEW_SECONDS_US, end)
+        if not any(s.backend == backend for s in starts):
+            errors.append(f"no start at {backend} at all")
+    return errors + check_always(rec.calls, starts)
+
+
+def graceful_stop(fleet, rec, rng):
+    rec.start_clients(16)
+    time.sleep(1.0)
+    errors = []
+    for process in [*fleet.agents[:3], *fleet.entries]:
+        process.begin_stop()
+        rec.fault()
+        status = process.wait(60.0)
+        if status != 0:
+            errors.append(f"{process.name} ended with status {status}")
+        process.start()
+        process.wait_ready(30.0)
+        time.sleep(0.5)
+    settle(rec)
+    errors += check_always(rec.calls, rec.starts())
+    for record in rec.calls:
+        for answer in record.answers:
+            verdict = answer.get("error", {}).get("verdict")
+            if answer["state"] == "FAILED" and verdict != "NOT_RUN":
+                errors.append(f"job {record.job} was cut: {answer['error']}")
+    return errors
+
+
+def configuration_converges(fleet, rec, rng):
+    errors = []
+    watch = ConfigWatch(fleet)
+    watch.start()
+    writers = [threading.Thread(target=_change_quotas, args=(fleet, rec, n), daemon=True)
+               for n in range(6)]
+    for thread in writers:
+        thread.start()
+    time.sleep(1.0)
+    log = fleet.log
+    fleet.control(log, {"lose_replies": 5})
+    rec.fault()
+    time.sleep(2.0)
+    # A process misses everything of an outage and of the time around it.
+    fleet.agents[0].pause()
+    fleet.entries[-1].pause()
+    fleet.control(log, {"outage": "error"})
+    rec.fault()
+    time.sleep(3.0)
+    fleet.control(log, {"outage": "none", "lose_replies": 3})
+    time.sleep(3.0)
+    fleet.agents[0].resume()
+    fleet.entries[-1].resume()
+    for thread in writers:
+        thread.join()
+    # Everything restarts at once.
+    for process in [*fleet.entries, *fleet.agents]:
+        process.kill()
+        rec.fault()
+    for process in [*fleet.entries, *fleet.agents]:
+        process.start()
+    for process in [*fleet.entries, *fleet.agents]:
+        process.wait_ready(30.0)
+    reply = post(fleet.entries[0].url, "/v1/Operator/ChangeConfig",
+                 {"quota": {"team": "last", "starts_per_second": 7}, "wait_in_force_ms": 8000})
+    if not reply or not reply.get("in_force"):
+        errors.append(f"the last change is not in force within 8 s: {reply}")
+    time.sleep(1.0)
+    configs = [post(e.url, "/v1/Operator/GetConfig", {}) for e in fleet.entries]
+    items = [sorted(str(item) for item in c["items"]) for c in configs]
+    if any(other != items[0] for other in items):
+        errors.append("entries differ in the end")
+    watch.stop()
+    return errors + watch.errors + _check_race_outcomes(rec.outcomes, configs[0])
+
+
+def _change_quotas(fleet, rec, n):
+    """Races with other operators on a few keys, by compare-and-set."""
+    rng = random.Random(f"{rec.seed}/quota/{n}")
+    for number in range(25):
+        team = f"race-{rng.randrange(2)}"
+        entry = rng.choice(fleet.entries[:-1])
+        config = post(entry.url, "/v1/Operator/GetConfig", {}) or {}
+        version = next((i["version"] for i in config.get("items", [])
+                        if i["key"] == f"quota/{team}"), "0")
+        change_id = f"{rec.seed}-{n}-{number}"
+        value = 1 + n * 1000 + number
+        reply = post(entry.url, "/v1/Operator/ChangeConfig", {
+            "change_id": change_id, "quota": {"team": team, "starts_per_second": value},
+            "expected_version": version, "check_version": True}, timeout=20.0)
+        rec.outcomes.append((team, value, version, reply))
+
+
+def _check_race_outcomes(outcomes, config):
+    """Each version of a key was won by at most one operator, and the last
+    value is of a change that was accepted or left in doubt."""
+    errors = []
+    winners = {}
+    for team, value, version, reply in outcomes:
+        if reply and reply.get("accepted"):
+            if (team, version) in winners:
+                errors.append(f"{team} at version {version} was won by {value} and "
+                              f"{winners[(team, version)]}")
+            winners[(team, version)] = value
+    if not winners:
+        errors.append("no change was accepted, so nothing was shown")
+    for item in config["items"]:
+        team = item["key"].removeprefix("quota/")
+        value = item.get("quota", {}).get("starts_per_second")
+        refused = [r for t, v, _, r in outcomes
+                   if (t, v) == (team, value) and r and r.get("error", {}).get("reason") == "CONFLICT"]
+        if refused:
+            errors.append(f"{team} has the value of a refused change: {refused[0]}")
+    return errors
+
+
+class ConfigWatch:
+    """Reads offset and digest of the configuration at every process, and
+    checks that the offset never decreases within one incarnation and that an
+    offset has one digest everywhere."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.errors = []
+        self.samples = 0
+        self._digests = {}
+        self._last = {}
+        self._seen = {}
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self):
+        self._thread.start()
+
+    def stop(self):
+        self._stop.set()
+        self._thread.join()
+        if self.samples == 0:
+            self.errors.append("no configuration was sampled")
+
+    def _run(self):
+        while not self._stop.is_set():
+            for process in [*self.fleet.entries, *self.fleet.agents]:
+                self._sample(process)
+            time.sleep(0.05)
+
+    def _sample(self, process):
+        pid = process.pid
+        try:
+            values = metrics_of(process)
+        except (OSError, ValueError):
+            return
+        if "config_offset" not in values or "config_digest" not in values:
+            return
+        self.samples += 1
+        offset, digest = values["config_offset"], values["config_digest"]
+        key = (process.name, pid)
+        if offset < self._last.get(key, 0):
+            self.errors.append(f"{process.name} went back from {self._last[key]} to {offset}")
+        self._last[key] = offset
+        # Two equal readings in a row: the two values are published one after
+        # the other.
+        repeated = self._seen.get(key) == (offset, digest)
+        self._seen[key] = (offset, digest)
+        if repeated and self._digests.setdefault(offset, digest) != digest:
+            self.errors.append(f"{process.name} differs from others at offset {offset}")
+
+
+# Name: experiment, layout, broken variant that it must catch.
+EXPERIMENTS = {
+    "starts-at-most-once": (starts_at_most_once, INZIRA, "double-start"),
+    "complete-or-failed": (complete_or_failed, INZIRA, "partial-answer"),
+    "data-centre-out": (data_centre_out, ATLAS, "ignore-data-centre-out"),
+    "own-answer": (own_answer, INZIRA, "swapped-answer"),
+    "not-run-is-true": (not_run_is_true, ATLAS, "false-not-run"),
+    "non-idempotent-once": (non_idempotent_once, ATLAS, "retry-after-failure"),
+    "leaving-server": (leaving_server, INZIRA, "ignore-health"),
+    "graceful-stop": (graceful_stop, INZIRA, "abrupt-stop"),
+    "configuration-converges": (configuration_converges, ATLAS, "diverging-config"),
+}
+
+
+def run(name, build, seed, broken=False):
+    """Runs one experiment; returns the recorder and the errors found."""
+    experiment, layout, variant = EXPERIMENTS[name]
+    extra = {"variant": variant} if broken else {}
+    with Fleet(small(layout), build, entries=3, **extra) as fleet:
+        fleet.start()
+        rec = Recorder(fleet, seed)
+        rec.outcomes = []
+        errors = experiment(fleet, rec, random.Random(seed))
+        rec.start_count = len(rec.starts())
+        return rec, errors
--- /dev/null
+++ b/scripts/lib/recorder.py
@@ -0,0 +1,168 @@
+"""Clients that submit jobs and record what they saw, for the history checks."""
+
+import base64
+import json
+import random
+import threading
+import time
+import urllib.error
+import urllib.request
+
+from history import Call, Start
+
+FINAL_STATES = ("COMPLETE", "FAILED")
+
+
+def boot_us():
+    """Microseconds on CLOCK_BOOTTIME, the clock of the recorded starts."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
+
+
+def post(url, path, body, timeout=15.0):
+    """Makes one call; returns its parsed answer whatever the HTTP status, or
+    None when no whole answer came."""
+    request = urllib.request.Request(
+        url + path, json.dumps(body).encode(), {"Content-Type": "application/json"})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as reply:
+            return json.loads(reply.read())
+    except urllib.error.HTTPError as error:
+        try:
+            return json.loads(error.read())
+        except (ValueError, OSError):
+            return None
+    except (OSError, ValueError):
+        return None
+
+
+class Recorder:
+    """Submits jobs from several threads and keeps their history.
+
+    A client that gets no answer submits again with the same ticket through
+    another entry, as the callers' guide says.
+    """
+
+    def __init__(self, fleet, seed, deadline_ms=4000):
+        self.fleet = fleet
+        self.seed = seed
+        self.deadline_ms = deadline_ms
+        self.calls = []
+        self.faults = 0
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._threads = []
+
+    def fault(self, what=""):
+        """Counts one injected fault."""
+        self.faults += 1
+
+    def job(self, name, rng, tasks=None, run_ms=None, idempotent=True, job_class=None, chain=0.3):
+        """Makes a job of the recorded kind: echoes name its tasks."""
+        tasks = tasks or rng.randint(1, 8)
+        specs = []
+        for n in range(tasks):
+            payload = {"run_ms": run_ms or rng.randint(20, 150), "echo": f"{name}-{n}"}
+            spec = {"kind": "lookup", "payload": base64.b64encode(
+                json.dumps(payload).encode()).decode()}
+            if n > 0 and rng.random() < chain:
+                spec["depends_on"] = [rng.randrange(n)]
+            specs.append(spec)
+        return {
+            "team": f"team-{rng.randrange(4)}", "service": self.fleet.layout.service,
+            "job_class": job_class or ("URGENT" if rng.random() < 0.7 else "BULK"),
+            "deadline_ms": self.deadline_ms, "idempotent": idempotent, "tasks": specs,
+        }
+
+    def obtain_ticket(self, rng, tries=100):
+        for _ in range(tries):
+            entry = rng.choice(self.fleet.entries)
+            reply = post(entry.url, "/v1/Caller/ObtainTickets", {"count": 1}, timeout=5.0)
+            if reply and reply.get("tickets"):
+                return reply["tickets"][0]
+            time.sleep(0.05)
+        return None
+
+    def submit_once(self, entry, ticket, job, timeout=15.0):
+        """One Submit call; returns the decoded answer or None."""
+        reply = post(entry.url, "/v1/Caller/Submit",
+                     {"ticket": ticket, "job": job, "wait": True}, timeout)
+        return decode(reply)
+
+    def run_job(self, name, rng, repeat=0, **kinds):
+        """Obtains a ticket, submits until there is a final answer, and then
+        submits `repeat` further times; returns the recorded call."""
+        job = self.job(name, rng, **kinds)
+        call = Call(name, len(job["tasks"]), idempotent=job["idempotent"])
+        ticket = self.obtain_ticket(rng)
+        if ticket is None:
+            return None
+        with self._lock:
+            self.calls.append(call)
+        wanted = 1 + repeat
+        for _ in range(40):
+            answer = self.submit_once(rng.choice(self.fleet.entries), ticket, job)
+            if answer and answer["state"] in FINAL_STATES:
+                call.answers.append(answer)
+                wanted -= 1
+                if wanted <= 0:
+                    break
+            else:
+                time.sleep(0.05)
+        call.lost = not call.answers
+        return call
+
+    def start_clients(self, count, repeat=0, pause=0.0, **kinds):
+        """Starts threads that run jobs one after another until stopped."""
+        for n in range(count):
+            thread = threading.Thread(
+                target=self._client, args=(n, repeat, pause, kinds), daemon=True)
+            self._threads.append(thread)
+            thread.start()
+
+    def _client(self, n, repeat, pause, kinds):
+        rng = random.Random(f"{self.seed}/{n}")
+        number = 0
+        while not self._stop.is_set():
+            self.run_job(f"j{self.seed}.{n}.{number}", rng, repeat, **kinds)
+            number += 1
+            time.sleep(pause)
+
+    def finish(self, timeout=60.0):
+        """Stops the clients after their jobs in progress."""
+        self._stop.set()
+        end = time.monotonic() + timeout
+        for thread in self._threads:
+            thread.join(max(0.0, end - time.monotonic()))
+        if any(thread.is_alive() for thread in self._threads):
+            raise RuntimeError("a client did not end")
+        self._threads = []
+
+    def starts(self):
+        """All starts that the backend stand-ins recorded, dead ones too."""
+        found = []
+        for n, agent in enumerate(self.fleet.agents):
+            path = self.fleet.folder / f"backend-{n}.starts"
+            if not path.exists():
+                continue
+            for line in path.read_text().splitlines():
+                try:
+                    event = json.loads(line)
+                except ValueError:
+                    continue  # the last line of a killed process
+                if event["event"] == "start":
+                    found.append(Start(event["echo"], event["id"], event["at_us"], f"backend-{n}",
+                                       agent.data_centre))
+        return found
+
+
+def decode(reply):
+    """The answer of a JobResponse with its results' echoes, or None."""
+    if not reply or "answer" not in reply:
+        return None
+    answer = reply["answer"]
+    for result in answer.get("results", []):
+        try:
+            result["echo"] = json.loads(base64.b64decode(result["output"]))["echo"]
+        except (ValueError, KeyError, TypeError):
+            result["echo"] = None
+    return answer
