Ask for tickets again within the time that callers wait

Cause: a coordinator without a reply within 200 ms, or with a closed connection, was not asked again for 1 s, which is as long as ObtainTickets waits. With few coordinators a short pause or a reset connection refused every caller with NO_WORKER, and a reply that came after 200 ms was thrown away. Ruled out: asking avoided coordinators at once, which repeats as fast as a refused connection is reported. Now a coordinator is left out for 250 ms, waiting callers retry every 100 ms, and late replies are taken in. The missing tickets are divided over the coordinators before they are asked; one ticket used to cost two requests to a single coordinator. Conclusion: a caller is refused tickets only after a second in which no coordinator has replied.

--- a/packages/core/src/ticket_stock.cc
+++ b/packages/core/src/ticket_stock.cc
@@ -13,7 +13,12 @@
 // A reply takes a round trip of a few milliseconds; past this time another
 // coordinator is asked.
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(200);
-constexpr Duration kAvoidTime = std::chrono::seconds(1);
+// Short against the 1 s that callers wait, so that a coordinator that was
+// paused, or whose connection broke, still serves them.
+constexpr Duration kAvoidTime = std::chrono::milliseconds(250);
+constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
+// Time after which a reply is no longer expected.
+constexpr Duration kLostTimeout = std::chrono::seconds(10);
 // Coordinators retire unused tickets after 10 minutes; a caller must have
 // most of that time left.
 constexpr Duration kMaxAge = std::chrono::minutes(1);
@@ -82,15 +87,19 @@
   const std::size_t keep = demand ? spread * per_coordinator_ : 0;
   // Half the stock is the low mark; filling up to the full stock then keeps
   // requests large.
+  retry_at_ = TimePoint::max();
   if (size_ + requested_ >= wanted + keep / 2) {
     return;
   }
+  const std::size_t missing = wanted + keep - size_ - requested_;
+  const std::size_t sources = std::max<std::size_t>(spread, 1);
+  const auto share = static_cast<std::uint32_t>((missing + sources - 1) / sources);
   while (size_ + requested_ < wanted + keep) {
     const std::string endpoint = ChooseSource(now);
     if (endpoint.empty()) {
+      retry_at_ = wanted > size_ + requested_ ? now + kRetryInterval : TimePoint::max();
       return;
     }
-    const auto share = static_cast<std::uint32_t>(wanted / std::max<std::size_t>(spread, 1));
     Ask(endpoint, std::max(per_coordinator_, share), now);
   }
 }
@@ -117,7 +126,7 @@
 
 void TicketStock::Ask(const std::string& endpoint, std::uint32_t count, TimePoint now) {
   const std::uint64_t request = next_request_++;
-  requests_[request] = {endpoint, count, now};
+  requests_[request] = {endpoint, count, now, false};
   requested_ += count;
   sources_[endpoint].requested += count;
   wire::Envelope envelope;
@@ -159,27 +168,27 @@
   }
   Drop(endpoint, it->second);
   it->second.avoid_until = now + kAvoidTime;
-  std::erase_if(requests_, [&](const auto& item) {
-    const bool lost = item.second.endpoint == endpoint;
-    if (lost) {
-      EndRequest(item.second);
+  for (auto& [number, request] : requests_) {
+    if (request.endpoint == endpoint) {
+      EndRequest(request);
     }
-    return lost;
-  });
+  }
+  std::erase_if(requests_, [&](const auto& item) { return item.second.endpoint == endpoint; });
 }
 
 void TicketStock::Tick(TimePoint now) {
-  std::erase_if(requests_, [&](const auto& item) {
-    const bool late = now >= item.second.sent + kReplyTimeout;
-    if (late) {
-      EndRequest(item.second);
-      const auto it = sources_.find(item.second.endpoint);
-      if (it != sources_.end()) {
-        it->second.avoid_until = now + kAvoidTime;
-      }
+  for (auto& [number, request] : requests_) {
+    if (request.late || now < request.sent + kReplyTimeout) {
+      continue;
+    }
+    EndRequest(request);
+    const auto it = sources_.find(request.endpoint);
+    if (it != sources_.end()) {
+      it->second.avoid_until = now + kAvoidTime;
     }
-    return late;
-  });
+  }
+  std::erase_if(requests_,
+                [&](const auto& item) { return now >= item.second.sent + kLostTimeout; });
   DropOld(now);
 }
 
@@ -206,9 +215,9 @@
 }
 
 TimePoint TicketStock::NextWake() const {
-  TimePoint wake = TimePoint::max();
+  TimePoint wake = retry_at_;
   for (const auto& [number, request] : requests_) {
-    wake = std::min(wake, request.sent + kReplyTimeout);
+    wake = std::min(wake, request.sent + (request.late ? kLostTimeout : kReplyTimeout));
   }
   return wake;
 }
@@ -219,7 +228,10 @@
   std::erase(stocked_, endpoint);
 }
 
-void TicketStock::EndRequest(const Request& request) {
+void TicketStock::EndRequest(Request& request) {
+  if (std::exchange(request.late, true)) {
+    return;
+  }
   requested_ -= request.count;
   const auto it = sources_.find(request.endpoint);
   if (it != sources_.end()) {
--- a/packages/core/src/ticket_stock.h
+++ b/packages/core/src/ticket_stock.h
@@ -65,13 +65,15 @@
     std::string endpoint;
     std::uint32_t count = 0;
     TimePoint sent;
+    // Another coordinator was asked instead; a reply is still taken in.
+    bool late = false;
   };
 
   std::string ChooseSource(TimePoint now);
   void Ask(const std::string& endpoint, std::uint32_t count, TimePoint now);
   void Drop(const std::string& endpoint, Source& source);
   void DropOld(TimePoint now);
-  void EndRequest(const Request& request);
+  void EndRequest(Request& request);
 
   std::uint32_t per_coordinator_;
   Outbox& outbox_;
@@ -89,6 +91,8 @@
   std::size_t size_ = 0;
   std::uint32_t requested_ = 0;
   TimePoint last_demand_ = TimePoint::min();
+  // Set while callers wait and no coordinator may be asked.
+  TimePoint retry_at_ = TimePoint::max();
   TimePoint next_age_check_ = TimePoint::min();
 };
 
--- a/packages/core/test/job_router_test.cc
+++ b/packages/core/test/job_router_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(RefusesASubmitWithoutATicket);
   CPPUNIT_TEST(ServesTicketsFromSeveralCoordinators);
   CPPUNIT_TEST(RefusesTicketsWhenNobodyIssuesThem);
+  CPPUNIT_TEST(AsksForTicketsAgainWithinTheSecond);
   CPPUNIT_TEST(AsksASilentCoordinatorAgainAndLosesIt);
   CPPUNIT_TEST(KeepsALongJobOfALiveCoordinator);
   CPPUNIT_TEST(FollowsAMovedTicket);
@@ -80,6 +81,26 @@
     CPPUNIT_ASSERT_EQUAL(api::NO_WORKER, error.reason());
   }
 
+  // A short pause or a broken connection of the only coordinator must not
+  // refuse callers.
+  void AsksForTicketsAgainWithinTheSecond() {
+    RouterHarness late;
+    late.SetCoordinators({1});
+    late.ObtainTickets(1, 1);
+    late.Run(milliseconds(300));
+    late.IssueTickets();
+    CPPUNIT_ASSERT_EQUAL(1, late.sink.tickets.at(0).second.tickets_size());
+    RouterHarness down;
+    down.SetCoordinators({1});
+    down.ObtainTickets(1, 1);
+    down.router.OnLinkDown(down.EndpointOf(1), down.now);
+    CPPUNIT_ASSERT_EQUAL(1L, down.outbox.Count(&wire::Envelope::has_ticket_request));
+    down.Run(milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(2L, down.outbox.Count(&wire::Envelope::has_ticket_request));
+    down.IssueTickets();
+    CPPUNIT_ASSERT_EQUAL(1, down.sink.tickets.at(0).second.tickets_size());
+  }
+
   void AsksASilentCoordinatorAgainAndLosesIt() {
     RouterHarness it;
     it.Submit(7, it.MakeTicket(1, 100));
