--- /dev/null
+++ b/packages/daemon/src/settings.cc
@@ -0,0 +1,133 @@
+#include "coltsfoottide/daemon/settings.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+#include "address.h"
+#include "settings_reader.h"
+
+namespace coltsfoottide::daemon {
+
+namespace {
+
+constexpr std::uint32_t kMaxSlots = 1024;
+constexpr std::uint32_t kMaxConnections = 4096;
+constexpr std::uint32_t kMaxDrainMs = 600'000;
+constexpr std::size_t kMaxNameBytes = 64;
+
+// Reads one of the given words; the key may be absent.
+void ReadChoice(SettingsReader& reader, const std::string& key,
+                const std::vector<std::string>& words, std::string& value) {
+  reader.Read(key, value);
+  if (!reader.Has(key) || std::find(words.begin(), words.end(), value) != words.end()) return;
+  std::string list;
+  for (const std::string& it : words) list += (list.empty() ? "\"" : "\" or \"") + it;
+  reader.Fail(key, "must be " + list + "\"");
+}
+
+void ReadName(SettingsReader& reader, const std::string& key, std::string& value) {
+  reader.Read(key, value);
+  if (!reader.Has(key)) return;
+  const bool plain = std::all_of(value.begin(), value.end(), [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' ||
+           c == '_' || c == '.';
+  });
+  if (value.empty() || value.size() > kMaxNameBytes || !plain) {
+    reader.Fail(key, "must be 1 to 64 letters, digits, '-', '_' or '.'");
+  }
+}
+
+void ReadAddress(SettingsReader& reader, const std::string& key, std::string& value) {
+  reader.Read(key, value);
+  if (reader.Has(key) && !IsAddress(value, true)) reader.Fail(key, "must be \"IP number:port\"");
+}
+
+void ReadUrl(SettingsReader& reader, const std::string& key, std::string& value) {
+  reader.Read(key, value);
+  if (reader.Has(key) && !IsBaseUrl(value)) {
+    reader.Fail(key, "must be \"http://IP number:port\"");
+  }
+}
+
+void ReadEntries(SettingsReader& reader, std::vector<std::string>& value) {
+  reader.Read("entries", value);
+  const bool valid = std::all_of(value.begin(), value.end(),
+                                 [](const std::string& it) { return IsAddress(it, false); });
+  if (!valid) reader.Fail("entries", "must be an array of \"IP number:port\"");
+}
+
+void ReadCommon(SettingsReader& reader, Settings& settings) {
+  std::string role;
+  ReadChoice(reader, "role", {"entry", "agent"}, role);
+  settings.role = role == "agent" ? Role::kAgent : Role::kEntry;
+  ReadAddress(reader, "listen", settings.listen);
+  ReadAddress(reader, "http_listen", settings.http_listen);
+  ReadName(reader, "data_centre", settings.data_centre);
+  ReadName(reader, "rack", settings.rack);
+  ReadChoice(reader, "log_level", {"debug", "info", "warn", "error"}, settings.log_level);
+  ReadEntries(reader, settings.entries);
+}
+
+void ReadRoleSpecific(SettingsReader& reader, Settings& settings) {
+  ReadUrl(reader, "log_url", settings.log_url);
+  ReadUrl(reader, "backend_url", settings.backend_url);
+  ReadName(reader, "service", settings.service);
+  reader.Read("slots", settings.slots, 1, kMaxSlots);
+  reader.Read("connections", settings.connections, 1, kMaxConnections);
+  reader.Read("cpu_millicores", settings.cpu_millicores, 0);
+  reader.Read("memory_mb", settings.memory_mb, 0);
+  reader.Read("accelerators", settings.accelerators, 0);
+  ReadChoice(reader, "placement", {"hybrid", "random"}, settings.placement);
+  auto drain_ms = static_cast<std::uint32_t>(settings.drain_limit.count());
+  reader.Read("drain_limit_ms", drain_ms, 0, kMaxDrainMs);
+  settings.drain_limit = std::chrono::milliseconds(drain_ms);
+}
+
+void RequireKeys(SettingsReader& reader, Role role) {
+  std::vector<std::string> keys = {"role", "listen", "http_listen", "data_centre", "entries"};
+  if (role == Role::kEntry) keys.insert(keys.end(), {"log_url"});
+  if (role == Role::kAgent) keys.insert(keys.end(), {"rack", "backend_url", "service"});
+  for (const std::string& it : keys) {
+    if (!reader.Has(it)) return reader.Fail(it, "missing");
+  }
+}
+
+}  // namespace
+
+std::variant<Settings, SettingsError> ParseSettings(const std::string& text,
+                                                    const std::string& name,
+                                                    const std::vector<Override>& overrides) {
+  toml::table table;
+  try {
+    table = toml::parse(text, name);
+  } catch (const toml::parse_error& error) {
+    return SettingsError{name + ":" + std::to_string(error.source().begin.line) +
+                         ": syntax: " + std::string(error.description())};
+  }
+  SettingsReader reader(table, name, overrides);
+  Settings settings;
+  ReadCommon(reader, settings);
+  ReadRoleSpecific(reader, settings);
+  reader.RefuseUnknown();
+  RequireKeys(reader, settings.role);
+  if (reader.error()) return *reader.error();
+  return settings;
+}
+
+std::variant<Settings, SettingsError> LoadSettings(const std::string& path,
+                                                   const std::vector<Override>& overrides) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  if (file) text << file.rdbuf();
+  if (!file || file.bad()) {
+    return SettingsError{path + ":1: file: " + std::strerror(errno)};
+  }
+  return ParseSettings(text.str(), path, overrides);
+}
+
+}  // namespace coltsfoottide::daemon
