Report the next pipelined request after Respond has returned

Cause: QTcpSocket::flush() emits bytesWritten, and the slot read the next request at once, so that on_request ran inside Respond. Found by a trial of the tests under the address sanitizer: the test's own reference to the request was freed by the second request within Respond.

Ruled out: a flag around flush, because the peer may also close within it. The slot is queued instead, which also replaces the queued call in Respond.

Before: heap-use-after-free in HoldsBackPipelinedRequests.

Conclusion: no request is reported from within a call to the server.

--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -33,7 +33,10 @@
   socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
   timer_.setSingleShot(true);
   connect(&socket_, &QTcpSocket::readyRead, this, [this] { OnReadable(); });
-  connect(&socket_, &QTcpSocket::bytesWritten, this, [this] { OnWritten(); });
+  // Queued: flush() emits it, and the next request must not be reported from
+  // within Respond().
+  connect(
+      &socket_, &QTcpSocket::bytesWritten, this, [this] { OnWritten(); }, Qt::QueuedConnection);
   connect(&socket_, &QTcpSocket::disconnected, this, [this] { OnDisconnected(); });
   connect(&timer_, &QTimer::timeout, this, [this] { OnTimeout(); });
   ArmReceiveTimer();
@@ -57,11 +60,6 @@
   timer_.start(limits_.idle_time);
   socket_.write(FormatResponse(response, keep_alive, head_.method != "HEAD"));
   socket_.flush();
-  // Later, so that the next request is not reported from within this call.
-  if (socket_.bytesToWrite() == 0) {
-    QMetaObject::invokeMethod(
-        this, [this] { OnWritten(); }, Qt::QueuedConnection);
-  }
 }
 
 void Connection::BeginStop() {
--- a/packages/http/test/server_test.cc
+++ b/packages/http/test/server_test.cc
@@ -127,9 +127,11 @@
       RunFor(std::chrono::milliseconds(20));
       CPPUNIT_ASSERT_EQUAL(i, fixture.requests.size());
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.server->pending());
-      const Request& request = fixture.requests.back();
+      const Request request = fixture.requests.back();
       CPPUNIT_ASSERT_EQUAL("/" + std::to_string(i), request.path);
       CPPUNIT_ASSERT(fixture.server->Respond(request.id, TextResponse("<" + request.body + ">")));
+      // The next request is not reported from within the call.
+      CPPUNIT_ASSERT_EQUAL(i, fixture.requests.size());
       // A second answer to the same request is ignored.
       CPPUNIT_ASSERT(!fixture.server->Respond(request.id, TextResponse("twice")));
     }
