--- a/packages/core/include/coltsfoottide/core/coordinator.h
+++ b/packages/core/include/coltsfoottide/core/coordinator.h
@@ -20,6 +20,8 @@
   std::string data_centre;
   std::size_t max_tickets = 65536;
   std::size_t max_jobs = 4096;
+  // Payloads and results of running jobs; a submission beyond it is refused.
+  std::size_t max_job_bytes = 64 * 1024 * 1024;
   std::size_t max_answer_bytes = 64 * 1024 * 1024;
   Duration ticket_timeout = std::chrono::minutes(10);
   Duration answer_timeout = std::chrono::seconds(60);
@@ -28,7 +30,10 @@
   Duration silence_limit = std::chrono::seconds(1);
   // Silence after which a worker is lost and its tasks may have run.
   Duration lost_limit = std::chrono::seconds(5);
-  Duration ack_delay = std::chrono::milliseconds(200);
+  // Time that results are gathered for one acknowledgement. A coordinator and
+  // a worker exchange one or two tasks a second, so a short delay sends about
+  // one acknowledgement for each result.
+  Duration ack_delay = std::chrono::seconds(5);
 };
 
 // Counters of a coordinator; they only grow.
