--- a/packages/core/src/coordinator.cc
+++ b/packages/core/src/coordinator.cc
@@ -51,7 +51,8 @@
 TimePoint Coordinator::NextWake() const { return state_->NextWake(); }
 
 bool Coordinator::Idle() const {
-  return state_->jobs.empty() && state_->answers.all_acknowledged() && state_->pending_moves.empty();
+  return state_->jobs.empty() && state_->answers.all_acknowledged() &&
+         state_->pending_moves.empty();
 }
 
 const CoordinatorCounters& Coordinator::counters() const { return state_->counters; }
