--- /dev/null
+++ b/scripts/lib/measure.py
@@ -0,0 +1,302 @@
+"""Runs the measures of section 1.6 of the design page on local fleets.
+
+Processes are on loopback: the one-way latencies of section 1.2 are not
+simulated. Prints a line for each measure and writes build/measure.json, which
+keeps the results of earlier runs of measures that this run leaves out.
+"""
+
+import argparse
+import json
+import pathlib
+import statistics
+import sys
+import threading
+import time
+
+import drain
+import slopes
+from fleet import ATLAS, INZIRA, Fleet, FleetError, call
+from recorder import boot_us
+from sampling import Interval, Load, generator_numbers, metrics_of, thread_count
+
+AT_MOST, AT_LEAST = "<=", ">="
+# Key: comparison and target; None for values that are reported only.
+TARGETS = {
+    "atlas_p50_over_ideal": (AT_MOST, 1.05),
+    "atlas_p99_over_ideal": (AT_MOST, 1.5),
+    "baseline_p99_over_ideal": None,
+    "wasted_messages_per_task": (AT_MOST, 0.5),
+    "inzira_drain_work_ratio": (AT_LEAST, 0.98),
+    "urgent_on_time_ratio": (AT_LEAST, 0.999),
+    "config_in_force_s": (AT_MOST, 2.0),
+    "dispatch_over_direct": (AT_MOST, 1.03),
+    "cpu_over_direct": (AT_MOST, 2.0),
+    "agent_core_share": (AT_MOST, 0.006),
+    "agent_control_kb_s": (AT_MOST, 5.0),
+    "agent_rss_mb": (AT_MOST, 64.0),
+}
+
+# The counters of /metrics are published every second.
+PUBLISH_S = 1.2
+CONFIG_CHANGES = 8
+CONFIG_TIMEOUT_S = 15.0
+# 28% of the slots of the fleet: the fixed cost of idle agents is spread over
+# as many tasks as on a modestly used fleet, without queueing.
+CPU_RATE = 500
+LOW_RATE = 40
+
+
+def run_atlas(build, seed, placement):
+    with Fleet(ATLAS, build, extra={"agent": {"placement": placement}}) as fleet:
+        fleet.start()
+        interval = Interval(fleet.agents)
+        report = Load(fleet, "atlas", "--mix=atlas", "--load=0.7", "--duration=20",
+                      f"--seed={seed}").report()
+        time.sleep(PUBLISH_S)
+        counters = interval.read()[2]
+    return report, counters
+
+
+def atlas(build, seed):
+    report, counters = run_atlas(build, seed, "hybrid")
+    other = sum(it["coordinator_other_messages_total"] for it in counters)
+    results = sum(it["coordinator_results_total"] for it in counters)
+    return {
+        "atlas_p50_over_ideal": report["all"]["over_ideal"]["p50"],
+        "atlas_p99_over_ideal": report["all"]["over_ideal"]["p99"],
+        "wasted_messages_per_task": other / max(1.0, results),
+        "atlas_urgent_p99_over_ideal": report["classes"]["urgent"]["over_ideal"]["p99"],
+        "atlas_offered_load": report["offered_load"],
+        "atlas_resolves": sum(it["coordinator_resolves_total"] for it in counters),
+        **generator_numbers("atlas", report),
+    }
+
+
+def baseline(build, seed):
+    report, _ = run_atlas(build, seed, "random")
+    return {
+        "baseline_p99_over_ideal": report["all"]["over_ideal"]["p99"],
+        "baseline_p50_over_ideal": report["all"]["over_ideal"]["p50"],
+        "baseline_offered_load": report["offered_load"],
+        **generator_numbers("baseline", report),
+    }
+
+
+def set_zone(fleet, name, out):
+    reply = call(fleet.entries[0].url + "/v1/Operator/ChangeConfig",
+                 {"data_centre": {"name": name, "out": out}}, timeout=15.0)
+    if not reply.get("accepted"):
+        raise FleetError(f"change of {name} was not accepted: {reply}")
+
+
+def inzira_drain(build, seed):
+    """The window runs from the acceptance of "out" to the call that returns
+    the data centre. Only tasks at the remaining servers count, and only those
+    of jobs with a complete answer, so the ratio cannot exceed 1."""
+    centre = INZIRA.data_centres[1]
+    with Fleet(INZIRA, build) as fleet:
+        fleet.start()
+        load = Load(fleet, "drain", "--mix=inzira", "--load=1.0", "--duration=16",
+                    f"--seed={seed}", f"--history={fleet.folder}/drain.jsonl")
+        time.sleep(4.0)
+        set_zone(fleet, centre, True)
+        begin_us = boot_us()
+        time.sleep(8.0)
+        end_us = boot_us()
+        set_zone(fleet, centre, False)
+        report = load.report()
+        remaining = [n for n, agent in enumerate(fleet.agents) if agent.data_centre != centre]
+        paths = [fleet.folder / f"backend-{n}.starts" for n in remaining]
+        jobs = drain.complete_jobs(load.history)
+        work = drain.work_in_window(paths, begin_us, end_us, jobs)
+        capacity = len(remaining) * INZIRA.slots * (end_us - begin_us) / 1e6
+    return {
+        "inzira_drain_work_ratio": work / capacity,
+        "inzira_drain_window_s": (end_us - begin_us) / 1e6,
+        "inzira_drain_remaining_slots": len(remaining) * INZIRA.slots,
+        "inzira_drain_offered_load": report["offered_load"],
+        **generator_numbers("inzira_drain", report),
+    }
+
+
+def urgent(build, seed):
+    """30% of the jobs of the mix are urgent, never the wide ones: less than
+    0.4 of the slots at 130% load."""
+    with Fleet(INZIRA, build) as fleet:
+        fleet.start()
+        report = Load(fleet, "urgent", "--mix=inzira", "--load=1.3", "--duration=15",
+                      f"--seed={seed}").report()
+    urgent_jobs = report["classes"]["urgent"]
+    return {
+        "urgent_on_time_ratio": urgent_jobs["on_time_ratio"],
+        "urgent_run_urgent_jobs": urgent_jobs["jobs"],
+        "urgent_run_urgent_complete": urgent_jobs["complete"],
+        "urgent_run_urgent_p99_over_ideal": urgent_jobs["over_ideal"]["p99"],
+        "urgent_run_bulk_p50_over_ideal": report["classes"]["bulk"]["over_ideal"]["p50"],
+        "urgent_run_offered_load": report["offered_load"],
+        **generator_numbers("urgent_run", report),
+    }
+
+
+def seconds_until_offset(process, offset, begin, found):
+    """Notes when config_offset of a process has reached the offset given."""
+    while time.monotonic() < begin + CONFIG_TIMEOUT_S:
+        if metrics_of(process)["config_offset"] >= offset:
+            found[process.name] = time.monotonic() - begin
+            return
+        time.sleep(0.02)
+    found[process.name] = CONFIG_TIMEOUT_S
+
+
+def change_quota(fleet, number):
+    """Makes a change at one entry; returns the seconds of its acceptance and
+    by process until it is seen."""
+    begin = time.monotonic()
+    reply = call(fleet.entries[number % len(fleet.entries)].url + "/v1/Operator/ChangeConfig",
+                 {"quota": {"team": "coaches", "starts_per_second": 100000 + number}}, timeout=15.0)
+    accepted = time.monotonic() - begin
+    if not reply.get("accepted"):
+        raise FleetError(f"quota change was not accepted: {reply}")
+    found = {}
+    # config_offset is the next offset to be read.
+    threads = [threading.Thread(target=seconds_until_offset,
+                                args=(it, int(reply["version"]) + 1, begin, found))
+               for it in [*fleet.entries, *fleet.agents]]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    if len(found) != len(threads):
+        raise FleetError("config_offset of a process could not be read")
+    return accepted, found
+
+
+def config(build, _seed):
+    accepted, slowest = [], []
+    with Fleet(INZIRA, build, entries=3) as fleet:
+        fleet.start()
+        for number in range(CONFIG_CHANGES):
+            time.sleep(0.37)
+            one, found = change_quota(fleet, number)
+            accepted.append(one)
+            slowest.append(max(found.values()))
+    return {
+        "config_in_force_s": max(slowest),
+        "config_in_force_median_s": statistics.median(slowest),
+        "config_accepted_max_s": max(accepted),
+        "config_changes": len(slowest),
+    }
+
+
+def single_load(fleet, name, seed, rate, *flags):
+    return Load(fleet, name, "--mix=single", "--run-ms=50", f"--rate={rate}", "--duration=8",
+                f"--seed={seed}", *flags).report()
+
+
+def direct(build, seed):
+    with Fleet(ATLAS, build) as fleet:
+        fleet.start()
+        backends = "--direct=" + ",".join(it.url for it in fleet.backends)
+        through = single_load(fleet, "through-low", seed, LOW_RATE)
+        straight = single_load(fleet, "direct-low", seed, LOW_RATE, backends)
+        daemons = [*fleet.entries, *fleet.agents]
+        ours = Interval(daemons)
+        busy = single_load(fleet, "through-busy", seed, CPU_RATE)
+        _, our_cpu, _ = ours.read()
+        before = sum(it.cpu_seconds() for it in fleet.backends)
+        plain = single_load(fleet, "direct-busy", seed, CPU_RATE, backends)
+        backend_cpu = sum(it.cpu_seconds() for it in fleet.backends) - before
+    ours_us = 1e6 * sum(our_cpu) / max(1, busy["tasks_complete"])
+    direct_us = 1e6 * (plain["cpu_s"] + backend_cpu) / max(1, plain["tasks_complete"])
+    low, high = through["all"]["response_ms"], straight["all"]["response_ms"]
+    return {
+        "dispatch_over_direct": low["p50"] / high["p50"],
+        "dispatch_p50_ms": low["p50"], "direct_p50_ms": high["p50"],
+        "dispatch_p99_ms": low["p99"], "direct_p99_ms": high["p99"],
+        "cpu_over_direct": ours_us / direct_us,
+        "dispatch_cpu_us_per_task": ours_us, "direct_cpu_us_per_task": direct_us,
+        "cpu_rate": CPU_RATE,
+        **generator_numbers("dispatch", through),
+        **generator_numbers("cpu_run", busy),
+    }
+
+
+def agent(build, _seed):
+    """Bytes are counted by their senders, without TCP and nng framing; what an
+    agent receives is its share of what the entries send."""
+    with Fleet(INZIRA, build) as fleet:
+        fleet.start()
+        time.sleep(2.0)
+        agents, entries = Interval(fleet.agents), Interval(fleet.entries)
+        time.sleep(12.0)
+        elapsed, cpu, counters = agents.read()
+        _, entry_cpu, entry_counters = entries.read()
+        sent = max(it["link_bytes_total"] for it in counters) / elapsed / 1000
+        received = sum(it["link_bytes_total"] for it in entry_counters) / elapsed / 1000
+        return {
+            "agent_core_share": max(cpu) / elapsed,
+            "agent_control_kb_s": sent + received / len(fleet.agents),
+            "agent_rss_mb": max(it.rss_mb() for it in fleet.agents),
+            "agent_sent_kb_s": sent,
+            "agent_received_kb_s": received / len(fleet.agents),
+            "agent_threads": max(thread_count(it) for it in fleet.agents),
+            "entry_core_share": max(entry_cpu) / elapsed,
+            "entry_rss_mb": max(it.rss_mb() for it in fleet.entries),
+            "entry_threads": max(thread_count(it) for it in fleet.entries),
+        }
+
+
+MEASURES = {"atlas": atlas, "baseline": baseline, "inzira-drain": inzira_drain, "urgent": urgent,
+            "config": config, "direct": direct, "agent": agent}
+
+
+def is_met(key, value):
+    sign, target = TARGETS[key]
+    return value <= target if sign == AT_MOST else value >= target
+
+
+def line_of(key, value):
+    if TARGETS[key] is None:
+        return f"measure={key} value={value:.4g} target=reported met=yes"
+    sign, target = TARGETS[key]
+    met = "yes" if is_met(key, value) else "no"
+    return f"measure={key} value={value:.4g} target={sign}{target:g} met={met}"
+
+
+def write_results(path, results):
+    kept = json.loads(path.read_text()) if path.exists() else {}
+    kept.update(results)
+    path.write_text(json.dumps(kept, indent=1) + "\n")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("names", nargs="*", metavar="NAME", help="default: all but slopes")
+    parser.add_argument("--seed", type=int, default=7)
+    parser.add_argument("--build", type=pathlib.Path, default="build")
+    options = parser.parse_args()
+    known = [*MEASURES, "slopes"]
+    unknown = [name for name in options.names if name not in known]
+    if unknown:
+        parser.error(f"unknown: {', '.join(unknown)}; known: {', '.join(known)}")
+    failed = False
+    for name in options.names or MEASURES:
+        begin = time.monotonic()
+        if name == "slopes":
+            slopes.run(options.build, options.seed)
+            continue
+        try:
+            results = MEASURES[name](options.build, options.seed)
+        except (FleetError, OSError, KeyError) as error:
+            failed = True
+            print(f"measure={name} failed: {error!r}", flush=True)
+            continue
+        write_results(options.build / "measure.json", results)
+        for key, value in results.items():
+            print(line_of(key, value) if key in TARGETS else f"  {key}={value:.6g}", flush=True)
+        print(f"  {name}: seed={options.seed} seconds={time.monotonic() - begin:.0f}", flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/lib/slopes.py
@@ -0,0 +1,2 @@
+def run(build, seed):
+    pass
