--- a/packages/console/include/coltsfoottide/console/options.h
+++ b/packages/console/include/coltsfoottide/console/options.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,8 @@
   std::chrono::milliseconds duration{};
   std::string mix;
   std::chrono::milliseconds run_time{};
+  // Share of the jobs that are urgent, in place of the mix's own.
+  std::optional<double> urgent_share;
   int connections = 0;
   std::vector<std::string> direct;
   std::string history;
--- a/packages/console/src/commands.cc
+++ b/packages/console/src/commands.cc
@@ -119,8 +119,8 @@
        "",
        "Sends jobs at times drawn in advance, regardless of the answers, and reports response "
        "times relative to the ideal.",
-       {"rate", "load", "seed", "duration", "mix", "run_ms", "connections", "direct", "history",
-        "report"},
+       {"rate", "load", "seed", "duration", "mix", "run_ms", "urgent_share", "connections",
+        "direct", "history", "report"},
        0,
        0,
        false,
--- a/packages/console/src/load_command.cc
+++ b/packages/console/src/load_command.cc
@@ -44,6 +44,9 @@
       options.connections <= 0 || options.run_time.count() <= 0) {
     return "--rate, --load, --duration, --connections and --run-ms must be positive";
   }
+  if (options.urgent_share.value_or(0) > 1) {
+    return "--urgent-share must be at most 1";
+  }
   if (!MakeMix(options.mix, options.run_time)) {
     return "unknown mix " + options.mix;
   }
@@ -86,6 +89,7 @@
 
   ExitStatus Run() {
     plan_.mix = *MakeMix(options_.mix, options_.run_time);
+    plan_.mix.urgent_share = options_.urgent_share.value_or(plan_.mix.urgent_share);
     plan_.seed = ChooseSeed(options_.seed);
     context_.err << "load: seed " << plan_.seed << std::endl;
     if (!history_.Open(options_.history)) {
--- a/packages/console/src/options.cc
+++ b/packages/console/src/options.cc
@@ -22,6 +22,7 @@
 ABSL_FLAG(double, duration, 10, "seconds during which jobs are sent");
 ABSL_FLAG(std::string, mix, "atlas", "jobs: atlas, inzira, or single (one task each)");
 ABSL_FLAG(std::uint32_t, run_ms, 50, "run time of the task of the mix single");
+ABSL_FLAG(double, urgent_share, -1, "share of the jobs that are urgent; negative: that of the mix");
 ABSL_FLAG(int, connections, 512, "largest number of connections to each entry");
 ABSL_FLAG(std::string, direct, "",
           "URL[,URL]: send each task to these backend servers instead of the dispatcher; needs "
@@ -60,6 +61,9 @@
       std::chrono::duration<double>(absl::GetFlag(FLAGS_duration)));
   options->mix = absl::GetFlag(FLAGS_mix);
   options->run_time = std::chrono::milliseconds(absl::GetFlag(FLAGS_run_ms));
+  if (const double share = absl::GetFlag(FLAGS_urgent_share); share >= 0) {
+    options->urgent_share = share;
+  }
   options->connections = absl::GetFlag(FLAGS_connections);
   options->direct = SplitUrls(absl::GetFlag(FLAGS_direct));
   options->history = absl::GetFlag(FLAGS_history);
--- a/scripts/lib/measure.py
+++ b/scripts/lib/measure.py
@@ -59,12 +59,17 @@
 
 def atlas(build, seed):
     report, counters = run_atlas(build, seed, "hybrid")
-    other = sum(it["coordinator_other_messages_total"] for it in counters)
-    results = sum(it["coordinator_results_total"] for it in counters)
+    def per_task(counter):
+        results = sum(it["coordinator_results_total"] for it in counters)
+        return sum(it[counter] for it in counters) / max(1.0, results)
     return {
         "atlas_p50_over_ideal": report["all"]["over_ideal"]["p50"],
         "atlas_p99_over_ideal": report["all"]["over_ideal"]["p99"],
-        "wasted_messages_per_task": other / max(1.0, results),
+        "wasted_messages_per_task": per_task("coordinator_other_messages_total"),
+        "atlas_starts_sent_per_task": per_task("coordinator_starts_total"),
+        "atlas_refused_per_task": per_task("worker_refused_total"),
+        "atlas_offers_per_task": per_task("worker_offers_total"),
+        "atlas_offers_expired_per_task": per_task("worker_offers_expired_total"),
         "atlas_urgent_p99_over_ideal": report["classes"]["urgent"]["over_ideal"]["p99"],
         "atlas_offered_load": report["offered_load"],
         "atlas_resolves": sum(it["coordinator_resolves_total"] for it in counters),
@@ -120,12 +125,12 @@
 
 
 def urgent(build, seed):
-    """30% of the jobs of the mix are urgent, never the wide ones: less than
-    0.4 of the slots at 130% load."""
-    with Fleet(INZIRA, build) as fleet:
+    """Half of the jobs are urgent: below 65% of the slots at 130% load. Bulk
+    makes up the rest and its backlog grows during the run."""
+    with Fleet(ATLAS, build) as fleet:
         fleet.start()
-        report = Load(fleet, "urgent", "--mix=inzira", "--load=1.3", "--duration=15",
-                      f"--seed={seed}").report()
+        report = Load(fleet, "urgent", "--mix=atlas", "--urgent-share=0.5", "--load=1.3",
+                      "--duration=20", f"--seed={seed}").report()
     urgent_jobs = report["classes"]["urgent"]
     return {
         "urgent_on_time_ratio": urgent_jobs["on_time_ratio"],
--- a/scripts/lib/slopes.py
+++ b/scripts/lib/slopes.py
@@ -1,2 +1,153 @@
+"""The slopes that docs/CAPACITY.md is worked out from: how CPU, bytes and
+memory of entries and agents grow with agents, jobs, tasks and teams."""
+
+import json
+import subprocess
+import time
+
+from fleet import ATLAS, Fleet, Layout, call
+from sampling import Interval, Load, thread_count
+
+FLEET_SIZES = (10, 20, 40)
+IDLE_S = 10.0
+SETTLE_S = 3.0
+RATES = (100, 300, 600)
+LOAD_S = 8
+TEAMS = 140
+BENCHMARKS = {
+    "coltsfoottide_core_coordinator_benchmark": "PlaceOneTask/64",
+    "coltsfoottide_core_worker_benchmark": "StartToAck/64|IdleTick/64",
+}
+
+
+def line_through(points):
+    """Least-squares (slope, value at 0) of (x, y) points."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return slope, mean_y - slope * mean_x
+
+
+def mean(values):
+    return sum(values) / len(values)
+
+
+def idle_fleet(build, agents):
+    """CPU shares, sent KB/s, memory and threads of an idle fleet, as means."""
+    layout = Layout(ATLAS.service, ATLAS.data_centres, workers=agents, slots=2)
+    numbers = {}
+    with Fleet(layout, build) as fleet:
+        fleet.start()
+        time.sleep(SETTLE_S)
+        intervals = {"agent": Interval(fleet.agents), "entry": Interval(fleet.entries)}
+        time.sleep(IDLE_S)
+        for role, interval in intervals.items():
+            elapsed, cpu, counters = interval.read()
+            numbers[f"{role}_core_share"] = mean(cpu) / elapsed
+            numbers[f"{role}_sent_kb_s"] = mean([it["link_bytes_total"] for it in counters]) \
+                / elapsed / 1000
+            numbers[f"{role}_sent_messages_s"] = mean(
+                [it["link_messages_total"] for it in counters]) / elapsed
+            numbers[f"{role}_rss_mb"] = mean([it.rss_mb() for it in interval.processes])
+            numbers[f"{role}_threads"] = max(thread_count(it) for it in interval.processes)
+    return numbers
+
+
+def against_agents(build):
+    """Each number of an idle fleet at each size, and its slope per agent."""
+    runs = {n: idle_fleet(build, n) for n in FLEET_SIZES}
+    out = {}
+    for name in runs[FLEET_SIZES[0]]:
+        for n in FLEET_SIZES:
+            out[f"idle_{name}_at_{n}"] = runs[n][name]
+        slope, base = line_through([(n, runs[n][name]) for n in FLEET_SIZES])
+        out[f"idle_{name}_per_1000_agents"] = 1000 * slope
+        out[f"idle_{name}_base"] = base
+    return out
+
+
+def loaded(fleet, seed, name, *flags):
+    """CPU seconds and sent bytes of each role, jobs and tasks of one load."""
+    roles = {"agent": Interval(fleet.agents), "entry": Interval(fleet.entries)}
+    report = Load(fleet, name, f"--duration={LOAD_S}", f"--seed={seed}", *flags).report()
+    time.sleep(1.2)  # /metrics is published every second
+    numbers = {"jobs": report["jobs"], "tasks": report["tasks_complete"]}
+    for role, interval in roles.items():
+        elapsed, cpu, counters = interval.read()
+        numbers[f"{role}_cpu_s"] = sum(cpu)
+        numbers[f"{role}_bytes"] = sum(it["link_bytes_total"] for it in counters)
+        numbers["elapsed"] = elapsed
+    return numbers
+
+
+def against_load(build, seed):
+    """CPU of a job of one task by rate, and of each further task by the jobs
+    of the Atlas mix, which have several. Idle cost is the value at rate 0."""
+    out = {}
+    with Fleet(ATLAS, build) as fleet:
+        fleet.start()
+        runs = [loaded(fleet, seed, f"single-{rate}", "--mix=single", "--run-ms=50",
+                       f"--rate={rate}") for rate in RATES]
+        mixed = loaded(fleet, seed, "mixed", "--mix=atlas", "--load=0.5")
+    for role in ("agent", "entry"):
+        for what, unit in (("cpu_s", 1e6), ("bytes", 1)):
+            name = f"{role}_{'cpu_us' if what == 'cpu_s' else 'bytes'}"
+            key = f"{role}_{what}"
+            slope, base = line_through(
+                [(run["tasks"] / run["elapsed"], run[key] / run["elapsed"]) for run in runs])
+            out[f"{name}_per_single_job"] = unit * slope
+            rest = mixed[key] - base * mixed["elapsed"] - slope * mixed["jobs"]
+            out[f"{name}_per_further_task"] = unit * rest / max(1, mixed["tasks"] - mixed["jobs"])
+            for rate, run in zip(RATES, runs):
+                out[f"{name}_a_second_at_{rate}"] = unit * run[key] / run["elapsed"]
+    out["mixed_jobs"], out["mixed_tasks"] = mixed["jobs"], mixed["tasks"]
+    return out
+
+
+def against_teams(build):
+    """Growth of memory and of sent bytes by one quota change for each team."""
+    with Fleet(ATLAS, build) as fleet:
+        fleet.start()
+        time.sleep(SETTLE_S)
+        before = {it.name: it.rss_mb() for it in [*fleet.entries, *fleet.agents]}
+        interval = Interval(fleet.entries)
+        for n in range(TEAMS):
+            call(fleet.entries[0].url + "/v1/Operator/ChangeConfig",
+                 {"quota": {"team": f"team-{n}", "starts_per_second": 1000}}, timeout=15.0)
+        time.sleep(SETTLE_S)
+        elapsed, cpu, counters = interval.read()
+        grown = lambda group: max(it.rss_mb() - before[it.name] for it in group)
+        return {
+            "teams": TEAMS, "teams_entry_rss_growth_mb": grown(fleet.entries),
+            "teams_agent_rss_growth_mb": grown(fleet.agents),
+            "teams_changes_s": elapsed,
+            "teams_entry_cpu_share": max(cpu) / elapsed,
+            "teams_entry_sent_kb": max(it["link_bytes_total"] for it in counters) / 1000,
+        }
+
+
+def core_times(build):
+    """CPU nanoseconds of the benchmarks of the decision logic."""
+    out = {}
+    for program, names in BENCHMARKS.items():
+        done = subprocess.run(
+            [str(build / "packages/core" / program), f"--benchmark_filter={names}",
+             "--benchmark_format=json", "--benchmark_min_time=0.2"],
+            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, check=True)
+        for bench in json.loads(done.stdout)["benchmarks"]:
+            out[f"core_{bench['name'].replace('/', '_')}_ns"] = bench["cpu_time"]
+    return out
+
+
 def run(build, seed):
-    pass
+    """Runs all slopes, prints them and writes build/slopes.json."""
+    out = {"seed": seed}
+    for part in (lambda: core_times(build), lambda: against_agents(build),
+                 lambda: against_load(build, seed), lambda: against_teams(build)):
+        found = part()
+        for name, value in found.items():
+            print(f"slope={name} value={value:.6g}", flush=True)
+        out.update(found)
+    (build / "slopes.json").write_text(json.dumps(out, indent=1) + "\n")
