--- a/packages/core/benchmarks/coordinator_benchmark.cc
+++ b/packages/core/benchmarks/coordinator_benchmark.cc
@@ -63,6 +63,9 @@
   void Run(Duration duration) {
     const TimePoint end = simulation_.now + duration;
     Arrive(end);
+    simulation_.RunUntil(end);
+    utilization_ = static_cast<double>(simulation_.work.count()) /
+                   static_cast<double>(duration.count()) / (kWorkers * kSlots);
     simulation_.RunUntil(end + std::chrono::seconds(10));
   }
 
@@ -77,6 +80,8 @@
     }
     return static_cast<double>(other) / static_cast<double>(simulation_.runs.size());
   }
+  // Share of the slots that was busy while jobs arrived.
+  double utilization() const { return utilization_; }
   std::size_t tasks() const { return simulation_.runs.size(); }
   const std::map<std::string, std::uint64_t>& kinds() const { return simulation_.kinds; }
   std::size_t failed() const { return failed_; }
@@ -175,6 +180,7 @@
   std::vector<std::unique_ptr<SimulatedOutbox>> outboxes_;
   std::vector<std::unique_ptr<Coordinator>> coordinators_;
   double rate_ = 0;
+  double utilization_ = 0;
   std::map<std::pair<int, std::uint64_t>, double> ideals_;
   std::vector<double> ratios_;
   std::size_t failed_ = 0;
@@ -189,6 +195,7 @@
     state.counters["p50_over_ideal"] = cluster.Ratio(0.5);
     state.counters["p99_over_ideal"] = cluster.Ratio(0.99);
     state.counters["other_messages_per_task"] = cluster.OtherMessagesPerTask();
+    state.counters["utilization"] = cluster.utilization();
     state.counters["tasks"] = static_cast<double>(cluster.tasks());
     for (const auto& [kind, count] : cluster.kinds()) {
       state.counters[kind] = static_cast<double>(count) / static_cast<double>(cluster.tasks());
@@ -201,6 +208,7 @@
     ->Args({1, 70})
     ->Args({0, 70})
     ->Args({1, 95})
+    ->Args({1, 130})
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
--- a/packages/core/src/coordinator_links.cc
+++ b/packages/core/src/coordinator_links.cc
@@ -101,7 +101,7 @@
   link.session = ack.session();
   link.last_sequence = 0;
   loads.ForgetLoad(link.endpoint);
-  loads.Update(link.endpoint, ack.load(), now);
+  UpdateLoad(link, ack.load(), now);
   OnHeard(link, now);
   UpdateOpen(link);
 }
@@ -109,9 +109,15 @@
 void Coordinator::State::OnLoadUpdate(WorkerLink& link, const wire::LoadUpdate& update,
                                       TimePoint now) {
   ++counters.other_messages;
-  loads.Update(link.endpoint, update.load(), now);
-  // A worker that leaves waits for its acknowledgements.
-  if (!update.load().accepting()) {
+  UpdateLoad(link, update.load(), now);
+}
+
+void Coordinator::State::UpdateLoad(WorkerLink& link, const wire::Load& load, TimePoint now) {
+  loads.Update(link.endpoint, load, now);
+  if (!load.accepting()) {
+    // A worker that leaves has dropped its reservations and waits for its
+    // acknowledgements.
+    DropWorkerReservations(link, true, now);
     FlushAcks(link);
   }
 }
@@ -164,8 +170,7 @@
   }
   link.acks.push_back(result.task());
   link.ack_bytes += result.output().size();
-  if (link.acks.size() >= kMaxAcks || link.ack_bytes >= kMaxAckBytes ||
-      !result.load().accepting()) {
+  if (link.acks.size() >= kMaxAcks || link.ack_bytes >= kMaxAckBytes) {
     FlushAcks(link);
   }
 }
--- a/packages/core/src/coordinator_reservations.cc
+++ b/packages/core/src/coordinator_reservations.cc
@@ -12,6 +12,8 @@
 // Reservations at workers that have said nothing for this long are replaced:
 // a worker may have lost them.
 constexpr Duration kReservationCheck = std::chrono::seconds(1);
+// A Reserve may also be lost on a link that is otherwise alive.
+constexpr Duration kMaxReservation = std::chrono::seconds(10);
 // A worker whose queue is full gets no reservation for this long.
 constexpr Duration kFullQueueBlock = std::chrono::milliseconds(50);
 constexpr Duration kRefusalBlock = std::chrono::milliseconds(200);
@@ -89,14 +91,15 @@
 void Coordinator::State::OnReserveRefused(WorkerLink& link, const wire::ReserveRefused& refused,
                                           TimePoint now) {
   ++counters.other_messages;
-  const auto it = reservations.find(refused.reservation());
+  auto it = reservations.find(refused.reservation());
   if (refused.refusal() == wire::UNKNOWN_SESSION) {
     if (it != reservations.end() && link.hello_nonce == 0) {
       SendHello(link, now);
     }
     return;
   }
-  loads.Update(link.endpoint, refused.load(), now);
+  UpdateLoad(link, refused.load(), now);
+  it = reservations.find(refused.reservation());
   loads.Block(link.endpoint,
               now + (refused.refusal() == wire::BUSY ? kFullQueueBlock : kRefusalBlock));
   if (it == reservations.end()) {
@@ -155,8 +158,10 @@
   JobTask& task = job.tasks[index];
   const std::vector<std::uint64_t> held = task.reservations;
   for (const std::uint64_t id : held) {
-    const WorkerLink* link = FindLink(reservations[id].worker);
-    if (link == nullptr || link->silent || link->last_heard + kReservationCheck <= now) {
+    const Reservation& reservation = reservations[id];
+    const WorkerLink* link = FindLink(reservation.worker);
+    if (link == nullptr || link->last_heard + kReservationCheck <= now ||
+        loads.QueueIsEmpty(reservation.worker) || reservation.made + kMaxReservation <= now) {
       ForgetReservation(id, true, now);
     }
   }
--- a/packages/core/src/coordinator_resolution.cc
+++ b/packages/core/src/coordinator_resolution.cc
@@ -151,7 +151,7 @@
     return;
   }
   OnHeard(link, now);
-  loads.Update(link.endpoint, resolved.load(), now);
+  UpdateLoad(link, resolved.load(), now);
   for (const wire::Resolved::Item& item : resolved.items()) {
     ApplyStanding(link, item, question, resolved.session());
   }
--- a/packages/core/src/coordinator_starts.cc
+++ b/packages/core/src/coordinator_starts.cc
@@ -155,7 +155,7 @@
   const bool same_incarnation = incarnation == link.incarnation;
   if (same_incarnation) {
     OnHeard(link, now);
-    loads.Update(link.endpoint, refused.load(), now);
+    UpdateLoad(link, refused.load(), now);
   }
   const auto key = KeyOf(refused.task());
   const auto it = key ? link.outstanding.find(*key) : link.outstanding.end();
@@ -212,8 +212,8 @@
 
 void Coordinator::State::OnResult(WorkerLink& link, const wire::Result& result, TimePoint now) {
   ++counters.results;
-  loads.Update(link.endpoint, result.load(), now);
   AddAck(link, result, now);
+  UpdateLoad(link, result.load(), now);
   const auto key = KeyOf(result.task());
   if (!key || link.outstanding.erase(*key) == 0) {
     // Of a job that has ended, or sent again.
--- a/packages/core/src/coordinator_state.h
+++ b/packages/core/src/coordinator_state.h
@@ -119,6 +119,7 @@
   void SendHello(WorkerLink& link, TimePoint now);
   void OnHelloAck(WorkerLink& link, std::uint64_t incarnation, const wire::HelloAck& ack,
                   TimePoint now);
+  void UpdateLoad(WorkerLink& link, const wire::Load& load, TimePoint now);
   void OnLoadUpdate(WorkerLink& link, const wire::LoadUpdate& update, TimePoint now);
   void CloseSession(WorkerLink& link, TimePoint now);
   void OnLinkDown(const std::string& endpoint, TimePoint now);
--- a/packages/core/src/load_view.cc
+++ b/packages/core/src/load_view.cc
@@ -96,6 +96,11 @@
   }
 }
 
+bool LoadView::QueueIsEmpty(const std::string& endpoint) {
+  const Entry* entry = Find(endpoint);
+  return entry != nullptr && entry->load.queued() == 0;
+}
+
 LoadView::Fit LoadView::CanRun(const std::string& service, const api::Resources& needs) const {
   const auto* workers = OfService(service);
   if (workers == nullptr) {
--- a/packages/core/src/load_view.h
+++ b/packages/core/src/load_view.h
@@ -37,6 +37,8 @@
   // Places nothing on the worker until then.
   void Block(const std::string& endpoint, TimePoint until);
 
+  // Whether the worker last told that no reservation waits there.
+  bool QueueIsEmpty(const std::string& endpoint);
   // Whether some candidate, eligible or not, could run the task.
   Fit CanRun(const std::string& service, const api::Resources& needs) const;
   // Whether an eligible worker is believed to have a free slot.
--- a/packages/core/test/coordinator_test.cc
+++ b/packages/core/test/coordinator_test.cc
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(RefusedTaskIsStartedElsewhere);
   CPPUNIT_TEST(SecondBusyLeadsToReservations);
   CPPUNIT_TEST(OfferForAStartedTaskIsDeclined);
+  CPPUNIT_TEST(ReservationsOfALeavingWorkerAreMadeElsewhere);
+  CPPUNIT_TEST(LostReservationIsMadeAgain);
   CPPUNIT_TEST(UrgentTakesAFreeSlotBeforeBulk);
   CPPUNIT_TEST(FailedTaskFailsTheJob);
   CPPUNIT_TEST(WaitsWhileNoWorkerAccepts);
@@ -156,6 +158,34 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, h.TakeOne(Envelope::kDecline).second.decline().offer());
   }
 
+  // Guards against a task that waits until its deadline at a worker that has
+  // dropped its reservation.
+  void ReservationsOfALeavingWorkerAreMadeElsewhere() {
+    CoordinatorHarness h;
+    h.AddWorkers({"w1", "w2"}, 0);
+    h.Submit(CoordinatorHarness::MakeJob(1));
+    const auto first = h.TakeOne(Envelope::kReserve).first;
+    wire::Envelope update;
+    *update.mutable_load_update()->mutable_load() = h.MakeLoad(0, 0, false);
+    h.Deliver(first, update);
+    CPPUNIT_ASSERT(first != h.TakeOne(Envelope::kReserve).first);
+  }
+
+  // The same where the Reserve was lost on a link that is otherwise alive.
+  void LostReservationIsMadeAgain() {
+    CoordinatorHarness h;
+    h.AddWorkers({"w1"}, 0);
+    h.Submit(CoordinatorHarness::MakeJob(1));
+    h.TakeOne(Envelope::kReserve);
+    for (int n = 0; n < 11; ++n) {
+      h.Advance(milliseconds(100));
+      wire::Envelope update;
+      *update.mutable_load_update()->mutable_load() = h.MakeLoad(0, 0);
+      h.Deliver("w1", update);
+    }
+    h.TakeOne(Envelope::kReserve);
+  }
+
   void UrgentTakesAFreeSlotBeforeBulk() {
     CoordinatorHarness h;
     h.AddWorkers({"w1"}, 0);
--- a/packages/core/test/simulation.h
+++ b/packages/core/test/simulation.h
@@ -82,6 +82,8 @@
   TimePoint now{std::chrono::seconds(1000)};
   Duration latency{1500};
   std::vector<Coordinator*> coordinators;
+  // Run times of the tasks that have begun.
+  Duration work{};
   // Messages sent, by kind.
   std::map<std::string, std::uint64_t> kinds;
   // How often each task of each coordinator has begun to run.
@@ -231,6 +233,7 @@
     }
     ++busy_;
     ++simulation_.runs[key];
+    simulation_.work += Duration(std::stoll(start.payload()));
     known_[key] = std::nullopt;
     const Duration run_time(std::stoll(start.payload()));
     After(run_time, [this, from, id = start.task(), run_time] { Finish(from, id, run_time); });
