--- a/packages/core/test/config_state_test.cc
+++ b/packages/core/test/config_state_test.cc
@@ -29,6 +29,7 @@
       wire::LogRecord record;
       record.mutable_remove_entry()->set_endpoint("10.0.0.1:1");
       record.mutable_remove_entry()->set_incarnation(1);
+      record.mutable_remove_entry()->set_roster_version(*rc::gen::inRange<std::uint64_t>(0, 9));
       return record.SerializeAsString();
     }
     const auto expected = *rc::gen::maybe(rc::gen::inRange<std::uint64_t>(0, 20));
@@ -45,6 +46,7 @@
   CPPUNIT_TEST(UnreadableRecordCountsAsFolded);
   CPPUNIT_TEST(OffsetNeverDecreases);
   CPPUNIT_TEST(NewerIncarnationTakesTheSeat);
+  CPPUNIT_TEST(AgreedRemovalIsVoidAfterARosterChange);
   CPPUNIT_TEST(ContinuingFromAnyPrefixGivesTheSameState);
   CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +113,27 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.roster()[0].seat());
   }
 
+  // Guards against two removals at once, after which majorities of the rosters
+  // before and after share no entry.
+  void AgreedRemovalIsVoidAfterARosterChange() {
+    ConfigState state;
+    for (std::uint64_t n = 0; n < 3; ++n) {
+      state.Fold(n, RegisterData("10.0.0." + std::to_string(n) + ":1", 1));
+    }
+    wire::LogRecord removal;
+    removal.mutable_remove_entry()->set_endpoint("10.0.0.0:1");
+    removal.mutable_remove_entry()->set_incarnation(1);
+    removal.mutable_remove_entry()->set_roster_version(2);
+    state.Fold(3, removal.SerializeAsString());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, state.roster().size());
+    removal.mutable_remove_entry()->set_endpoint("10.0.0.1:1");
+    state.Fold(4, removal.SerializeAsString());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, state.roster().size());
+    removal.mutable_remove_entry()->set_change_id("forced");
+    state.Fold(5, removal.SerializeAsString());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state.roster().size());
+  }
+
   // Guards against processes that disagree because one of them started from a
   // state in the middle of the log.
   void ContinuingFromAnyPrefixGivesTheSameState() {
--- a/packages/core/test/control_fakes.h
+++ b/packages/core/test/control_fakes.h
@@ -142,6 +142,7 @@
   FakeLog& log;
   EntryControlOptions self;
   std::unique_ptr<EntryControl> control;
+  bool leaving = false;
   bool readable = true;
   bool write_reaches_log = true;
   bool reply_arrives = true;
--- a/packages/core/test/entry_outage_test.cc
+++ b/packages/core/test/entry_outage_test.cc
@@ -238,10 +238,11 @@
 
   // Guards against a start in a data centre that was taken out: whatever
   // fails, no entry proves to be complete at a time after the acceptance of a
-  // change that it has not folded.
+  // change that it has not folded. Also against entries that stay stuck.
   void EvidenceIsSoundUnderFaults() {
-    CPPUNIT_ASSERT(rc::check("evidence is never newer than an accepted change that is missing",
-                             [] { RunFaults(); }));
+    CPPUNIT_ASSERT(
+        rc::check("evidence is sound, changes are appended once, and the entries recover",
+                  [] { RunFaults(); }));
   }
 
   // Faults come from one seed, so that cases do not start small as rapidcheck's
@@ -251,6 +252,7 @@
     const auto below = [&](std::uint64_t limit) { return random() % limit; };
     FakeFleet fleet;
     std::map<std::uint64_t, TimePoint> accepted;
+    std::set<std::uint64_t> not_run;
     std::uint64_t last_id = 0;
     for (int round = 0; round < 40; ++round) {
       const std::string name = Endpoint(static_cast<int>(below(6)));
@@ -263,6 +265,7 @@
       } else if (action == 1) {
         it->second->reply_arrives = !it->second->reply_arrives;
       } else if (action == 9) {
+        it->second->leaving = true;
         it->second->control->BeginLeave(fleet.now);
       } else if (action <= 3) {
         Partition(below(64), below(4) == 0, &fleet);
@@ -275,9 +278,44 @@
       const TimePoint end = fleet.now + milliseconds(below(below(4) == 0 ? 20000 : 3000));
       while (fleet.now < end) {
         fleet.Run(milliseconds(20));
-        CheckEvidence(fleet, &accepted);
+        CheckEvidence(fleet, &accepted, &not_run);
       }
     }
+    CheckRecovery(&fleet, last_id);
+    CheckLog(fleet, not_run);
+  }
+
+  // With all faults mended and each endpoint alive again, each entry must get
+  // evidence and have a change accepted.
+  static void CheckRecovery(FakeFleet* fleet, std::uint64_t last_id) {
+    Partition(0, false, fleet);
+    for (int n = 0; n < 6; ++n) {
+      const auto it = fleet->entries.find(Endpoint(n));
+      if (it == fleet->entries.end() || it->second->leaving) {
+        fleet->Add(Endpoint(n), ++last_id);
+      }
+    }
+    fleet->Run(seconds(30));
+    for (const auto& [endpoint, entry] : fleet->entries) {
+      RC_ASSERT(entry->control->EvidenceAge(fleet->now).has_value());
+      ++last_id;
+      entry->control->Change(last_id, QuotaChange(std::to_string(last_id), 5), fleet->now);
+      fleet->Run(seconds(1));
+      RC_ASSERT(entry->responses[last_id].at(0).accepted());
+    }
+  }
+
+  // A change is on the log at most once, and not at all if a call was told so.
+  static void CheckLog(const FakeFleet& fleet, const std::set<std::uint64_t>& not_run) {
+    std::set<std::string> ids;
+    for (const auto& data : fleet.log.records) {
+      wire::LogRecord record;
+      record.ParseFromString(data);
+      RC_ASSERT(!record.has_change() || ids.insert(record.change().change_id()).second);
+    }
+    for (const auto call : not_run) {
+      RC_ASSERT(!ids.contains(std::to_string(call)));
+    }
   }
 
   // Cuts the entries in the set from the others and, unless they keep it, from
@@ -300,13 +338,17 @@
     }
   }
 
-  static void CheckEvidence(const FakeFleet& fleet, std::map<std::uint64_t, TimePoint>* accepted) {
+  static void CheckEvidence(const FakeFleet& fleet, std::map<std::uint64_t, TimePoint>* accepted,
+                            std::set<std::uint64_t>* not_run) {
     for (const auto& [endpoint, entry] : fleet.entries) {
       for (const auto& [call, responses] : entry->responses) {
         RC_ASSERT(responses.size() == 1U);
         if (responses[0].accepted()) {
           accepted->try_emplace(responses[0].version(), fleet.now);
         }
+        if (responses[0].error().verdict() == api::NOT_RUN) {
+          not_run->insert(call);
+        }
       }
     }
     for (const auto& [endpoint, entry] : fleet.entries) {
