Note nng's leak when a link closes during its connection set-up

Cause: the link tests under the address sanitizer end with leaked nng objects. Ruled out: our own messages, and closing links in use: 100 resets, each after a message had arrived, leave nothing.

Conclusion: left as it is, since a reset during a dial is rare and costs a fraction of a kilobyte on average; the header states it.

--- a/packages/link/src/push_link.h
+++ b/packages/link/src/push_link.h
@@ -51,6 +51,9 @@
   void Abandon();
 
   // Closes the socket and waits for nng's callbacks. Not for nng's threads.
+  // nng 1.5.2 leaks some memory when this happens while a connection is being
+  // set up: 21 KB after 100 resets 1 ms after the dial, none after a message
+  // has arrived.
   void Close();
 
   // Fails the link if its dial took too long.
