Test answers from within on_request

Cause: immediate refusals answer before Qt's parser has returned from the handler; no test covered that order with pipelined requests.

Ruled out: a fault.

Conclusion: Respond may be called from on_request.

--- a/packages/http/test/server_test.cc
+++ b/packages/http/test/server_test.cc
@@ -28,13 +28,14 @@
 
 // A peer that writes bytes and records what comes back.
 struct RawPeer {
-  explicit RawPeer(const Fixture& fixture) {
+  explicit RawPeer(const Fixture& fixture) : RawPeer(*fixture.server) {}
+  explicit RawPeer(const Server& server) {
     QObject::connect(&socket, &QTcpSocket::readyRead, &socket,
                      [this] { received += socket.readAll(); });
     bool connected = false;
     QObject scope;
     QObject::connect(&socket, &QTcpSocket::connected, &scope, [&] { connected = true; });
-    socket.connectToHost(QHostAddress::LocalHost, fixture.server->port());
+    socket.connectToHost(QHostAddress::LocalHost, server.port());
     CPPUNIT_ASSERT(RunUntil([&] { return connected; }));
   }
   bool WaitFor(const char* text) {
@@ -68,6 +69,7 @@
   CPPUNIT_TEST(KeepsConnectionAlive);
   CPPUNIT_TEST(DropsAnswerToGonePeer);
   CPPUNIT_TEST(HoldsBackPipelinedRequests);
+  CPPUNIT_TEST(AnswersWithinTheCallback);
   CPPUNIT_TEST(StopsReadingWhileRequestInProgress);
   CPPUNIT_TEST(RefusesOversizedBody);
   CPPUNIT_TEST(RefusesEndlessHeader);
@@ -141,6 +143,24 @@
     CPPUNIT_ASSERT(!peer.received.contains("twice"));
   }
 
+  // Immediate refusals answer from within on_request, before Qt's parser has
+  // returned.
+  void AnswersWithinTheCallback() {
+    std::unique_ptr<Server> server;
+    ServerCallbacks callbacks;
+    callbacks.on_request = [&](const Request& it) {
+      server->Respond(it.id, TextResponse("<" + it.body + ">"));
+    };
+    server = std::get<0>(MakeServer("127.0.0.1", 0, {}, std::move(callbacks)));
+    RawPeer peer(*server);
+    peer.socket.write(PostText("/1", "a") + PostText("/2", "b"));
+    CPPUNIT_ASSERT(peer.WaitFor("<b>"));
+    peer.socket.write(PostText("/3", "c"));
+    CPPUNIT_ASSERT(peer.WaitFor("<c>"));
+    CPPUNIT_ASSERT(peer.received.indexOf("<a>") < peer.received.indexOf("<b>"));
+    CPPUNIT_ASSERT(RunUntil([&] { return server->pending() == 0; }));
+  }
+
   // Bytes after a request in progress must not be buffered without bound.
   void StopsReadingWhileRequestInProgress() {
     Fixture fixture;
