--- a/packages/console/test/command_line_test.cc
+++ b/packages/console/test/command_line_test.cc
@@ -29,6 +29,7 @@
   // "entries" is a command as well as the first word of "entries remove".
   void FindsCommandsOfTwoWords() {
     CPPUNIT_ASSERT_EQUAL(std::string("entries"), Parse({"entries"}).command->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("load"), Parse({"load", "--urgent-share=0.5"}).command->name);
     const CommandLine line = Parse({"entries", "remove", "a:1", "00ff"});
     CPPUNIT_ASSERT_EQUAL(std::string("entries remove"), line.command->name);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, line.arguments.size());
@@ -44,6 +45,8 @@
                                                          {"status", "T", "--wait"},
                                                          {"load", "--rate=fast"},
                                                          {"load", "--seed"},
+                                                         {"load", "--urgent-share=half"},
+                                                         {"submit", "--urgent-share=0.5", "a.json"},
                                                          {"zone"}};
     for (const auto& words : wrong) {
       CPPUNIT_ASSERT(std::holds_alternative<UsageError>(ParseCommandLine(words)));
--- a/scripts/lib/slopes.py
+++ b/scripts/lib/slopes.py
@@ -9,6 +9,7 @@
 from sampling import Interval, Load, thread_count
 
 FLEET_SIZES = (10, 20, 40)
+ENTRY_COUNTS = (2, 4, 8)
 IDLE_S = 10.0
 SETTLE_S = 3.0
 RATES = (100, 300, 600)
@@ -34,11 +35,11 @@
     return sum(values) / len(values)
 
 
-def idle_fleet(build, agents):
+def idle_fleet(build, agents, entries=2):
     """CPU shares, sent KB/s, memory and threads of an idle fleet, as means."""
     layout = Layout(ATLAS.service, ATLAS.data_centres, workers=agents, slots=2)
     numbers = {}
-    with Fleet(layout, build) as fleet:
+    with Fleet(layout, build, entries=entries) as fleet:
         fleet.start()
         time.sleep(SETTLE_S)
         intervals = {"agent": Interval(fleet.agents), "entry": Interval(fleet.entries)}
@@ -68,6 +69,16 @@
     return out
 
 
+def against_entries(build):
+    """Numbers of an idle fleet of 10 agents with more entries; an agent renews
+    with at most 4 of them."""
+    out = {}
+    for entries in ENTRY_COUNTS:
+        for name, value in idle_fleet(build, FLEET_SIZES[0], entries).items():
+            out[f"idle_{name}_with_{entries}_entries"] = value
+    return out
+
+
 def loaded(fleet, seed, name, *flags):
     """CPU seconds and sent bytes of each role, jobs and tasks of one load."""
     roles = {"agent": Interval(fleet.agents), "entry": Interval(fleet.entries)}
@@ -145,7 +156,8 @@
     """Runs all slopes, prints them and writes build/slopes.json."""
     out = {"seed": seed}
     for part in (lambda: core_times(build), lambda: against_agents(build),
-                 lambda: against_load(build, seed), lambda: against_teams(build)):
+                 lambda: against_entries(build), lambda: against_load(build, seed),
+                 lambda: against_teams(build)):
         found = part()
         for name, value in found.items():
             print(f"slope={name} value={value:.6g}", flush=True)
