Let the coordinator decide on refusals of used tickets; replace silent links

Ruled out: remembering tickets at entries, which a restart loses; cancelling the ticket, which would cancel the running job. Now SubmitJob carries the refusal: the coordinator refuses an unused ticket for good and answers a used one with its job. Cause 2: the side that notices a silent connection opened a new one, but the other side kept replying over its own old one. Envelopes now carry new_connection after a reset and the receiver replaces its connection too; agents and entries also replace connections without a reply for 2 s and 3 s. Conclusion: the refusal's verdict is decided by the owner of the ticket.

--- a/packages/core/include/coltsfoottide/core/job_router.h
+++ b/packages/core/include/coltsfoottide/core/job_router.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,7 +37,10 @@
 
   // Each call number is chosen by the caller of the router and is unique.
   void ObtainTickets(std::uint64_t call, const api::ObtainTicketsRequest& request, TimePoint now);
-  void Submit(std::uint64_t call, const api::SubmitRequest& request, TimePoint now);
+  // With a refusal, the entry does not admit the job: the response is this
+  // refusal if the ticket was never used, and the answer of its job otherwise.
+  void Submit(std::uint64_t call, const api::SubmitRequest& request,
+              const std::optional<api::Error>& refusal, TimePoint now);
   void Wait(std::uint64_t call, const api::WaitRequest& request, TimePoint now);
   void Cancel(std::uint64_t call, const api::CancelRequest& request, TimePoint now);
   void Status(std::uint64_t call, const api::StatusRequest& request, TimePoint now);
--- a/packages/core/src/coordinator_jobs.cc
+++ b/packages/core/src/coordinator_jobs.cc
@@ -157,6 +157,9 @@
   if (tickets.StateOf(sequence) != TicketWindow::State::kIssued) {
     return ReplyWithoutJob(caller, ticket);
   }
+  if (submit.has_refusal()) {
+    return RefuseTicket(caller, ticket, submit.refusal());
+  }
   if (leaving) {
     return MoveTicket(caller, ticket, now);
   }
--- a/packages/core/src/entry_control.cc
+++ b/packages/core/src/entry_control.cc
@@ -23,6 +23,9 @@
 constexpr std::uint32_t kReadRecords = 256;
 constexpr std::size_t kSampleSize = 32;
 constexpr Duration kHousekeeping = std::chrono::milliseconds(100);
+// Without a proven round trip for this long the connection to another entry is
+// replaced; it may have gone silent in one direction.
+constexpr Duration kPeerSilence = std::chrono::seconds(3);
 // Least time between two fetches of the state from the same process.
 constexpr Duration kFetchInterval = std::chrono::milliseconds(250);
 // How long a silent entry's demand still counts, so that entries cut off from
@@ -149,6 +152,9 @@
       status.set_echo_sent_at_us(peer == nullptr ? 0 : peer->status.sent_at_us());
       wire::Envelope envelope;
       *envelope.mutable_entry_status() = status;
+      if (peers.TakeSilent(endpoint, kPeerSilence, now)) {
+        outbox.ResetLink(endpoint);
+      }
       outbox.Send(endpoint, std::move(envelope));
     }
     peers.OnSent(now);
--- a/packages/core/src/job_router.cc
+++ b/packages/core/src/job_router.cc
@@ -47,13 +47,15 @@
   state_->ObtainTickets(call, request.count(), now);
 }
 
-void JobRouter::Submit(std::uint64_t call, const api::SubmitRequest& request, TimePoint now) {
+void JobRouter::Submit(std::uint64_t call, const api::SubmitRequest& request,
+                       const std::optional<api::Error>& refusal, TimePoint now) {
   RoutedCall routed;
   routed.kind = RoutedCall::Kind::kSubmit;
   routed.call = call;
   routed.ticket = request.ticket();
   routed.job = request.job();
   routed.wait = request.wait();
+  routed.refusal = refusal;
   if (routed.job.deadline_ms() > 0) {
     routed.due = now + std::chrono::milliseconds(routed.job.deadline_ms()) + kDeadlineGrace;
   }
@@ -214,9 +216,13 @@
       fill(submit);
       *submit->mutable_job() = call.job;
       submit->set_wait(call.wait);
+      if (call.refusal) {
+        *submit->mutable_refusal() = *call.refusal;
+      }
       const Duration left =
           std::chrono::milliseconds(call.job.deadline_ms()) - (now - call.accepted);
-      submit->set_budget_us(static_cast<std::uint64_t>(std::max(left, Duration::zero()).count()));
+      // At least 1, because 0 stands for the whole deadline.
+      submit->set_budget_us(static_cast<std::uint64_t>(std::max(left, Duration(1)).count()));
       break;
     }
     case RoutedCall::Kind::kWait:
--- a/packages/core/src/peer_table.cc
+++ b/packages/core/src/peer_table.cc
@@ -46,6 +46,20 @@
   });
 }
 
+bool PeerTable::TakeSilent(const std::string& endpoint, Duration limit, TimePoint now) {
+  const auto it = peers_.find(endpoint);
+  if (it == peers_.end()) {
+    return false;
+  }
+  Peer& peer = it->second;
+  const TimePoint proven = peer.sent_after.value_or(TimePoint{});
+  if (now - std::max(proven, peer.reset) <= limit) {
+    return false;
+  }
+  peer.reset = now;
+  return true;
+}
+
 const PeerTable::Peer* PeerTable::Find(const std::string& endpoint) const {
   const auto it = peers_.find(endpoint);
   return it == peers_.end() ? nullptr : &it->second;
--- a/packages/core/src/peer_table.h
+++ b/packages/core/src/peer_table.h
@@ -22,6 +22,8 @@
     // Time on this entry's clock after which the peer has sent the status,
     // proven by a round trip.
     std::optional<TimePoint> sent_after;
+    // When the connection to the peer was last replaced.
+    TimePoint reset;
     // Highest offset that this incarnation has reported.
     std::uint64_t reported = 0;
   };
@@ -37,6 +39,10 @@
   // have reported counts until they are removed from it.
   void Expire(const std::vector<api::RosterItem>& roster, TimePoint now);
 
+  // Returns true when no status of the peer has proven a round trip for longer
+  // than `limit`, at most once in that time. Its connection is then replaced.
+  bool TakeSilent(const std::string& endpoint, Duration limit, TimePoint now);
+
   const Peer* Find(const std::string& endpoint) const;
   // The peer, if its last status came from this incarnation.
   const Peer* Find(const std::string& endpoint, std::uint64_t incarnation) const;
--- a/packages/core/src/routed_call.h
+++ b/packages/core/src/routed_call.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/schema/api.pb.h"
@@ -24,6 +25,8 @@
   // Of a Submit.
   api::JobSpec job;
   bool wait = false;
+  // Set when the entry does not admit the job.
+  std::optional<api::Error> refusal;
   std::size_t job_bytes = 0;
   // The coordinator has the job; the tasks are no longer kept here.
   bool confirmed = false;
--- a/packages/core/test/coordinator_harness.h
+++ b/packages/core/test/coordinator_harness.h
@@ -135,6 +135,18 @@
     SubmitWith(ticket, job, wait);
     return ticket;
   }
+  // As an entry that does not admit the job.
+  void SubmitRefused(const api::Ticket& ticket, const api::JobSpec& job) {
+    wire::Envelope envelope;
+    wire::SubmitJob& submit = *envelope.mutable_submit_job();
+    submit.set_request(++requests);
+    *submit.mutable_ticket() = ticket;
+    *submit.mutable_job() = job;
+    submit.set_wait(true);
+    submit.mutable_refusal()->set_verdict(api::NOT_RUN);
+    submit.mutable_refusal()->set_reason(api::QUOTA_EXCEEDED);
+    Deliver("entry", envelope);
+  }
   void SubmitWith(const api::Ticket& ticket, const api::JobSpec& job, bool wait = true) {
     wire::Envelope envelope;
     envelope.mutable_submit_job()->set_request(++requests);
--- a/packages/core/test/coordinator_test.cc
+++ b/packages/core/test/coordinator_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(RefusesBeyondItsLimits);
   CPPUNIT_TEST(RefusesUnknownServiceAndImpossibleNeeds);
   CPPUNIT_TEST(AcknowledgedAnswerIsGivenAgain);
+  CPPUNIT_TEST(EntryRefusalHoldsForUnusedTicketsOnly);
   CPPUNIT_TEST(ResultsAreAcknowledgedInBatches);
   CPPUNIT_TEST(BackendRefusalsAreRetriedWithinTheBudget);
   CPPUNIT_TEST_SUITE_END();
@@ -380,6 +381,31 @@
     CPPUNIT_ASSERT(h.Take(Envelope::kStart).empty());
   }
 
+  // Guards against a false NOT_RUN: an entry that has just started, or is over
+  // a quota, refuses a ticket whose job runs through another entry.
+  void EntryRefusalHoldsForUnusedTicketsOnly() {
+    CoordinatorHarness h;
+    h.AddWorkers({"w1"});
+    const api::JobSpec job = CoordinatorHarness::MakeJob(1);
+    const api::Ticket used = h.Submit(job);
+    h.SubmitRefused(used, job);
+    h.Finish("w1", h.TakeOne(Envelope::kStart).second.start().task());
+    // One answer for each of the two submissions.
+    const auto replies = h.Take(Envelope::kJobReply);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, replies.size());
+    for (const auto& [endpoint, envelope] : replies) {
+      CPPUNIT_ASSERT_EQUAL(api::COMPLETE, envelope.job_reply().answer().state());
+    }
+
+    const api::Ticket unused = h.ObtainTicket();
+    h.SubmitRefused(unused, job);
+    CPPUNIT_ASSERT_EQUAL(api::QUOTA_EXCEEDED, h.TakeAnswer().error().reason());
+    // The refusal stays true when the job arrives late through another entry.
+    h.SubmitWith(unused, job);
+    CPPUNIT_ASSERT_EQUAL(api::NOT_RUN, h.TakeAnswer().error().verdict());
+    CPPUNIT_ASSERT(h.Take(Envelope::kStart).empty());
+  }
+
   void ResultsAreAcknowledgedInBatches() {
     CoordinatorHarness h;
     h.AddWorkers({"w1"});
--- a/packages/core/test/router_harness.h
+++ b/packages/core/test/router_harness.h
@@ -61,7 +61,7 @@
     *request.mutable_ticket() = ticket;
     request.mutable_job()->set_deadline_ms(60'000);
     request.set_wait(wait);
-    router.Submit(call, request, now);
+    router.Submit(call, request, std::nullopt, now);
   }
 
   void ObtainTickets(std::uint64_t call, std::uint32_t count) {
--- a/packages/daemon/include/coltsfoottide/daemon/hub_outbox.h
+++ b/packages/daemon/include/coltsfoottide/daemon/hub_outbox.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <unordered_set>
 
 #include "coltsfoottide/core/outbox.h"
 
@@ -12,7 +13,9 @@
 
 namespace coltsfoottide::daemon {
 
-// Sends envelopes over a link hub, stamped with this process's identity.
+// Sends envelopes over a link hub, stamped with this process's identity. The
+// first one after ResetLink asks the receiver to open a new connection too,
+// because a silent link may be silent in both directions.
 class HubOutbox : public core::Outbox {
  public:
   HubOutbox(link::LinkHub& hub, std::uint64_t incarnation);
@@ -27,6 +30,7 @@
  private:
   link::LinkHub& hub_;
   std::uint64_t incarnation_;
+  std::unordered_set<std::string> reset_;
   std::uint64_t messages_ = 0;
   std::uint64_t bytes_ = 0;
 };
--- a/packages/daemon/src/agent_runtime.cc
+++ b/packages/daemon/src/agent_runtime.cc
@@ -28,6 +28,9 @@
 constexpr core::Duration kRenewInterval = std::chrono::seconds(1);
 // Until the first configuration an agent asks more often, to start quickly.
 constexpr core::Duration kFirstRenewInterval = std::chrono::milliseconds(100);
+// An entry unheard for this long is called over a new connection; the old one
+// may have gone silent.
+constexpr core::Duration kSilenceLimit = std::chrono::seconds(2);
 constexpr core::Duration kHealthInterval = std::chrono::milliseconds(500);
 constexpr core::Duration kMetricsInterval = std::chrono::seconds(1);
 constexpr core::Duration kLoadWindow = std::chrono::seconds(10);
@@ -156,6 +159,9 @@
     logger_.Warn("unreadable message dropped", {{"bytes", std::to_string(buf.size())}});
     return;
   }
+  if (envelope.new_connection()) {
+    hub_->Reset(envelope.from());
+  }
   switch (envelope.body_case()) {
     case wire::Envelope::kRenewed:
       OnRenewed(envelope, now);
@@ -299,9 +305,16 @@
   const std::size_t n = std::min(settings_.entries.size(), kMaxRenewEntries);
   for (std::size_t index = 0; index < n; ++index) {
     const std::string& endpoint = settings_.entries[index];
-    const auto it = entries_.find(endpoint);
-    renew.set_directory_version(it == entries_.end() ? 0 : it->second.directory_version);
-    renew.set_directory_of(it == entries_.end() ? 0 : it->second.incarnation);
+    const auto [it, first] = entries_.try_emplace(endpoint);
+    if (first) {
+      it->second.heard = now;
+    }
+    renew.set_directory_version(it->second.directory_version);
+    renew.set_directory_of(it->second.incarnation);
+    if (now - std::max(it->second.heard, it->second.reset) > kSilenceLimit) {
+      it->second.reset = now;
+      outbox_->ResetLink(endpoint);
+    }
     outbox_->Send(endpoint, envelope);
   }
 }
--- a/packages/daemon/src/agent_runtime.h
+++ b/packages/daemon/src/agent_runtime.h
@@ -59,6 +59,8 @@
     std::vector<api::WorkerInfo> candidates;
     bool ejected = false;
     core::TimePoint heard;
+    // When the connection to the entry was last replaced.
+    core::TimePoint reset;
   };
   struct LoadSample {
     core::TimePoint time;
--- a/packages/daemon/src/entry_runtime.cc
+++ b/packages/daemon/src/entry_runtime.cc
@@ -228,6 +228,9 @@
     logger_.Warn("unreadable message dropped", {{"bytes", std::to_string(buf.size())}});
     return;
   }
+  if (envelope.new_connection()) {
+    hub_->Reset(envelope.from());
+  }
   if (envelope.body_case() == wire::Envelope::kProbe) {
     wire::Envelope reply;
     reply.mutable_probe_reply()->set_request(envelope.probe().request());
@@ -259,15 +262,11 @@
 
 void EntryRuntime::Submit(std::uint64_t id, const api::SubmitRequest& request,
                           core::TimePoint now) {
+  std::optional<api::Error> refusal;
   if (request.has_ticket()) {
-    if (auto error = admission_->Admit(request, control_->config(), control_->directory(), now)) {
-      api::JobResponse response;
-      *response.mutable_answer() = schema::MakeFailedAnswer(request.ticket(), std::move(*error));
-      OnJob(id, response);
-      return;
-    }
+    refusal = admission_->Admit(request, control_->config(), control_->directory(), now);
   }
-  router_->Submit(id, request, now);
+  router_->Submit(id, request, refusal, now);
 }
 
 void EntryRuntime::OnTickets(std::uint64_t call, const api::ObtainTicketsResponse& response) {
--- a/packages/daemon/src/hub_outbox.cc
+++ b/packages/daemon/src/hub_outbox.cc
@@ -12,12 +12,16 @@
 void HubOutbox::Send(const std::string& endpoint, wire::Envelope envelope) {
   envelope.set_from(hub_.endpoint());
   envelope.set_incarnation(incarnation_);
+  envelope.set_new_connection(reset_.erase(endpoint) > 0);
   std::string buf = envelope.SerializeAsString();
   ++messages_;
   bytes_ += buf.size();
   hub_.Send(endpoint, std::move(buf));
 }
 
-void HubOutbox::ResetLink(const std::string& endpoint) { hub_.Reset(endpoint); }
+void HubOutbox::ResetLink(const std::string& endpoint) {
+  hub_.Reset(endpoint);
+  reset_.insert(endpoint);
+}
 
 }  // namespace coltsfoottide::daemon
