Do not read the log again at once after an answer without records

Cause: an answer that says that more records exist but brings none made the entry read again at once, without a pause, for as long as the log withholds them. Ruled out: treating it as inconsistent; the log may be readable but behind. Before: each such answer was followed by a read in the same call. Conclusion: a log that lags does not get the whole rate of reads.

--- a/packages/core/src/entry_control.cc
+++ b/packages/core/src/entry_control.cc
@@ -99,7 +99,9 @@
     if (unannounced && result != FollowResult::kMore) {
       AfterFold(now);
     }
-    if (result == FollowResult::kMore || read_again) {
+    // An answer without records is not asked for again at once.
+    const bool more = result == FollowResult::kMore && !batch->records.empty();
+    if (more || read_again) {
       StartRead(now);
     }
   }
--- a/packages/core/test/entry_control_test.cc
+++ b/packages/core/test/entry_control_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST_SUITE(EntryControlTest);
   CPPUNIT_TEST(EntryAloneRegistersAndServes);
   CPPUNIT_TEST(ReadEvidenceLapses);
+  CPPUNIT_TEST(EmptyAnswerIsNotReadAgainAtOnce);
   CPPUNIT_TEST(ChangeIsAcceptedAndInForce);
   CPPUNIT_TEST(SameChangeIdIsAppendedOnce);
   CPPUNIT_TEST(ConflictNamesTheCurrentVersion);
@@ -46,6 +47,22 @@
     CPPUNIT_ASSERT(!entry.control->EvidenceAge(started + milliseconds(1001)));
   }
 
+  // Guards against reading without pause from a log that withholds records.
+  void EmptyAnswerIsNotReadAgainAtOnce() {
+    FakeFleet fleet;
+    FakeEntry& entry = fleet.Add("10.0.0.1:1", 7);
+    entry.control->Tick(fleet.now);
+    const auto request = entry.reads.at(0).first;
+    entry.reads.clear();
+    LogBatch batch;
+    batch.next = 5;
+    entry.control->OnReadDone(request, batch, fleet.now);
+    CPPUNIT_ASSERT(entry.reads.empty());
+    entry.control->Tick(fleet.now + milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.reads.size());
+    CPPUNIT_ASSERT(!entry.control->EvidenceAge(fleet.now + milliseconds(200)));
+  }
+
   // Guards against a change reported as accepted or in force too early.
   void ChangeIsAcceptedAndInForce() {
     FakeFleet fleet;
