--- a/packages/daemon/include/coltsfoottide/daemon/hub_outbox.h
+++ b/packages/daemon/include/coltsfoottide/daemon/hub_outbox.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -26,6 +27,8 @@
   // Messages and bytes sent so far.
   std::uint64_t messages() const { return messages_; }
   std::uint64_t bytes() const { return bytes_; }
+  // Messages sent so far, by the field number of Envelope.body.
+  const std::map<int, std::uint64_t>& messages_by_kind() const { return messages_by_kind_; }
 
  private:
   link::LinkHub& hub_;
@@ -33,6 +36,7 @@
   std::unordered_set<std::string> reset_;
   std::uint64_t messages_ = 0;
   std::uint64_t bytes_ = 0;
+  std::map<int, std::uint64_t> messages_by_kind_;
 };
 
 }  // namespace coltsfoottide::daemon
--- a/packages/daemon/src/agent_runtime.cc
+++ b/packages/daemon/src/agent_runtime.cc
@@ -369,6 +369,11 @@
   metrics_.Set("coordinator_resolves_total", coordinator.resolves);
   metrics_.Set("link_messages_total", hub_outbox_->messages());
   metrics_.Set("link_bytes_total", hub_outbox_->bytes());
+  for (const auto& [kind, count] : hub_outbox_->messages_by_kind()) {
+    if (const auto* field = wire::Envelope::descriptor()->FindFieldByNumber(kind)) {
+      metrics_.Set("link_sent_" + field->name() + "_total", count);
+    }
+  }
   metrics_.Set("config_offset", config_.next_offset());
   metrics_.Set("config_digest", ConfigDigest(config_));
   const bool permitted = permission_.Permits(now);
--- a/packages/daemon/src/hub_outbox.cc
+++ b/packages/daemon/src/hub_outbox.cc
@@ -15,6 +15,7 @@
   envelope.set_new_connection(reset_.erase(endpoint) > 0);
   std::string buf = envelope.SerializeAsString();
   ++messages_;
+  ++messages_by_kind_[envelope.body_case()];
   bytes_ += buf.size();
   hub_.Send(endpoint, std::move(buf));
 }
--- a/scripts/lib/measure.py
+++ b/scripts/lib/measure.py
@@ -7,6 +7,7 @@
 
 import argparse
 import json
+import os
 import pathlib
 import statistics
 import sys
@@ -59,17 +60,18 @@
 
 def atlas(build, seed):
     report, counters = run_atlas(build, seed, "hybrid")
+    results = max(1.0, sum(it["coordinator_results_total"] for it in counters))
+
     def per_task(counter):
-        results = sum(it["coordinator_results_total"] for it in counters)
-        return sum(it[counter] for it in counters) / max(1.0, results)
+        return sum(it.get(counter, 0) for it in counters) / results
+
+    sent = {name for it in counters for name in it if name.startswith("link_sent_")}
     return {
         "atlas_p50_over_ideal": report["all"]["over_ideal"]["p50"],
         "atlas_p99_over_ideal": report["all"]["over_ideal"]["p99"],
         "wasted_messages_per_task": per_task("coordinator_other_messages_total"),
-        "atlas_starts_sent_per_task": per_task("coordinator_starts_total"),
-        "atlas_refused_per_task": per_task("worker_refused_total"),
-        "atlas_offers_per_task": per_task("worker_offers_total"),
-        "atlas_offers_expired_per_task": per_task("worker_offers_expired_total"),
+        **{"atlas_" + name.removeprefix("link_").removesuffix("_total") + "_per_task":
+           per_task(name) for name in sorted(sent)},
         "atlas_urgent_p99_over_ideal": report["classes"]["urgent"]["over_ideal"]["p99"],
         "atlas_offered_load": report["offered_load"],
         "atlas_resolves": sum(it["coordinator_resolves_total"] for it in counters),
@@ -287,6 +289,7 @@
     failed = False
     for name in options.names or MEASURES:
         begin = time.monotonic()
+        busy = os.getloadavg()[0]
         if name == "slopes":
             slopes.run(options.build, options.seed)
             continue
@@ -296,6 +299,8 @@
             failed = True
             print(f"measure={name} failed: {error!r}", flush=True)
             continue
+        # Above the number of processors, the figures are of a busy machine.
+        results[f"{name.replace('-', '_')}_load_average_before"] = busy
         write_results(options.build / "measure.json", results)
         for key, value in results.items():
             print(line_of(key, value) if key in TARGETS else f"  {key}={value:.6g}", flush=True)
