Choose fleet ports outside the ephemeral range; run broken variants

Cause: two fleets at the same time: agent-0 ended with "Address in use". The ports were taken from the range of outgoing connections and released before the listener opened them. Before: one of four parallel experiments failed to start.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -15,6 +15,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -184,14 +185,17 @@
 class Fleet:
     """All processes of one layout."""
 
-    def __init__(self, layout, build="build", entries=2, folder=None, extra=None, stand_in=None):
+    def __init__(self, layout, build="build", entries=2, folder=None, extra=None, stand_in=None,
+                 variant=None):
         """`extra` holds more settings of agents and entries by role, e.g.
         {"agent": {"placement": "random"}}; `stand_in` more flags, e.g.
-        {"logd": ["--sync_ms=20"]}."""
+        {"logd": ["--sync_ms=20"]}; `variant` names a broken variant of the
+        agents, see packages/proof."""
         self.layout = layout
         self.build = pathlib.Path(build)
         self.extra = extra or {}
         self.stand_in = stand_in or {}
+        self.variant = variant
         self.owns_folder = folder is None
         self.folder = pathlib.Path(folder or tempfile.mkdtemp(prefix="coltsfoottide-"))
         self.ports = self._free_ports(1 + 2 * entries + 3 * layout.workers)
@@ -272,14 +276,20 @@
 
     @staticmethod
     def _free_ports(count):
-        # All sockets are open at once, so that the ports differ.
-        sockets = [socket.socket() for _ in range(count)]
-        for it in sockets:
-            it.bind(("127.0.0.1", 0))
-        ports = [it.getsockname()[1] for it in sockets]
-        for it in sockets:
-            it.close()
-        return ports
+        # Below the range from which the kernel takes the ports of outgoing
+        # connections, one of which could get a port before its listener does.
+        candidates = random.SystemRandom().sample(range(10000, 32000), 4 * count)
+        ports = []
+        for port in candidates:
+            with socket.socket() as it:
+                try:
+                    it.bind(("127.0.0.1", port))
+                    ports.append(port)
+                except OSError:
+                    continue
+            if len(ports) == count:
+                return ports
+        raise FleetError("not enough free ports")
 
     def _address(self):
         return f"127.0.0.1:{self.ports.pop()}"
@@ -299,7 +309,10 @@
     def _daemon(self, name, settings):
         path = self.folder / f"{name}.toml"
         write_toml(path, {**settings, **self.extra.get(settings["role"], {})})
-        argv = [self.build / "packages/daemon/coltsfoottided", f"--settings={path}"]
+        program = [self.build / "packages/daemon/coltsfoottided"]
+        if self.variant:
+            program = [self.build / "packages/proof/coltsfoottided-broken", self.variant]
+        argv = [*program, f"--settings={path}"]
         process = Process(name, argv, self.folder, settings["http_listen"], "/healthz")
         process.link = settings["listen"]
         process.data_centre = settings["data_centre"]
