--- a/packages/daemon/include/coltsfoottide/daemon/runtime_parts.h
+++ b/packages/daemon/include/coltsfoottide/daemon/runtime_parts.h
@@ -20,8 +20,8 @@
 struct RuntimeParts {
   std::function<std::unique_ptr<core::Outbox>(core::Outbox& inner)> wrap_outbox;
   std::function<std::unique_ptr<core::BackendPort>(core::BackendPort& inner)> wrap_backend;
-  // Runs on each configuration before it is adopted.
-  std::function<void(wire::ConfigStateData& state)> edit_config;
+  // Runs on each reply of an entry to a renewal before it is used.
+  std::function<void(wire::Renewed& renewed)> edit_renewed;
   // Runs on each result of a health check.
   std::function<void(BackendHealth& health)> edit_health;
   // Returns whether a task is sent to the backend server again.
--- a/packages/daemon/src/agent_runtime.cc
+++ b/packages/daemon/src/agent_runtime.cc
@@ -184,10 +184,7 @@
   }
 }
 
-void AgentRuntime::OnConfig(wire::ConfigStateData state) {
-  if (parts_.edit_config) {
-    parts_.edit_config(state);
-  }
+void AgentRuntime::OnConfig(const wire::ConfigStateData& state) {
   if (!config_.Adopt(state)) {
     return;
   }
@@ -201,7 +198,10 @@
 }
 
 void AgentRuntime::OnRenewed(const wire::Envelope& envelope, core::TimePoint now) {
-  const wire::Renewed& renewed = envelope.renewed();
+  wire::Renewed renewed = envelope.renewed();
+  if (parts_.edit_renewed) {
+    parts_.edit_renewed(renewed);
+  }
   if (renewed.has_config()) {
     OnConfig(renewed.config().state());
   }
--- a/packages/daemon/src/agent_runtime.h
+++ b/packages/daemon/src/agent_runtime.h
@@ -77,7 +77,7 @@
   void OnHealth(BackendHealth health, core::TimePoint now);
   void OnBackendDone(const wire::TaskId& task, core::BackendOutcome outcome,
                      const std::string& output, core::TimePoint now);
-  void OnConfig(wire::ConfigStateData state);
+  void OnConfig(const wire::ConfigStateData& state);
   void Tick(core::TimePoint now);
   core::TimePoint NextWake() const;
   void Renew(core::TimePoint now);
--- a/packages/daemon/src/entry_runtime.cc
+++ b/packages/daemon/src/entry_runtime.cc
@@ -76,7 +76,7 @@
   const auto http = ParseEndpoint(settings_.http_listen);
   auto server =
       http::MakeServer(http->address, http->port, {},
-                       {[this](http::Request request) { OnHttp(std::move(request)); },
+                       {[this](const http::Request& request) { OnHttp(request); },
                         [this](std::uint64_t id) {
                           open_calls_.erase(id);
                           open_call_count_ = open_calls_.size();
@@ -120,7 +120,7 @@
   return std::nullopt;
 }
 
-void EntryRuntime::OnHttp(http::Request request) {
+void EntryRuntime::OnHttp(const http::Request& request) {
   if (request.method == "GET" && (request.path == "/healthz" || request.path == "/metrics")) {
     WriteProbe(request.id, request.path);
     return;
--- a/packages/daemon/src/entry_runtime.h
+++ b/packages/daemon/src/entry_runtime.h
@@ -62,7 +62,7 @@
   };
 
   // On the Qt thread.
-  void OnHttp(http::Request request);
+  void OnHttp(const http::Request& request);
   void OnCall(std::uint64_t id, ApiCall call);
   // Answers from the published view; false when the engine has to answer.
   bool AnswerFromView(std::uint64_t id, const ApiCall& call);
--- a/packages/daemon/src/log_client.cc
+++ b/packages/daemon/src/log_client.cc
@@ -44,7 +44,8 @@
     return std::nullopt;
   }
   core::LogBatch batch{*first, *next, {}};
-  for (const QJsonValue& item : object.value(QLatin1String("records")).toArray()) {
+  const QJsonArray records = object.value(QLatin1String("records")).toArray();
+  for (const QJsonValue item : records) {
     const auto offset = Number(item.toObject(), "offset");
     if (!offset) {
       return std::nullopt;
--- a/packages/proof/src/broken_parts.cc
+++ b/packages/proof/src/broken_parts.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -130,23 +131,33 @@
   });
 }
 
+void ReturnDataCentres(wire::ConfigStateData& state) {
+  for (api::ConfigItem& item : *state.mutable_items()) {
+    if (item.has_data_centre()) {
+      item.mutable_data_centre()->set_out(false);
+    }
+  }
+}
+
 RuntimeParts IgnoreDataCentreOut() {
   RuntimeParts parts;
-  parts.edit_config = [](wire::ConfigStateData& state) {
-    for (api::ConfigItem& item : *state.mutable_items()) {
-      if (item.has_data_centre()) {
-        item.mutable_data_centre()->set_out(false);
-      }
+  parts.edit_renewed = [most = 0](wire::Renewed& renewed) mutable {
+    if (renewed.has_config()) {
+      ReturnDataCentres(*renewed.mutable_config()->mutable_state());
     }
+    // Entries leave workers of the data centre out of the list; the longest
+    // list so far is kept.
+    most = std::max(most, renewed.candidates_size());
+    renewed.set_has_candidates(renewed.has_candidates() && renewed.candidates_size() == most);
   };
   return parts;
 }
 
 RuntimeParts DivergingConfig() {
   RuntimeParts parts;
-  parts.edit_config = [](wire::ConfigStateData& state) {
-    if (state.items_size() > 0 && getpid() % 2 == 0) {
-      state.mutable_items()->RemoveLast();
+  parts.edit_renewed = [](wire::Renewed& renewed) {
+    if (renewed.config().state().items_size() > 0 && getpid() % 2 == 0) {
+      renewed.mutable_config()->mutable_state()->mutable_items()->RemoveLast();
     }
   };
   return parts;
