Add the setting advertise and experiments with silent connections

Cause: the replacement of silent connections had no experiment, and a process behind an address translation could not be reached. Ruled out: cutting packets in the kernel, which needs rights and tools that a test should not need. Before: no run with silent connections. Conclusion: both sides replace a silent connection.

--- a/packages/daemon/include/coltsfoottide/daemon/hub_outbox.h
+++ b/packages/daemon/include/coltsfoottide/daemon/hub_outbox.h
@@ -19,7 +19,8 @@
 // because a silent link may be silent in both directions.
 class HubOutbox : public core::Outbox {
  public:
-  HubOutbox(link::LinkHub& hub, std::uint64_t incarnation);
+  // `endpoint` is where other processes reach this one.
+  HubOutbox(link::LinkHub& hub, std::string endpoint, std::uint64_t incarnation);
 
   void Send(const std::string& endpoint, wire::Envelope envelope) override;
   void ResetLink(const std::string& endpoint) override;
@@ -32,6 +33,7 @@
 
  private:
   link::LinkHub& hub_;
+  std::string endpoint_;
   std::uint64_t incarnation_;
   std::unordered_set<std::string> reset_;
   std::uint64_t messages_ = 0;
--- a/packages/daemon/include/coltsfoottide/daemon/settings.h
+++ b/packages/daemon/include/coltsfoottide/daemon/settings.h
@@ -15,6 +15,9 @@
   Role role = Role::kEntry;
   // "IP:port" for links to other processes of the system.
   std::string listen;
+  // "IP:port" at which other processes reach `listen`, if it differs from it,
+  // e.g. behind an address translation.
+  std::string advertise;
   // "IP:port" for HTTP: callers and operators at an entry; /metrics and
   // /healthz at both roles.
   std::string http_listen;
--- a/packages/daemon/src/agent_runtime.cc
+++ b/packages/daemon/src/agent_runtime.cc
@@ -69,7 +69,7 @@
   }
   MakeBackend();
   MakeDispatch();
-  logger_.Info("agent started", {{"endpoint", hub_->endpoint()},
+  logger_.Info("agent started", {{"endpoint", endpoint_},
                                  {"incarnation", std::to_string(incarnation_)},
                                  {"data_centre", settings_.data_centre},
                                  {"service", settings_.service}});
@@ -91,7 +91,8 @@
     return RuntimeError{"listen: " + error->message};
   }
   hub_ = std::move(std::get<std::unique_ptr<link::LinkHub>>(hub));
-  hub_outbox_ = std::make_unique<HubOutbox>(*hub_, incarnation_);
+  endpoint_ = settings_.advertise.empty() ? hub_->endpoint() : settings_.advertise;
+  hub_outbox_ = std::make_unique<HubOutbox>(*hub_, endpoint_, incarnation_);
   outbox_ = hub_outbox_.get();
   if (parts_.wrap_outbox) {
     wrapped_outbox_ = parts_.wrap_outbox(*hub_outbox_);
@@ -136,7 +137,7 @@
   worker_ = std::make_unique<core::Worker>(worker_options, permission_, *outbox_, backend,
                                            MakeIncarnation());
   core::CoordinatorOptions coordinator_options;
-  coordinator_options.endpoint = hub_->endpoint();
+  coordinator_options.endpoint = endpoint_;
   coordinator_options.incarnation = incarnation_;
   coordinator_options.data_centre = settings_.data_centre;
   auto placement = settings_.placement == "random" ? core::MakeRandomPlacement(MakeIncarnation())
@@ -270,7 +271,7 @@
 api::WorkerInfo AgentRuntime::Info(core::TimePoint now) const {
   const wire::Load load = worker_->CurrentLoad(now);
   api::WorkerInfo info;
-  info.set_endpoint(hub_->endpoint());
+  info.set_endpoint(endpoint_);
   info.set_incarnation(incarnation_);
   info.set_data_centre(settings_.data_centre);
   info.set_rack(settings_.rack);
--- a/packages/daemon/src/agent_runtime.h
+++ b/packages/daemon/src/agent_runtime.h
@@ -93,6 +93,8 @@
   Logger& logger_;
   Metrics& metrics_;
   std::uint64_t incarnation_;
+  // Where other processes reach this one.
+  std::string endpoint_;
   core::StartPermission permission_;
   core::ConfigState config_;
   std::unique_ptr<link::LinkHub> hub_;
--- a/packages/daemon/src/entry_runtime.cc
+++ b/packages/daemon/src/entry_runtime.cc
@@ -71,7 +71,8 @@
     return RuntimeError{"listen: " + error->message};
   }
   hub_ = std::move(std::get<std::unique_ptr<link::LinkHub>>(hub));
-  outbox_ = std::make_unique<HubOutbox>(*hub_, incarnation_);
+  endpoint_ = settings_.advertise.empty() ? hub_->endpoint() : settings_.advertise;
+  outbox_ = std::make_unique<HubOutbox>(*hub_, endpoint_, incarnation_);
 
   const auto http = ParseEndpoint(settings_.http_listen);
   auto server =
@@ -101,18 +102,18 @@
                                });
                          }});
   core::EntryControlOptions options;
-  options.endpoint = hub_->endpoint();
+  options.endpoint = endpoint_;
   options.incarnation = incarnation_;
   options.data_centre = settings_.data_centre;
   std::copy_if(settings_.entries.begin(), settings_.entries.end(),
                std::back_inserter(options.peers),
-               [this](const std::string& endpoint) { return endpoint != hub_->endpoint(); });
+               [this](const std::string& endpoint) { return endpoint != endpoint_; });
   control_ = std::make_unique<core::EntryControl>(
       options, *log_, *outbox_, static_cast<core::ChangeSink&>(*this), MakeIncarnation());
   router_ = std::make_unique<core::JobRouter>(
       core::JobRouterOptions(), *outbox_, static_cast<core::CallSink&>(*this), MakeIncarnation());
   admission_ = std::make_unique<core::Admission>();
-  logger_.Info("entry started", {{"endpoint", hub_->endpoint()},
+  logger_.Info("entry started", {{"endpoint", endpoint_},
                                  {"http", std::to_string(server_->port())},
                                  {"incarnation", std::to_string(incarnation_)},
                                  {"data_centre", settings_.data_centre}});
--- a/packages/daemon/src/entry_runtime.h
+++ b/packages/daemon/src/entry_runtime.h
@@ -90,6 +90,8 @@
   Logger& logger_;
   Metrics& metrics_;
   std::uint64_t incarnation_;
+  // Where other processes reach this one.
+  std::string endpoint_;
   RcuCell<EntryView> view_;
   std::unique_ptr<link::LinkHub> hub_;
   std::unique_ptr<HubOutbox> outbox_;
--- a/packages/daemon/src/hub_outbox.cc
+++ b/packages/daemon/src/hub_outbox.cc
@@ -6,11 +6,11 @@
 
 namespace coltsfoottide::daemon {
 
-HubOutbox::HubOutbox(link::LinkHub& hub, std::uint64_t incarnation)
-    : hub_(hub), incarnation_(incarnation) {}
+HubOutbox::HubOutbox(link::LinkHub& hub, std::string endpoint, std::uint64_t incarnation)
+    : hub_(hub), endpoint_(std::move(endpoint)), incarnation_(incarnation) {}
 
 void HubOutbox::Send(const std::string& endpoint, wire::Envelope envelope) {
-  envelope.set_from(hub_.endpoint());
+  envelope.set_from(endpoint_);
   envelope.set_incarnation(incarnation_);
   envelope.set_new_connection(reset_.erase(endpoint) > 0);
   std::string buf = envelope.SerializeAsString();
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -66,6 +66,7 @@
   ReadChoice(reader, "role", {"entry", "agent"}, role);
   settings.role = role == "agent" ? Role::kAgent : Role::kEntry;
   ReadAddress(reader, "listen", settings.listen);
+  ReadAddress(reader, "advertise", settings.advertise);
   ReadAddress(reader, "http_listen", settings.http_listen);
   ReadName(reader, "data_centre", settings.data_centre);
   ReadName(reader, "rack", settings.rack);
--- a/scripts/lib/experiments.py
+++ b/scripts/lib/experiments.py
@@ -83,6 +83,8 @@
         lambda: pause_for(rng.choice(agents), 0.7),
         lambda: pause_for(rng.choice(agents), 6.0),
         lambda: kill_and_restart(rng.choice(fleet.entries)),
+        lambda: rng.choice(fleet.relays).silence(),
+        lambda: rng.choice(fleet.relays).silence(),
     ]
     Killer(rec, rng, actions).run(25)
     settle(rec)
@@ -221,6 +223,7 @@
         lambda: set_zone(fleet.entries[0], centre, rng.random() < 0.5),
         lambda: _refuse_for(fleet, rng),
         lambda: fleet.control(rng.choice(fleet.backends), {"slots": rng.randint(1, 4)}),
+        lambda: rng.choice(fleet.relays).silence(),
     ]
     Killer(rec, rng, actions).run(20)
     for thread in threads:
@@ -507,7 +510,7 @@
     """Runs one experiment; returns the recorder and the errors found."""
     experiment, layout, variant = EXPERIMENTS[name]
     extra = {"variant": variant} if broken else {}
-    with Fleet(small(layout), build, entries=3, **extra) as fleet:
+    with Fleet(small(layout), build, entries=3, relays=True, **extra) as fleet:
         fleet.start()
         rec = Recorder(fleet, seed)
         rec.outcomes = []
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -25,6 +25,8 @@
 import urllib.error
 import urllib.request
 
+from relay import Relay
+
 PR_SET_PDEATHSIG = 1
 LIBC = ctypes.CDLL(None, use_errno=True)
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -186,19 +188,22 @@
     """All processes of one layout."""
 
     def __init__(self, layout, build="build", entries=2, folder=None, extra=None, stand_in=None,
-                 variant=None):
+                 variant=None, relays=False):
         """`extra` holds more settings of agents and entries by role, e.g.
         {"agent": {"placement": "random"}}; `stand_in` more flags, e.g.
         {"logd": ["--sync_ms=20"]}; `variant` names a broken variant of the
-        agents, see packages/proof."""
+        agents, see packages/proof. With `relays`, each daemon is reached
+        through a relay whose open connections can be made silent."""
         self.layout = layout
         self.build = pathlib.Path(build)
         self.extra = extra or {}
         self.stand_in = stand_in or {}
         self.variant = variant
+        self._with_relays = relays
+        self.relays = []
         self.owns_folder = folder is None
         self.folder = pathlib.Path(folder or tempfile.mkdtemp(prefix="coltsfoottide-"))
-        self.ports = self._free_ports(1 + 2 * entries + 3 * layout.workers)
+        self.ports = self._free_ports(1 + 3 * entries + 4 * layout.workers)
         self.log = self._make_log()
         self._entry_links = [self._address() for _ in range(entries)]
         self.entries = [self._make_entry(n) for n in range(entries)]
@@ -268,6 +273,8 @@
         return statuses
 
     def kill_all(self):
+        for relay in self.relays:
+            relay.close()
         for process in reversed(self.processes):
             process.kill()
 
@@ -308,6 +315,8 @@
 
     def _daemon(self, name, settings):
         path = self.folder / f"{name}.toml"
+        if self._with_relays:
+            settings = {**settings, **self._relay(settings)}
         write_toml(path, {**settings, **self.extra.get(settings["role"], {})})
         program = [self.build / "packages/daemon/coltsfoottided"]
         if self.variant:
@@ -318,6 +327,13 @@
         process.data_centre = settings["data_centre"]
         return process
 
+    def _relay(self, settings):
+        """Puts a relay where others reach the process, and moves its listener."""
+        target = self._address()
+        host, port = target.split(":")
+        self.relays.append(Relay(int(settings["listen"].split(":")[1]), (host, int(port))))
+        return {"listen": target, "advertise": settings["listen"]}
+
     def _make_entry(self, n):
         centres = self.layout.data_centres
         return self._daemon(f"entry-{n}", {
