Measure the cost of a task at the peak rate directly

The last rate is now 65 starts a second at each agent, and the Atlas mix is reported per job and per task, idle cost included.

--- a/scripts/lib/slopes.py
+++ b/scripts/lib/slopes.py
@@ -12,8 +12,10 @@
 ENTRY_COUNTS = (2, 4, 8)
 IDLE_S = 10.0
 SETTLE_S = 3.0
-RATES = (100, 300, 600)
-LOAD_S = 8
+# Single tasks a second; the last is 65 starts a second at each of 11 agents,
+# the peak of section 1.3 spread over its agents.
+RATES = (100, 300, 715)
+LOAD_S = 10
 TEAMS = 140
 BENCHMARKS = {
     "coltsfoottide_core_coordinator_benchmark": "PlaceOneTask/64",
@@ -94,26 +96,24 @@
 
 
 def against_load(build, seed):
-    """CPU of a job of one task by rate, and of each further task by the jobs
-    of the Atlas mix, which have several. Idle cost is the value at rate 0."""
-    out = {}
+    """CPU and bytes of single tasks by rate, and those of a job and of a task
+    of the Atlas mix, idle cost included."""
     with Fleet(ATLAS, build) as fleet:
         fleet.start()
         runs = [loaded(fleet, seed, f"single-{rate}", "--mix=single", "--run-ms=50",
                        f"--rate={rate}") for rate in RATES]
-        mixed = loaded(fleet, seed, "mixed", "--mix=atlas", "--load=0.5")
+        mixed = loaded(fleet, seed, "mixed", "--mix=atlas", "--load=0.7")
+    out = {"mixed_jobs": mixed["jobs"], "mixed_tasks": mixed["tasks"]}
     for role in ("agent", "entry"):
-        for what, unit in (("cpu_s", 1e6), ("bytes", 1)):
-            name = f"{role}_{'cpu_us' if what == 'cpu_s' else 'bytes'}"
+        for what, name, unit in (("cpu_s", "cpu_us", 1e6), ("bytes", "bytes", 1)):
             key = f"{role}_{what}"
-            slope, base = line_through(
+            slope, _ = line_through(
                 [(run["tasks"] / run["elapsed"], run[key] / run["elapsed"]) for run in runs])
-            out[f"{name}_per_single_job"] = unit * slope
-            rest = mixed[key] - base * mixed["elapsed"] - slope * mixed["jobs"]
-            out[f"{name}_per_further_task"] = unit * rest / max(1, mixed["tasks"] - mixed["jobs"])
+            out[f"{role}_{name}_slope_per_single_job"] = unit * slope
             for rate, run in zip(RATES, runs):
-                out[f"{name}_a_second_at_{rate}"] = unit * run[key] / run["elapsed"]
-    out["mixed_jobs"], out["mixed_tasks"] = mixed["jobs"], mixed["tasks"]
+                out[f"{role}_{name}_per_job_at_{rate}"] = unit * run[key] / run["jobs"]
+            out[f"mixed_{role}_{name}_per_job"] = unit * mixed[key] / mixed["jobs"]
+            out[f"mixed_{role}_{name}_per_task"] = unit * mixed[key] / mixed["tasks"]
     return out
 
 
