--- a/packages/daemon/src/agent_runtime.h
+++ b/packages/daemon/src/agent_runtime.h
@@ -77,7 +77,7 @@
   void OnHealth(BackendHealth health, core::TimePoint now);
   void OnBackendDone(const wire::TaskId& task, core::BackendOutcome outcome,
                      const std::string& output, core::TimePoint now);
-  void OnConfig(wire::ConfigStateData state);
+  void OnConfig(const wire::ConfigStateData& state);
   void Tick(core::TimePoint now);
   core::TimePoint NextWake() const;
   void Renew(core::TimePoint now);
@@ -93,6 +93,8 @@
   Logger& logger_;
   Metrics& metrics_;
   std::uint64_t incarnation_;
+  // Where other processes reach this one.
+  std::string endpoint_;
   core::StartPermission permission_;
   core::ConfigState config_;
   std::unique_ptr<link::LinkHub> hub_;
