Check ticket endpoints at the entry; share the publishing of counters

Cause: a ticket whose endpoint is not an IP number and a port was routed. Before: such a ticket went to the link hub. After: INVALID_REQUEST, NOT_RUN. The counters are published by part_metrics.cc and read by sampling.py. Conclusion: no behaviour of valid requests changes.

--- a/packages/daemon/src/agent_runtime.cc
+++ b/packages/daemon/src/agent_runtime.cc
@@ -20,6 +20,7 @@
 #include "coltsfoottide/daemon/qt_post.h"
 #include "coltsfoottide/http/server.h"
 #include "coltsfoottide/link/link_hub.h"
+#include "part_metrics.h"
 
 namespace coltsfoottide::daemon {
 namespace {
@@ -349,32 +350,10 @@
 }
 
 void AgentRuntime::PublishMetrics(core::TimePoint now) {
-  const core::WorkerCounters& worker = worker_->counters();
-  const core::CoordinatorCounters& coordinator = coordinator_->counters();
-  metrics_.Set("worker_starts_total", worker.starts);
-  metrics_.Set("worker_done_total", worker.done);
-  metrics_.Set("worker_failures_total", worker.failures);
-  metrics_.Set("worker_refused_total", worker.refused);
-  metrics_.Set("worker_offers_total", worker.offers);
-  metrics_.Set("worker_offers_expired_total", worker.offers_lapsed);
-  metrics_.Set("worker_duplicate_starts_total", worker.duplicate_starts);
-  metrics_.Set("worker_late_starts_total", worker.late_starts);
+  SetWorkerMetrics(worker_->counters(), metrics_);
   metrics_.Set("worker_running", worker_->running());
-  metrics_.Set("coordinator_jobs_total", coordinator.jobs);
-  metrics_.Set("coordinator_complete_total", coordinator.complete);
-  metrics_.Set("coordinator_failed_total", coordinator.failed);
-  metrics_.Set("coordinator_refused_total", coordinator.refused);
-  metrics_.Set("coordinator_starts_total", coordinator.starts);
-  metrics_.Set("coordinator_results_total", coordinator.results);
-  metrics_.Set("coordinator_other_messages_total", coordinator.other_messages);
-  metrics_.Set("coordinator_resolves_total", coordinator.resolves);
-  metrics_.Set("link_messages_total", hub_outbox_->messages());
-  metrics_.Set("link_bytes_total", hub_outbox_->bytes());
-  for (const auto& [kind, count] : hub_outbox_->messages_by_kind()) {
-    if (const auto* field = wire::Envelope::descriptor()->FindFieldByNumber(kind)) {
-      metrics_.Set("link_sent_" + field->name() + "_total", count);
-    }
-  }
+  SetCoordinatorMetrics(coordinator_->counters(), metrics_);
+  SetLinkMetrics(*hub_outbox_, metrics_);
   metrics_.Set("config_offset", config_.next_offset());
   metrics_.Set("config_digest", ConfigDigest(config_));
   const bool permitted = permission_.Permits(now);
--- a/packages/daemon/src/entry_runtime.cc
+++ b/packages/daemon/src/entry_runtime.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "address.h"
 #include "coltsfoottide/core/admission.h"
 #include "coltsfoottide/core/config_state.h"
 #include "coltsfoottide/core/directory.h"
@@ -21,6 +22,7 @@
 #include "coltsfoottide/link/link_hub.h"
 #include "coltsfoottide/schema/errors.h"
 #include "coltsfoottide/schema/validation.h"
+#include "part_metrics.h"
 
 namespace coltsfoottide::daemon {
 namespace {
@@ -31,6 +33,35 @@
 // from the roster is appended and queued answers leave.
 constexpr core::Duration kStopLinger = std::chrono::milliseconds(500);
 
+// The ticket of a request, or null for requests without one.
+const api::Ticket* TicketOf(const ApiRequest& request) {
+  return std::visit(
+      [](const auto& message) -> const api::Ticket* {
+        if constexpr (requires { message.ticket(); }) {
+          return message.has_ticket() ? &message.ticket() : nullptr;
+        } else {
+          return nullptr;
+        }
+      },
+      request);
+}
+
+// Why the request's own fields are not valid, or nothing.
+std::optional<api::Error> ValidateRequest(const ApiRequest& request) {
+  const api::Ticket* ticket = TicketOf(request);
+  if (ticket != nullptr && !IsAddress(ticket->endpoint(), false)) {
+    return schema::MakeError(api::NOT_RUN, api::INVALID_REQUEST,
+                             "ticket.endpoint is not an IP number and a port");
+  }
+  if (const auto* submit = std::get_if<api::SubmitRequest>(&request)) {
+    return schema::ValidateJob(submit->job());
+  }
+  if (const auto* change = std::get_if<api::ChangeConfigRequest>(&request)) {
+    return schema::ValidateChange(*change);
+  }
+  return std::nullopt;
+}
+
 const api::Error* ErrorOf(const api::JobResponse& response) {
   return response.answer().has_error() ? &response.answer().error() : nullptr;
 }
@@ -166,25 +197,20 @@
 }
 
 bool EntryRuntime::RefuseEarly(std::uint64_t id, const ApiCall& call) {
-  std::optional<api::Error> error;
-  const api::Ticket* ticket = nullptr;
-  if (const auto* submit = std::get_if<api::SubmitRequest>(&call.request)) {
-    ticket = &submit->ticket();
-    error = schema::ValidateJob(submit->job());
-  } else if (const auto* change = std::get_if<api::ChangeConfigRequest>(&call.request)) {
-    error = schema::ValidateChange(*change);
-    if (error) {
-      api::ChangeConfigResponse response;
-      *response.mutable_error() = *error;
-      Write(id, response, &*error);
-      return true;
-    }
-  }
+  const auto error = ValidateRequest(call.request);
   if (!error) {
     return false;
   }
+  if (std::holds_alternative<api::ChangeConfigRequest>(call.request)) {
+    api::ChangeConfigResponse response;
+    *response.mutable_error() = *error;
+    Write(id, response, &*error);
+    return true;
+  }
+  const api::Ticket* ticket = TicketOf(call.request);
   api::JobResponse response;
-  *response.mutable_answer() = schema::MakeFailedAnswer(*ticket, *error);
+  *response.mutable_answer() =
+      schema::MakeFailedAnswer(ticket == nullptr ? api::Ticket() : *ticket, *error);
   Write(id, response, &*error);
   return true;
 }
@@ -360,8 +386,7 @@
   metrics_.Set("config_digest", ConfigDigest(control_->config()));
   metrics_.Set("evidence_fresh", evidence_ ? 1 : 0);
   metrics_.Set("known_agents", control_->directory().members().size());
-  metrics_.Set("link_messages_total", outbox_->messages());
-  metrics_.Set("link_bytes_total", outbox_->bytes());
+  SetLinkMetrics(*outbox_, metrics_);
 }
 
 void EntryRuntime::BeginStop(std::function<void()> stopped) {
--- /dev/null
+++ b/packages/daemon/src/part_metrics.h
@@ -0,0 +1,18 @@
+#pragma once
+
+namespace coltsfoottide::core {
+struct CoordinatorCounters;
+struct WorkerCounters;
+}  // namespace coltsfoottide::core
+
+namespace coltsfoottide::daemon {
+
+class HubOutbox;
+class Metrics;
+
+// Publish the counters of a daemon's parts under their metric names.
+void SetWorkerMetrics(const core::WorkerCounters& worker, Metrics& metrics);
+void SetCoordinatorMetrics(const core::CoordinatorCounters& coordinator, Metrics& metrics);
+void SetLinkMetrics(const HubOutbox& outbox, Metrics& metrics);
+
+}  // namespace coltsfoottide::daemon
--- a/scripts/lib/experiments.py
+++ b/scripts/lib/experiments.py
@@ -6,13 +6,13 @@
 """
 
 import random
-import signal
 import threading
 import time
 
-from fleet import ATLAS, INZIRA, Fleet, call, wait_until
-from history import (check_always, check_no_starts_between, check_starts_at_most_once)
+from fleet import ATLAS, INZIRA, Fleet, wait_until
+from history import Call, check_always, check_no_starts_between
 from recorder import Recorder, boot_us, decode, post
+from sampling import metrics_of
 
 # "A few seconds" of the guarantees on data centres and leaving servers: the
 # 3 s validity of a start permission, the time of one health check, and the
@@ -30,16 +30,6 @@
                 timeout=30.0)
 
 
-def metrics_of(process):
-    """The plain counters of a daemon's /metrics, by name."""
-    values = {}
-    for line in call(process.url + "/metrics", timeout=2.0).splitlines():
-        words = line.split()
-        if len(words) == 2 and not line.startswith("#") and "{" not in line:
-            values[words[0].removeprefix("coltsfoottide_")] = float(words[1])
-    return values
-
-
 def settle(rec):
     """Ends the clients and waits for tasks that still run."""
     rec.finish()
@@ -254,9 +244,9 @@
         number += 1
         ticket = rec.obtain_ticket(rng)
         job = rec.job(name, rng)
-        record = type(rec.calls[0])(name, len(job["tasks"])) if rec.calls else None
-        if ticket is None or record is None:
+        if ticket is None:
             continue
+        record = Call(name, len(job["tasks"]))
         entry = rng.choice(fleet.entries)
         post(entry.url, "/v1/Caller/Submit", {"ticket": ticket, "job": job, "wait": False})
         time.sleep(rng.uniform(0, 0.1))
