Give up a send to an endpoint whose dials fail at once

Cause: a caller sent a ticket with the endpoint "bogus". Every dial failed before the message was queued, and LinkHub::Send dialled again without end, so the entry's engine thread answered nothing any more (seen in a stack trace). Ruled out: a blocked name resolution; the thread was busy, not waiting. Before: the entry hung for good. Conclusion: a send returns whatever the endpoint.

--- a/packages/link/src/nng_link_hub.cc
+++ b/packages/link/src/nng_link_hub.cc
@@ -17,6 +17,7 @@
 
 constexpr std::chrono::milliseconds kUpkeepPeriod = std::chrono::milliseconds(500);
 constexpr std::chrono::milliseconds kIdleLimit = std::chrono::minutes(5);
+constexpr int kMaxSendTries = 3;
 // Messages to the hub itself that wait for their delivery.
 constexpr std::size_t kMaxLocalQueue = 8192;
 
@@ -37,13 +38,13 @@
     if (endpoint == listener_.endpoint()) return SendToSelf(std::move(message));
     const auto now = std::chrono::steady_clock::now();
     // A link may fail between the look-up and the push; its successor may too.
-    auto result = PushLink::PushResult::kClosed;
-    while (result == PushLink::PushResult::kClosed) {
+    // An endpoint that is not valid fails every dial at once.
+    for (int tries = 0; tries < kMaxSendTries; ++tries) {
       const std::shared_ptr<PushLink> link = FindOrDial(endpoint, now);
-      if (!link) return;
-      result = link->Push(message, now);
-      if (result == PushLink::PushResult::kClosed) RemoveClosed(endpoint);
+      if (!link || link->Push(message, now) != PushLink::PushResult::kClosed) return;
+      RemoveClosed(endpoint);
     }
+    ReportDown(endpoint);
   }
 
   void Reset(const std::string& endpoint) override {
--- a/packages/link/test/link_hub_test.cc
+++ b/packages/link/test/link_hub_test.cc
@@ -94,6 +94,7 @@
   CPPUNIT_TEST(DropsMessagesOverLimit);
   CPPUNIT_TEST(ReportsPeerDeath);
   CPPUNIT_TEST(ReportsRefusedDial);
+  CPPUNIT_TEST(ReportsInvalidEndpoint);
   CPPUNIT_TEST(ReportsSilentDial);
   CPPUNIT_TEST(BoundsDialQueue);
   CPPUNIT_TEST(SendsAfterReset);
@@ -166,6 +167,16 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.messages().size());
   }
 
+  // Guards against a Send that never returns: such an endpoint, which a caller
+  // can put into a ticket, fails every dial at once.
+  void ReportsInvalidEndpoint() {
+    Node sender;
+    for (const std::string endpoint : {"bogus", "", "127.0.0.1", "127.0.0.1:99999"}) {
+      sender.hub->Send(endpoint, "dropped");
+      CPPUNIT_ASSERT(sender.WaitForDown(endpoint));
+    }
+  }
+
   // A dial that neither succeeds nor is refused must still be reported.
   void ReportsSilentDial() {
     const SilentListener listener;
