Log a job's way through all processes by its id

Cause: the logs named no job, so that one could not be followed from the entry to the backend server. Ruled out: a line for each start at level info, which would cost more than the start's own bookkeeping. Before: no job id in any line.

--- a/packages/daemon/include/coltsfoottide/daemon/backend_client.h
+++ b/packages/daemon/include/coltsfoottide/daemon/backend_client.h
@@ -48,8 +48,4 @@
   std::shared_ptr<http::Client> health_client_;
 };
 
-// The start id that the backend server sees: coordinator incarnation in hex,
-// ticket sequence and task index.
-std::string StartId(const wire::TaskId& task);
-
 }  // namespace coltsfoottide::daemon
--- a/packages/daemon/src/agent_runtime.cc
+++ b/packages/daemon/src/agent_runtime.cc
@@ -15,6 +15,7 @@
 #include "coltsfoottide/daemon/engine.h"
 #include "coltsfoottide/daemon/hub_outbox.h"
 #include "coltsfoottide/daemon/identity.h"
+#include "coltsfoottide/daemon/job_id.h"
 #include "coltsfoottide/daemon/logging.h"
 #include "coltsfoottide/daemon/metrics.h"
 #include "coltsfoottide/daemon/qt_post.h"
@@ -181,11 +182,45 @@
       break;
     }
     default:
+      if (settings_.log_level == "debug") {
+        LogJobMessage(envelope);
+      }
       worker_->OnMessage(envelope, now);
       coordinator_->OnMessage(envelope, now);
   }
 }
 
+void AgentRuntime::LogJobMessage(const wire::Envelope& envelope) {
+  switch (envelope.body_case()) {
+    case wire::Envelope::kSubmitJob:
+      logger_.Debug("job received", {{"job", JobId(envelope.submit_job().ticket())},
+                                     {"team", envelope.submit_job().job().team()},
+                                     {"from", envelope.from()}});
+      break;
+    case wire::Envelope::kStart:
+      logger_.Debug("start received", {{"job", JobId(envelope.start().task())},
+                                       {"start", StartId(envelope.start().task())},
+                                       {"from", envelope.from()}});
+      break;
+    case wire::Envelope::kRefused:
+      logger_.Debug("start refused",
+                    {{"job", JobId(envelope.refused().task())},
+                     {"start", StartId(envelope.refused().task())},
+                     {"reason", wire::StartRefusal_Name(envelope.refused().refusal())},
+                     {"from", envelope.from()}});
+      break;
+    case wire::Envelope::kResult:
+      logger_.Debug("result received",
+                    {{"job", JobId(envelope.result().task())},
+                     {"start", StartId(envelope.result().task())},
+                     {"outcome", wire::TaskOutcome_Name(envelope.result().outcome())},
+                     {"from", envelope.from()}});
+      break;
+    default:
+      break;
+  }
+}
+
 void AgentRuntime::OnConfig(const wire::ConfigStateData& state) {
   if (!config_.Adopt(state)) {
     return;
--- a/packages/daemon/src/agent_runtime.h
+++ b/packages/daemon/src/agent_runtime.h
@@ -73,6 +73,8 @@
   void MakeBackend();
   void MakeDispatch();
   void OnWire(const std::string& buf, core::TimePoint now);
+  // Logs what concerns a job, at level debug.
+  void LogJobMessage(const wire::Envelope& envelope);
   void OnRenewed(const wire::Envelope& envelope, core::TimePoint now);
   void OnHealth(BackendHealth health, core::TimePoint now);
   void OnBackendDone(const wire::TaskId& task, core::BackendOutcome outcome,
--- a/packages/daemon/src/backend_client.cc
+++ b/packages/daemon/src/backend_client.cc
@@ -1,7 +1,5 @@
 #include "coltsfoottide/daemon/backend_client.h"
 
-#include <fmt/format.h>
-
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <chrono>
@@ -9,6 +7,7 @@
 #include <utility>
 
 #include "coltsfoottide/daemon/boot_clock.h"
+#include "coltsfoottide/daemon/job_id.h"
 #include "coltsfoottide/daemon/qt_post.h"
 #include "coltsfoottide/http/client.h"
 #include "coltsfoottide/schema/limits.h"
@@ -60,10 +59,6 @@
 
 }  // namespace
 
-std::string StartId(const wire::TaskId& task) {
-  return fmt::format("{:016x}-{}-{}", task.coordinator(), task.sequence(), task.index());
-}
-
 BackendClient::BackendClient(std::string url, std::uint32_t connections, BackendCallbacks callbacks)
     : url_(std::move(url)),
       callbacks_(std::move(callbacks)),
--- a/packages/daemon/src/entry_runtime.cc
+++ b/packages/daemon/src/entry_runtime.cc
@@ -15,6 +15,7 @@
 #include "coltsfoottide/daemon/engine.h"
 #include "coltsfoottide/daemon/hub_outbox.h"
 #include "coltsfoottide/daemon/identity.h"
+#include "coltsfoottide/daemon/job_id.h"
 #include "coltsfoottide/daemon/log_client.h"
 #include "coltsfoottide/daemon/logging.h"
 #include "coltsfoottide/daemon/metrics.h"
@@ -293,6 +294,11 @@
   if (request.has_ticket()) {
     refusal = admission_->Admit(request, control_->config(), control_->directory(), now);
   }
+  if (settings_.log_level == "debug") {
+    logger_.Debug("job submitted", {{"job", JobId(request.ticket())},
+                                    {"team", request.job().team()},
+                                    {"coordinator", request.ticket().endpoint()}});
+  }
   router_->Submit(id, request, refusal, now);
 }
 
@@ -305,9 +311,10 @@
 void EntryRuntime::OnJob(std::uint64_t call, const api::JobResponse& response) {
   if (const api::Error* error = ErrorOf(response)) {
     metrics_.Add("failed_" + api::Reason_Name(error->reason()) + "_total", 1);
-    logger_.Debug("call failed", {{"verdict", api::Verdict_Name(error->verdict())},
-                                  {"reason", api::Reason_Name(error->reason())},
-                                  {"message", error->message()}});
+    logger_.Info("call failed", {{"job", JobId(response.answer().ticket())},
+                                 {"verdict", api::Verdict_Name(error->verdict())},
+                                 {"reason", api::Reason_Name(error->reason())},
+                                 {"message", error->message()}});
   }
   PostToQt([this, call, response] { Write(call, response, ErrorOf(response)); });
 }
--- a/packages/proof/src/broken_parts.cc
+++ b/packages/proof/src/broken_parts.cc
@@ -11,6 +11,7 @@
 
 #include "coltsfoottide/core/outbox.h"
 #include "coltsfoottide/daemon/backend_client.h"
+#include "coltsfoottide/daemon/job_id.h"
 
 namespace coltsfoottide::proof {
 namespace {
