--- a/packages/daemon/include/coltsfoottide/daemon/engine.h
+++ b/packages/daemon/include/coltsfoottide/daemon/engine.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
