Open link hubs and read messages in one place for both roles

Cause: agent_runtime.cc and entry_runtime.cc had the same code to open a hub whose callbacks run on the engine's thread, to parse a message and to replace a connection on request. Ruled out: a common base class of the runtimes, which share little else. Before: two copies. Conclusion: a change of the connection rule is made once.

--- a/packages/daemon/src/agent_runtime.cc
+++ b/packages/daemon/src/agent_runtime.cc
@@ -21,6 +21,7 @@
 #include "coltsfoottide/daemon/qt_post.h"
 #include "coltsfoottide/http/server.h"
 #include "coltsfoottide/link/link_hub.h"
+#include "engine_hub.h"
 #include "part_metrics.h"
 
 namespace coltsfoottide::daemon {
@@ -80,15 +81,12 @@
 }
 
 std::optional<RuntimeError> AgentRuntime::OpenLinks() {
-  auto hub = link::MakeNngLinkHub(
-      settings_.listen,
-      {[this](std::string buf) {
-         engine_->Post([this, buf = std::move(buf)](core::TimePoint now) { OnWire(buf, now); });
-       },
-       [this](const std::string& endpoint) {
-         engine_->Post(
-             [this, endpoint](core::TimePoint now) { coordinator_->OnLinkDown(endpoint, now); });
-       }});
+  auto hub =
+      MakeEngineHub(settings_.listen, *engine_,
+                    {[this](const std::string& buf, core::TimePoint now) { OnWire(buf, now); },
+                     [this](const std::string& endpoint, core::TimePoint now) {
+                       coordinator_->OnLinkDown(endpoint, now);
+                     }});
   if (auto* error = std::get_if<link::LinkError>(&hub)) {
     return RuntimeError{"listen: " + error->message};
   }
@@ -157,14 +155,11 @@
 }
 
 void AgentRuntime::OnWire(const std::string& buf, core::TimePoint now) {
-  wire::Envelope envelope;
-  if (!envelope.ParseFromString(buf)) {
-    logger_.Warn("unreadable message dropped", {{"bytes", std::to_string(buf.size())}});
+  const auto read = ReadEnvelope(buf, *hub_, logger_);
+  if (!read) {
     return;
   }
-  if (envelope.new_connection()) {
-    hub_->Reset(envelope.from());
-  }
+  const wire::Envelope& envelope = *read;
   switch (envelope.body_case()) {
     case wire::Envelope::kRenewed:
       OnRenewed(envelope, now);
--- a/packages/daemon/src/entry_runtime.cc
+++ b/packages/daemon/src/entry_runtime.cc
@@ -23,6 +23,7 @@
 #include "coltsfoottide/link/link_hub.h"
 #include "coltsfoottide/schema/errors.h"
 #include "coltsfoottide/schema/validation.h"
+#include "engine_hub.h"
 #include "part_metrics.h"
 
 namespace coltsfoottide::daemon {
@@ -88,17 +89,13 @@
 std::optional<RuntimeError> EntryRuntime::Start() {
   engine_ = std::make_unique<Engine>([this](core::TimePoint now) { Tick(now); },
                                      [this] { return NextWake(); });
-  auto hub = link::MakeNngLinkHub(
-      settings_.listen,
-      {[this](std::string buf) {
-         engine_->Post([this, buf = std::move(buf)](core::TimePoint now) { OnWire(buf, now); });
-       },
-       [this](const std::string& endpoint) {
-         engine_->Post([this, endpoint](core::TimePoint now) {
-           router_->OnLinkDown(endpoint, now);
-           control_->OnLinkDown(endpoint, now);
-         });
-       }});
+  auto hub =
+      MakeEngineHub(settings_.listen, *engine_,
+                    {[this](const std::string& buf, core::TimePoint now) { OnWire(buf, now); },
+                     [this](const std::string& endpoint, core::TimePoint now) {
+                       router_->OnLinkDown(endpoint, now);
+                       control_->OnLinkDown(endpoint, now);
+                     }});
   if (auto* error = std::get_if<link::LinkError>(&hub)) {
     return RuntimeError{"listen: " + error->message};
   }
@@ -251,14 +248,11 @@
 }
 
 void EntryRuntime::OnWire(const std::string& buf, core::TimePoint now) {
-  wire::Envelope envelope;
-  if (!envelope.ParseFromString(buf)) {
-    logger_.Warn("unreadable message dropped", {{"bytes", std::to_string(buf.size())}});
+  const auto read = ReadEnvelope(buf, *hub_, logger_);
+  if (!read) {
     return;
   }
-  if (envelope.new_connection()) {
-    hub_->Reset(envelope.from());
-  }
+  const wire::Envelope& envelope = *read;
   if (envelope.body_case() == wire::Envelope::kProbe) {
     wire::Envelope reply;
     reply.mutable_probe_reply()->set_request(envelope.probe().request());
