--- a/packages/daemon/include/coltsfoottide/daemon/settings.h
+++ b/packages/daemon/include/coltsfoottide/daemon/settings.h
@@ -8,7 +8,7 @@
 
 namespace coltsfoottide::daemon {
 
-enum class Role { kEntry, kAgent };
+enum class Role { kEntry, kAgent, kDirectEntry, kDirectAgent };
 
 // Settings of one daemon process, from a TOML file and flags.
 struct Settings {
@@ -42,6 +42,15 @@
   // "hybrid" or "random".
   std::string placement = "hybrid";
   std::chrono::milliseconds drain_limit = std::chrono::seconds(30);
+
+  // Direct entry: "IP:port" at which a balancer asks whether it is ready.
+  std::string ready_listen;
+  // Direct roles: longest lease of the backend server, and its time to stop a
+  // run.
+  std::chrono::milliseconds lease = std::chrono::seconds(1);
+  std::chrono::milliseconds stop_time = std::chrono::milliseconds(50);
+  // Direct entry: how many times as long a task takes away from its data.
+  double far_factor = 1.0;
 };
 
 struct SettingsError {
--- a/packages/daemon/src/daemon_main.cc
+++ b/packages/daemon/src/daemon_main.cc
@@ -20,7 +20,7 @@
 #include "coltsfoottide/daemon/stop_signal.h"
 
 ABSL_FLAG(std::string, settings, "", "path of the TOML settings file");
-ABSL_FLAG(std::string, role, "", "entry or agent; overrides the settings file");
+ABSL_FLAG(std::string, role, "", "entry, agent, direct-entry or direct-agent; overrides the settings file");
 ABSL_FLAG(std::string, listen, "", "IP:port for links; overrides the settings file");
 ABSL_FLAG(std::string, http_listen, "", "IP:port for HTTP; overrides the settings file");
 ABSL_FLAG(std::string, data_centre, "", "data centre; overrides the settings file");
@@ -61,8 +61,8 @@
 }
 
 int RunDaemon(const Settings& settings, const RuntimeParts& parts) {
-  const std::string process =
-      std::string(settings.role == Role::kEntry ? "entry " : "agent ") + settings.listen;
+  const bool entry = settings.role == Role::kEntry || settings.role == Role::kDirectEntry;
+  const std::string process = std::string(entry ? "entry " : "agent ") + settings.listen;
   auto logger = MakeJsonLogger(settings.log_level, process);
   auto metrics = MakeMetrics();
   std::unique_ptr<Runtime> runtime;
@@ -86,7 +86,7 @@
 int DaemonMain(int argc, char** argv, const RuntimeParts& parts) {
   absl::SetProgramUsageMessage(
       "Dispatcher for sub-second tasks: one entry or agent process.\n"
-      "coltsfoottided --settings=FILE [--role=entry|agent] [overrides]");
+      "coltsfoottided --settings=FILE [--role=entry|agent|direct-entry|direct-agent] [overrides]");
   absl::ParseCommandLine(argc, argv);
   const QCoreApplication application(argc, argv);
   const std::string path = absl::GetFlag(FLAGS_settings);
--- /dev/null
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -0,0 +1,363 @@
+#include "direct_agent_runtime.h"
+
+#include <QCoreApplication>
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "coltsfoottide/daemon/boot_clock.h"
+#include "coltsfoottide/daemon/endpoint.h"
+#include "coltsfoottide/daemon/logging.h"
+#include "coltsfoottide/daemon/metrics.h"
+#include "coltsfoottide/platform/operator_records.h"
+#include "coltsfoottide/platform/store_client.h"
+#include "coltsfoottide/platform/worker_client.h"
+#include "coltsfoottide/platform/worker_reports.h"
+#include "direct_messages.h"
+#include "direct_timing.h"
+
+namespace coltsfoottide::daemon {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+
+// Agents of a lost fleet of entries come back together, so calls are spaced.
+constexpr core::Duration kDialInterval = std::chrono::milliseconds(250);
+// The backend server tells what an earlier process of this agent started
+// within its call limit; entries need that first.
+constexpr core::Duration kRunsKnownLimit = std::chrono::milliseconds(500);
+// The store is asked for entries only while none is connected.
+constexpr core::Duration kFindInterval = std::chrono::milliseconds(1500);
+// Least time between two states to an entry, for each entry: bounds what an
+// agent sends whatever their number.
+constexpr core::Duration kStateInterval = std::chrono::milliseconds(10);
+// Left of the time for a graceful stop, for the exit itself.
+constexpr std::chrono::milliseconds kStopReserve{400};
+
+std::string Address(const std::string& url) {
+  constexpr std::string_view kScheme = "http://";
+  return url.substr(url.starts_with(kScheme) ? kScheme.size() : 0);
+}
+
+const char* KindName(direct::RunReport::Kind kind) {
+  using Kind = direct::RunReport::Kind;
+  switch (kind) {
+    case Kind::kQueued:
+      return "queued";
+    case Kind::kStarted:
+      return "started";
+    case Kind::kDone:
+      return "done";
+    case Kind::kFailed:
+      return "failed";
+    case Kind::kLost:
+      return "lost";
+    case Kind::kNotRun:
+      return "not_run";
+    case Kind::kNumberUsed:
+      break;
+  }
+  return "number_used";
+}
+
+std::int64_t UnixMs() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+}  // namespace
+
+DirectAgentRuntime::DirectAgentRuntime(const Settings& settings, Logger& logger, Metrics& metrics)
+    : settings_(settings),
+      logger_(logger),
+      metrics_(metrics),
+      incarnation_(static_cast<std::uint64_t>(UnixMs())) {}
+
+DirectAgentRuntime::~DirectAgentRuntime() = default;
+
+std::optional<RuntimeError> DirectAgentRuntime::Start() {
+  const Endpoint own = *ParseEndpoint(settings_.listen);
+  name_ = own.address;
+  link_port_ = own.port;
+  started_ = BootNow();
+  MakeWorkerClient();
+  direct::ReportSink& reports = *this;
+  executor_ = std::make_unique<direct::RunExecutor>(
+      direct::RunExecutor::Tuning{settings_.lease, kOwnerLease}, *worker_, reports);
+  if (auto error = OpenServer()) return error;
+  store_ = std::make_unique<platform::StoreClient>(settings_.log_url);
+  for (const std::string& it : settings_.entries) LearnEntry(ParseEndpoint(it)->address);
+  store_read_due_ = started_ + kFindInterval;
+  executor_->Begin(started_);
+  QObject::connect(&tick_, &QTimer::timeout, &tick_, [this] { Tick(); });
+  tick_.start(kTick);
+  logger_.Info("agent started", {{"data_centre", settings_.data_centre},
+                                 {"backend", settings_.backend_url},
+                                 {"incarnation", std::to_string(incarnation_)}});
+  return std::nullopt;
+}
+
+void DirectAgentRuntime::MakeWorkerClient() {
+  platform::WorkerClient::Callbacks callbacks;
+  callbacks.on_start = [this](const direct::RunId& id, direct::StartResult result) {
+    if (result != direct::StartResult::kStarted) {
+      metrics_.Add("starts_not_accepted", 1);
+      logger_.Info("start not accepted", {{"job", id.task.job},
+                                          {"task", std::to_string(id.task.index)},
+                                          {"run", std::to_string(id.number)},
+                                          {"result", std::to_string(static_cast<int>(result))}});
+    }
+    executor_->OnStartResult(id, result, BootNow());
+    state_changed_ = true;
+  };
+  callbacks.on_stop = [this](const direct::RunId& id, bool answered) {
+    executor_->OnStopResult(id, answered, BootNow());
+  };
+  callbacks.on_hold = [this](const std::optional<direct::HoldResult>& result, bool gone) {
+    if (!result) {
+      metrics_.Add("holds_unanswered", 1);
+      logger_.Warn("backend server does not answer", {{"gone", gone ? "yes" : "no"}});
+    }
+    executor_->OnHold(result, gone, BootNow());
+    state_changed_ = true;
+  };
+  callbacks.on_problem = [this](const std::string& event, const std::string& detail) {
+    logger_.Warn(event, {{"detail", detail}});
+  };
+  callbacks.now = [] { return BootNow(); };
+  worker_ = std::make_unique<platform::WorkerClient>(Address(settings_.backend_url), UnixMs(),
+                                                     std::move(callbacks));
+}
+
+std::optional<RuntimeError> DirectAgentRuntime::OpenServer() {
+  const Endpoint endpoint = *ParseEndpoint(settings_.http_listen);
+  auto server =
+      http::MakeServer(endpoint.address, endpoint.port, {},
+                       {[this](const http::Request& request) { OnRequest(request); }, nullptr});
+  if (auto* error = std::get_if<http::ServerError>(&server)) return RuntimeError{error->message};
+  server_ = std::move(std::get<std::unique_ptr<http::Server>>(server));
+  return std::nullopt;
+}
+
+void DirectAgentRuntime::OnRequest(const http::Request& request) {
+  http::Response response;
+  const std::string id = platform::DecodeReportPath(request.path);
+  if (request.method == "GET" && request.path == "/metrics") {
+    response.content_type = "text/plain";
+    response.body = metrics_.ReportText();
+  } else if (id.empty()) {
+    response.status = kNotFound;
+  } else if (request.method == "PUT") {
+    response.body = "{}";
+    OnWorkerReport(id, request.body);
+  } else if (request.method == "DELETE") {
+    logger_.Info("backend server left", {{"id", id}});
+    executor_->OnWorkerLeft(id, BootNow());
+    state_changed_ = true;
+  } else {
+    response.status = kBadRequest;
+  }
+  server_->Respond(request.id, response);
+}
+
+// An invalid report is acknowledged and changes nothing: its sender would only
+// repeat it.
+void DirectAgentRuntime::OnWorkerReport(const std::string& id, const std::string& body) {
+  std::string error;
+  const auto decoded = platform::DecodeReport(id, body, error);
+  if (!decoded) {
+    logger_.Warn("report ignored", {{"id", id}, {"reason", error}});
+    return;
+  }
+  const direct::WorkerState before = executor_->State();
+  if (!executor_->OnWorkerReport(decoded->report, BootNow())) return;
+  worker_->OnReport(id, decoded->address, decoded->clock_ms);
+  const direct::WorkerState after = executor_->State();
+  if (before.ready != after.ready || before.draining != after.draining) {
+    state_changed_ = true;
+    logger_.Info("backend server state", {{"id", id},
+                                          {"life", std::to_string(decoded->report.life)},
+                                          {"ready", after.ready ? "yes" : "no"},
+                                          {"draining", after.draining ? "yes" : "no"}});
+  }
+}
+
+void DirectAgentRuntime::LearnEntry(const std::string& name) {
+  if (name.empty() || links_.contains(name)) return;
+  links_[name];
+  logger_.Info("entry known", {{"entry", name}});
+}
+
+void DirectAgentRuntime::DialEntries(core::TimePoint now) {
+  if (!executor_->runs_known() && now - started_ < kRunsKnownLimit) return;
+  for (auto& [name, link] : links_) {
+    if (!link.connection && now >= link.dial_due) Dial(name, link, now);
+  }
+}
+
+void DirectAgentRuntime::Dial(const std::string& name, Link& link, core::TimePoint now) {
+  link.dial_due = now + kDialInterval;
+  link.last_heard = now;
+  link.owner.clear();
+  FrameConnection::Events events;
+  events.on_frame = [this, name](const direct_wire::Frame& frame) { OnFrame(name, frame); };
+  events.on_closed = [this, name] { CloseLink(name, "closed"); };
+  link.connection =
+      std::make_unique<FrameConnection>(QString::fromStdString(name), link_port_, events);
+}
+
+void DirectAgentRuntime::CloseLink(const std::string& name, const std::string& reason) {
+  Link& link = links_.at(name);
+  if (!link.connection) return;
+  link.connection->Close();
+  closed_.push_back(std::move(link.connection));
+  if (link.owner.empty()) return;
+  logger_.Warn("entry lost", {{"entry", name}, {"reason", reason}});
+  link.owner.clear();
+}
+
+void DirectAgentRuntime::OnFrame(const std::string& name, const direct_wire::Frame& frame) {
+  const core::TimePoint now = BootNow();
+  Link& link = links_.at(name);
+  link.last_heard = now;
+  if (frame.has_hello()) OnHello(name, link, frame.hello());
+  for (const std::string& it : frame.entries()) LearnEntry(it);
+  if (frame.echo_us() != 0) {
+    const core::TimePoint sent{core::Duration(static_cast<std::int64_t>(frame.echo_us()))};
+    executor_->OnOwnerHeard(link.owner, sent);
+  }
+  for (const direct_wire::RunId& it : frame.claims()) {
+    executor_->OnClaim(link.owner, ReadRunId(it));
+  }
+  for (const direct_wire::OrderGroup& group : frame.orders()) {
+    for (const direct_wire::OrderGroup::Task& task : group.tasks()) {
+      executor_->OnOrder(link.owner, ReadOrder(group, task, now), now);
+    }
+  }
+  for (const direct_wire::RunId& it : frame.stops()) executor_->OnStop(ReadRunId(it), now);
+  for (const direct_wire::RunId& it : frame.withdrawals()) {
+    executor_->OnWithdraw(link.owner, ReadRunId(it), now);
+  }
+  const bool work = frame.orders_size() + frame.stops_size() + frame.withdrawals_size() > 0;
+  state_changed_ = state_changed_ || work;
+}
+
+void DirectAgentRuntime::OnHello(const std::string& name, Link& link,
+                                 const direct_wire::Hello& hello) {
+  const core::TimePoint now = BootNow();
+  link.owner = name + '#' + std::to_string(hello.incarnation());
+  logger_.Info("entry connected", {{"entry", link.owner}});
+  direct_wire::Hello& own = *link.connection->outbox().mutable_hello();
+  own.set_sender(direct_wire::Hello::AGENT);
+  own.set_name(name_);
+  own.set_incarnation(incarnation_);
+  own.set_runs_known(executor_->runs_known());
+  for (const direct::RunReport& it : executor_->RunsFor(link.owner)) {
+    WriteReport(it, *own.add_runs());
+  }
+  executor_->OnOwnerHeard(link.owner, now);
+  WriteStateTo(link, now);
+}
+
+void DirectAgentRuntime::WriteStateTo(Link& link, core::TimePoint now) {
+  direct_wire::Frame& frame = link.connection->outbox();
+  WriteState(executor_->State(), *frame.mutable_worker());
+  frame.set_stamp_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+  link.last_state = now;
+}
+
+void DirectAgentRuntime::Report(const std::string& owner, const direct::RunReport& report) {
+  state_changed_ = true;
+  if (report.kind != direct::RunReport::Kind::kStarted) {
+    metrics_.Add(std::string("runs_") + KindName(report.kind), 1);
+    logger_.Debug("run ended", {{"job", report.id.task.job},
+                                {"task", std::to_string(report.id.task.index)},
+                                {"run", std::to_string(report.id.number)},
+                                {"how", KindName(report.kind)}});
+  }
+  for (auto& [name, link] : links_) {
+    if (!link.connection || link.owner.empty() || link.owner != owner) continue;
+    WriteReport(report, *link.connection->outbox().add_reports());
+  }
+}
+
+void DirectAgentRuntime::SendStates(core::TimePoint now) {
+  const auto connected = std::count_if(links_.begin(), links_.end(), [](const auto& it) {
+    return it.second.connection && !it.second.owner.empty();
+  });
+  const core::Duration pause = kStateInterval * std::max<std::int64_t>(connected, 1);
+  bool all_told = true;
+  for (auto& [name, link] : links_) {
+    if (!link.connection || link.owner.empty()) continue;
+    const core::Duration since = now - link.last_state;
+    const core::Duration interval =
+        executor_->HasRunsOf(link.owner) ? kBusyInterval : kIdleInterval;
+    const bool due = since >= interval || (state_changed_ && since >= pause);
+    if (due) {
+      WriteStateTo(link, now);
+    } else {
+      all_told = false;
+    }
+  }
+  if (all_told) state_changed_ = false;
+}
+
+// Where no known entry is reachable the store names others.
+void DirectAgentRuntime::FindEntries(core::TimePoint now) {
+  const bool connected = std::any_of(links_.begin(), links_.end(), [](const auto& it) {
+    return it.second.connection && !it.second.owner.empty();
+  });
+  if (connected) store_read_due_ = now + kFindInterval;
+  if (now < store_read_due_) return;
+  store_read_due_ = now + kFindInterval;
+  logger_.Warn("no entry connected, asking the store", {});
+  store_->ReadNewest(platform::kEntryTopic,
+                     [this](const std::optional<platform::StoreClient::Batch>& batch, bool) {
+                       if (!batch) return;
+                       for (const platform::KeyedRecord& it : batch->records) LearnEntry(it.key);
+                     });
+}
+
+void DirectAgentRuntime::Tick() {
+  const core::TimePoint now = BootNow();
+  closed_.clear();
+  executor_->Advance(now);
+  std::vector<std::string> silent;
+  for (const auto& [name, link] : links_) {
+    if (!link.connection) continue;
+    const bool busy = !link.owner.empty() && executor_->HasRunsOf(link.owner);
+    if (now - link.last_heard > (busy ? kBusySilence : kIdleSilence)) silent.push_back(name);
+  }
+  for (const std::string& it : silent) CloseLink(it, "silent");
+  DialEntries(now);
+  FindEntries(now);
+  SendStates(now);
+}
+
+void DirectAgentRuntime::BeginStop(std::function<void()> stopped) {
+  if (stopping_) return;
+  stopping_ = true;
+  stopped_ = std::move(stopped);
+  executor_->BeginDrain(BootNow());
+  state_changed_ = true;
+  logger_.Info("agent stopping", {});
+  EndStop();
+}
+
+void DirectAgentRuntime::EndStop() {
+  constexpr std::chrono::milliseconds kPoll{20};
+  stop_waited_ += kPoll;
+  const bool over = stop_waited_ + kStopReserve >= settings_.drain_limit;
+  // Orders on their way when the drain began are answered first.
+  constexpr std::chrono::milliseconds kLeast{100};
+  if ((!executor_->idle() && !over) || stop_waited_ < kLeast) {
+    QTimer::singleShot(kPoll, &tick_, [this] { EndStop(); });
+    return;
+  }
+  logger_.Info("agent stopped", {{"idle", executor_->idle() ? "yes" : "no"}});
+  stopped_();
+}
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -0,0 +1,490 @@
+#include "direct_entry_runtime.h"
+
+#include <QCoreApplication>
+#include <QHostAddress>
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "coltsfoottide/daemon/boot_clock.h"
+#include "coltsfoottide/daemon/endpoint.h"
+#include "coltsfoottide/daemon/logging.h"
+#include "coltsfoottide/daemon/metrics.h"
+#include "coltsfoottide/platform/job_calls.h"
+#include "coltsfoottide/platform/operator_records.h"
+#include "direct_messages.h"
+#include "direct_timing.h"
+
+namespace coltsfoottide::daemon {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kContentTooLarge = 413;
+constexpr int kUnavailable = 503;
+
+// The balancer takes an entry out after two misses, one a second.
+constexpr std::chrono::milliseconds kLeaveBalancer{2500};
+// Left of the time for a graceful stop, for the exit itself.
+constexpr std::chrono::milliseconds kStopReserve{400};
+// A route that is unknown is denied only by a view that its source has
+// confirmed lately: a change has to be in force within 2 s.
+constexpr core::Duration kViewAge = std::chrono::seconds(3);
+constexpr core::Duration kComeBack = std::chrono::seconds(1);
+// Pause between attempts to reach another entry.
+constexpr core::Duration kDialInterval = std::chrono::milliseconds(500);
+
+std::int64_t ToMs(core::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string WithoutPort(const std::string& host) { return host.substr(0, host.find(':')); }
+
+const char* KindName(direct::JobOutcome::Kind kind) {
+  using Kind = direct::JobOutcome::Kind;
+  switch (kind) {
+    case Kind::kCompleted:
+      return "completed";
+    case Kind::kFailed:
+      return "failed";
+    case Kind::kNotRun:
+      return "not_run";
+    case Kind::kMayHaveRun:
+      return "may_have_run";
+    case Kind::kCancelled:
+      break;
+  }
+  return "cancelled";
+}
+
+direct::JobDispatcher::Tuning MakeTuning(const Settings& settings) {
+  // The backend server's clock may be 2% slow.
+  constexpr int kLeasePercent = 103;
+  direct::JobDispatcher::Tuning tuning;
+  tuning.silent_agent_bound =
+      kOwnerLease + settings.lease * kLeasePercent / 100 + settings.stop_time;
+  return tuning;
+}
+
+}  // namespace
+
+DirectEntryRuntime::DirectEntryRuntime(const Settings& settings, Logger& logger, Metrics& metrics)
+    : settings_(settings),
+      logger_(logger),
+      metrics_(metrics),
+      incarnation_(static_cast<std::uint64_t>(BootNow().time_since_epoch().count())),
+      dispatcher_(MakeTuning(settings), settings.data_centre, settings.far_factor, *this),
+      listener_([this](qintptr descriptor) { Accept(descriptor); }) {}
+
+DirectEntryRuntime::~DirectEntryRuntime() = default;
+
+std::optional<RuntimeError> DirectEntryRuntime::Start() {
+  if (auto error = OpenServers()) return error;
+  for (const std::string& it : settings_.entries) LearnEntry(ParseEndpoint(it)->address);
+  FollowStore();
+  QObject::connect(&tick_, &QTimer::timeout, &tick_, [this] { Tick(); });
+  tick_.start(kTick);
+  logger_.Info("entry started",
+               {{"data_centre", settings_.data_centre}, {"callers", settings_.http_listen}});
+  return std::nullopt;
+}
+
+std::optional<RuntimeError> DirectEntryRuntime::OpenServers() {
+  const Endpoint links = *ParseEndpoint(settings_.listen);
+  name_ = links.address;
+  link_port_ = links.port;
+  if (!listener_.listen(QHostAddress(QString::fromStdString(name_)), link_port_)) {
+    return RuntimeError{settings_.listen + ": " + listener_.errorString().toStdString()};
+  }
+  const auto open = [](const std::string& address, http::ServerCallbacks callbacks) {
+    const Endpoint endpoint = *ParseEndpoint(address);
+    return http::MakeServer(endpoint.address, endpoint.port, {}, std::move(callbacks));
+  };
+  auto callers =
+      open(settings_.http_listen, {[this](const http::Request& request) { OnRequest(request); },
+                                   [this](std::uint64_t id) { OnAbandoned(id); }});
+  if (auto* error = std::get_if<http::ServerError>(&callers)) return RuntimeError{error->message};
+  callers_ = std::move(std::get<std::unique_ptr<http::Server>>(callers));
+  auto probes = open(settings_.ready_listen,
+                     {[this](const http::Request& request) { OnProbe(request); }, nullptr});
+  if (auto* error = std::get_if<http::ServerError>(&probes)) return RuntimeError{error->message};
+  probes_ = std::move(std::get<std::unique_ptr<http::Server>>(probes));
+  return std::nullopt;
+}
+
+bool DirectEntryRuntime::ready() const {
+  return !stopping_ && view_.configuration() != nullptr && !agents_.empty();
+}
+
+void DirectEntryRuntime::OnProbe(const http::Request& request) {
+  http::Response response;
+  response.content_type = "text/plain";
+  if (request.path == "/metrics") {
+    response.body = metrics_.ReportText();
+  } else if (request.path == "/ready") {
+    response.status = ready() ? kOk : kUnavailable;
+  } else {
+    response.status = kNotFound;
+  }
+  probes_->Respond(request.id, response);
+}
+
+void DirectEntryRuntime::OnRequest(const http::Request& request) {
+  const auto configuration = view_.configuration();
+  const auto refuse = [this, &request](int status, const std::string& reason,
+                                       core::Duration retry_after) {
+    callers_->Respond(request.id, platform::EncodeRefusal(status, reason, retry_after));
+    metrics_.Add("refused", 1);
+    logger_.Info("request refused",
+                 {{"path", request.path},
+                  {"status", std::to_string(status)},
+                  {"reason", reason},
+                  {"config_age_ms", std::to_string(ToMs(BootNow() - view_.confirmed()))}});
+  };
+  if (!configuration) return refuse(kUnavailable, "no configuration yet", kComeBack);
+  const auto host = request.headers.find("host");
+  const direct::Route* route =
+      host == request.headers.end()
+          ? nullptr
+          : configuration->FindRoute(WithoutPort(host->second), request.path);
+  if (route == nullptr) {
+    if (BootNow() - view_.confirmed() > kViewAge) {
+      return refuse(kUnavailable, "the configuration may be out of date", kComeBack);
+    }
+    return refuse(kNotFound, "no such queue", {});
+  }
+  if (request.body.size() > configuration->max_body_bytes) {
+    return refuse(kContentTooLarge, "the body is too large", {});
+  }
+  const auto job = platform::DecodeJobId(request.path, *route);
+  if (!job) return refuse(kNotFound, "not a job id", {});
+  OnJobCall(request, *route, *job);
+}
+
+void DirectEntryRuntime::OnJobCall(const http::Request& request, const direct::Route& route,
+                                   const std::string& job) {
+  if (request.method == "GET" && job.empty()) {
+    callers_->Respond(request.id, platform::EncodeWaiting(dispatcher_.CountWaiting(route.name)));
+  } else if (request.method == "POST" && !job.empty()) {
+    Submit(request, route, job);
+  } else if (request.method == "GET") {
+    callers_->Respond(request.id, dispatcher_.InProgress(job) ? platform::EncodeRunning()
+                                                              : platform::EncodeUnknownJob());
+  } else if (request.method == "DELETE" && !job.empty()) {
+    const bool known = dispatcher_.InProgress(job);
+    dispatcher_.Cancel(job, BootNow());
+    callers_->Respond(
+        request.id, known ? platform::EncodeOutcome({direct::JobOutcome::Kind::kCancelled, "", {}})
+                          : platform::EncodeUnknownJob());
+  } else {
+    callers_->Respond(request.id, platform::EncodeRefusal(kMethodNotAllowed, "no such call", {}));
+  }
+}
+
+void DirectEntryRuntime::Submit(const http::Request& request, const direct::Route& route,
+                                const std::string& job) {
+  const core::TimePoint now = BootNow();
+  auto decoded = platform::DecodeJob(request, job, route, now);
+  if (const auto* refusal = std::get_if<http::Response>(&decoded)) {
+    callers_->Respond(request.id, *refusal);
+    metrics_.Add("refused", 1);
+    logger_.Info("job refused", {{"job", job},
+                                 {"route", route.name},
+                                 {"status", std::to_string(refusal->status)},
+                                 {"answer", refusal->body}});
+    return;
+  }
+  Submission& submission = submissions_[job];
+  submission.requests.push_back(request.id);
+  submission.route = route.name;
+  submission.submitted = now;
+  jobs_by_request_[request.id] = job;
+  dispatcher_.Submit(std::move(std::get<direct::JobRequest>(decoded)), now);
+}
+
+void DirectEntryRuntime::OnAbandoned(std::uint64_t request) {
+  const auto it = jobs_by_request_.find(request);
+  if (it == jobs_by_request_.end()) return;
+  const std::string job = it->second;
+  jobs_by_request_.erase(it);
+  Submission& submission = submissions_[job];
+  std::erase(submission.requests, request);
+  if (!submission.requests.empty()) return;
+  dispatcher_.Cancel(job, BootNow());
+}
+
+void DirectEntryRuntime::Answer(const std::string& job, const direct::JobOutcome& outcome) {
+  const auto it = submissions_.find(job);
+  if (it == submissions_.end()) return;
+  const http::Response response = platform::EncodeOutcome(outcome);
+  for (const std::uint64_t request : it->second.requests) {
+    callers_->Respond(request, response);
+    jobs_by_request_.erase(request);
+  }
+  metrics_.Add(std::string("jobs_") + KindName(outcome.kind), 1);
+  logger_.Info("job ended", {{"job", job},
+                             {"route", it->second.route},
+                             {"outcome", KindName(outcome.kind)},
+                             {"reason", outcome.reason},
+                             {"status", std::to_string(response.status)},
+                             {"elapsed_ms", std::to_string(ToMs(BootNow() - it->second.submitted))},
+                             {"in_progress", std::to_string(dispatcher_.size())}});
+  submissions_.erase(it);
+}
+
+DirectEntryRuntime::Link* DirectEntryRuntime::FindAgent(const std::string& agent) {
+  const auto it = agents_.find(agent);
+  return it == agents_.end() ? nullptr : &links_.at(it->second);
+}
+
+void DirectEntryRuntime::SendOrder(const std::string& agent, const direct::RunOrder& order) {
+  if (Link* link = FindAgent(agent)) AddOrder(order, BootNow(), link->connection->outbox());
+}
+
+void DirectEntryRuntime::SendStop(const std::string& agent, const direct::RunId& id) {
+  if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_stops());
+}
+
+void DirectEntryRuntime::SendWithdraw(const std::string& agent, const direct::RunId& id) {
+  if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_withdrawals());
+}
+
+void DirectEntryRuntime::SendClaim(const std::string& agent, const direct::RunId& id) {
+  if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_claims());
+}
+
+DirectEntryRuntime::Link& DirectEntryRuntime::AddLink(std::uint64_t id) {
+  Link& link = links_[id];
+  link.last_heard = BootNow();
+  return link;
+}
+
+FrameConnection::Events DirectEntryRuntime::LinkEvents(std::uint64_t id) {
+  return {[this, id] { SendHello(links_.at(id)); },
+          [this, id](const direct_wire::Frame& frame) { OnFrame(id, frame); },
+          [this, id] { OnLinkClosed(id, "closed"); }};
+}
+
+void DirectEntryRuntime::Accept(qintptr descriptor) {
+  const std::uint64_t id = ++last_link_;
+  Link& link = AddLink(id);
+  link.connection = std::make_unique<FrameConnection>(descriptor, LinkEvents(id));
+  SendHello(link);
+}
+
+// Entries call those with a lower address; agents call all.
+void DirectEntryRuntime::DialPeers() {
+  const core::TimePoint now = BootNow();
+  for (const std::string& peer : entries_) {
+    if (peer >= name_ || now < dial_due_[peer]) continue;
+    const bool linked = std::any_of(links_.begin(), links_.end(),
+                                    [&peer](const auto& it) { return it.second.name == peer; });
+    if (linked) continue;
+    dial_due_[peer] = now + kDialInterval;
+    const std::uint64_t id = ++last_link_;
+    Link& link = AddLink(id);
+    link.name = peer;
+    link.dialed = true;
+    link.connection =
+        std::make_unique<FrameConnection>(QString::fromStdString(peer), link_port_, LinkEvents(id));
+  }
+}
+
+void DirectEntryRuntime::SendHello(Link& link) {
+  direct_wire::Hello& hello = *link.connection->outbox().mutable_hello();
+  hello.set_sender(direct_wire::Hello::ENTRY);
+  hello.set_name(name_);
+  hello.set_incarnation(incarnation_);
+  TellEntries(link);
+  if (link.dialed) TellConfiguration(link);
+}
+
+void DirectEntryRuntime::TellEntries(Link& link) {
+  direct_wire::Frame& frame = link.connection->outbox();
+  frame.clear_entries();
+  for (const std::string& it : entries_) frame.add_entries(it);
+}
+
+void DirectEntryRuntime::TellConfiguration(Link& link) {
+  const auto configuration = view_.configuration();
+  if (!configuration) return;
+  direct_wire::Configuration& message = *link.connection->outbox().mutable_configuration();
+  message.set_version(configuration->version);
+  message.set_text(configuration->text);
+  message.clear_evacuated();
+  for (const std::string& it : view_.evacuated()) message.add_evacuated(it);
+  message.set_position(view_.end());
+}
+
+void DirectEntryRuntime::OnFrame(std::uint64_t id, const direct_wire::Frame& frame) {
+  const core::TimePoint now = BootNow();
+  Link& link = links_.at(id);
+  link.last_heard = now;
+  if (frame.stamp_us() != 0) link.connection->outbox().set_echo_us(frame.stamp_us());
+  for (const std::string& it : frame.entries()) LearnEntry(it);
+  if (frame.has_configuration()) {
+    const direct_wire::Configuration& message = frame.configuration();
+    const auto configuration = platform::DecodeConfiguration(message.text());
+    const std::set<std::string> evacuated(message.evacuated().begin(), message.evacuated().end());
+    if (configuration && view_.OnPeerView(*configuration, evacuated, message.position(), now)) {
+      OnViewChanged("entry " + link.name);
+    }
+  }
+  if (frame.has_hello()) OnHello(id, frame.hello());
+  const auto it = links_.find(id);
+  if (it == links_.end() || !it->second.is_agent) return;
+  const std::string agent = it->second.name;
+  if (frame.has_worker()) dispatcher_.OnWorkerState(agent, ReadState(frame.worker()), now);
+  for (const direct_wire::RunReport& report : frame.reports()) {
+    dispatcher_.OnReport(agent, ReadReport(report), now);
+  }
+}
+
+void DirectEntryRuntime::OnHello(std::uint64_t id, const direct_wire::Hello& hello) {
+  Link& link = links_.at(id);
+  link.name = hello.name();
+  if (hello.sender() == direct_wire::Hello::ENTRY) {
+    LearnEntry(hello.name());
+    if (!link.dialed) TellConfiguration(link);
+    return;
+  }
+  if (const auto old = agents_.find(hello.name()); old != agents_.end() && old->second != id) {
+    OnLinkClosed(old->second, "replaced");
+  }
+  link.is_agent = true;
+  agents_[hello.name()] = id;
+  direct::AgentHello decoded;
+  decoded.agent = hello.name();
+  decoded.incarnation = hello.incarnation();
+  decoded.runs_known = hello.runs_known();
+  for (const direct_wire::RunReport& it : hello.runs()) decoded.runs.push_back(ReadReport(it));
+  logger_.Info("agent connected", {{"agent", decoded.agent},
+                                   {"incarnation", std::to_string(decoded.incarnation)},
+                                   {"runs", std::to_string(decoded.runs.size())}});
+  dispatcher_.OnAgentHello(decoded, BootNow());
+}
+
+void DirectEntryRuntime::OnLinkClosed(std::uint64_t id, const std::string& reason) {
+  const auto it = links_.find(id);
+  if (it == links_.end()) return;
+  Link link = std::move(it->second);
+  links_.erase(it);
+  link.connection->Close();
+  const auto agent = agents_.find(link.name);
+  if (link.is_agent && agent != agents_.end() && agent->second == id) {
+    agents_.erase(agent);
+    logger_.Warn("agent lost", {{"agent", link.name},
+                                {"reason", reason},
+                                {"silent_ms", std::to_string(ToMs(BootNow() - link.last_heard))}});
+    dispatcher_.OnAgentLost(link.name, link.last_heard, BootNow());
+  }
+  // The connection may be what reports its end, so it lives on for a tick.
+  closed_.push_back(std::move(link.connection));
+}
+
+void DirectEntryRuntime::LearnEntry(const std::string& name) {
+  if (name.empty() || !entries_.insert(name).second) return;
+  logger_.Info("entry known", {{"entry", name}});
+  for (auto& [id, link] : links_) TellEntries(link);
+}
+
+void DirectEntryRuntime::OnViewChanged(const std::string& source) {
+  const auto configuration = view_.configuration();
+  dispatcher_.SetEvacuated(view_.evacuated());
+  std::string evacuated;
+  for (const std::string& it : view_.evacuated()) evacuated += (evacuated.empty() ? "" : ",") + it;
+  logger_.Info("configuration in force",
+               {{"version", configuration ? std::to_string(configuration->version) : "none"},
+                {"evacuated", evacuated},
+                {"source", source}});
+  for (auto& [id, link] : links_) {
+    if (!link.is_agent && !link.name.empty()) TellConfiguration(link);
+  }
+}
+
+void DirectEntryRuntime::FollowStore() {
+  store_ = std::make_unique<platform::StoreClient>(settings_.log_url);
+  const auto on_invalid = [this](const std::string& what) {
+    logger_.Warn("operator record ignored", {{"record", what}});
+  };
+  TopicFollower::Events events;
+  events.on_snapshot = [this, on_invalid](const platform::StoreClient::Batch& batch) {
+    const auto records = platform::DecodeOperatorRecords(batch.records, on_invalid);
+    if (view_.OnSnapshot(records, batch.end, BootNow())) OnViewChanged("store");
+  };
+  events.on_records = [this, on_invalid](const platform::StoreClient::Batch& batch) {
+    const auto records = platform::DecodeOperatorRecords(batch.records, on_invalid);
+    if (view_.OnRecords(records, batch.end, BootNow())) OnViewChanged("store");
+  };
+  events.on_reachable = [this](bool reachable) {
+    logger_.Warn(reachable ? "store regained" : "store lost", {});
+    if (reachable && !announced_) Announce();
+  };
+  operator_topic_ = std::make_unique<TopicFollower>(*store_, platform::kOperatorTopic, events);
+  operator_topic_->Begin();
+  TopicFollower::Events entry_events;
+  entry_events.on_snapshot = [this](const platform::StoreClient::Batch& batch) {
+    for (const platform::KeyedRecord& it : batch.records) LearnEntry(it.key);
+  };
+  entry_events.on_records = entry_events.on_snapshot;
+  entry_events.on_reachable = [](bool) {};
+  entry_topic_ = std::make_unique<TopicFollower>(*store_, platform::kEntryTopic, entry_events);
+  entry_topic_->Begin();
+}
+
+// Makes this entry known to those that no seed leads to.
+void DirectEntryRuntime::Announce() {
+  announced_ = true;
+  store_->Append(platform::kEntryTopic, name_, "1", [this](bool done) {
+    announced_ = done;
+    if (!done) logger_.Warn("announcement failed", {});
+  });
+}
+
+void DirectEntryRuntime::Tick() {
+  const core::TimePoint now = BootNow();
+  closed_.clear();
+  std::vector<std::uint64_t> silent;
+  for (const auto& [id, link] : links_) {
+    const bool busy = link.is_agent && dispatcher_.HasRunsAt(link.name);
+    const core::Duration limit = busy ? kBusySilence : kIdleSilence;
+    if (now - link.last_heard > limit) silent.push_back(id);
+  }
+  for (const std::uint64_t id : silent) OnLinkClosed(id, "silent");
+  for (auto& [id, link] : links_) {
+    if (link.is_agent || link.name.empty() || now < link.next_stamp) continue;
+    link.next_stamp = now + kIdleInterval;
+    link.connection->outbox().set_stamp_us(
+        static_cast<std::uint64_t>(now.time_since_epoch().count()));
+  }
+  DialPeers();
+  if (!announced_ && operator_topic_->reachable()) Announce();
+  dispatcher_.Advance(now);
+}
+
+void DirectEntryRuntime::BeginStop(std::function<void()> stopped) {
+  if (stopping_) return;
+  stopping_ = true;
+  stopped_ = std::move(stopped);
+  logger_.Info("entry stopping", {{"jobs", std::to_string(dispatcher_.size())}});
+  QTimer::singleShot(kLeaveBalancer, &tick_, [this] {
+    callers_->BeginStop();
+    EndStop();
+  });
+}
+
+void DirectEntryRuntime::EndStop() {
+  constexpr std::chrono::milliseconds kPoll{20};
+  stop_waited_ += kPoll;
+  const bool over = stop_waited_ + kLeaveBalancer + kStopReserve >= settings_.drain_limit;
+  if (callers_->pending() > 0 && !over) {
+    QTimer::singleShot(kPoll, &tick_, [this] { EndStop(); });
+    return;
+  }
+  logger_.Info("entry stopped", {{"unanswered", std::to_string(callers_->pending())}});
+  stopped_();
+}
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/src/direct_messages.cc
@@ -0,0 +1,107 @@
+#include "direct_messages.h"
+
+#include <algorithm>
+
+namespace coltsfoottide::daemon {
+
+namespace {
+
+void WriteResources(const direct::Resources& resources, direct_wire::Resources& message) {
+  message.set_cpu_millicores(resources.cpu_millicores);
+  message.set_memory_mb(resources.memory_mb);
+  message.set_accelerators(resources.accelerators);
+}
+
+direct::Resources ReadResources(const direct_wire::Resources& message) {
+  return {message.cpu_millicores(), message.memory_mb(), message.accelerators()};
+}
+
+}  // namespace
+
+void AddOrder(const direct::RunOrder& order, core::TimePoint now, direct_wire::Frame& frame) {
+  direct_wire::OrderGroup* group = nullptr;
+  for (direct_wire::OrderGroup& it : *frame.mutable_orders()) {
+    if (it.job() == order.id.task.job && it.step() == order.id.task.step) group = &it;
+  }
+  if (group == nullptr) {
+    group = frame.add_orders();
+    group->set_job(order.id.task.job);
+    group->set_step(order.id.task.step);
+    group->set_payload(order.payload);
+    WriteResources(order.need, *group->mutable_need());
+    group->set_estimate_us(static_cast<std::uint32_t>(order.estimate.count()));
+    group->set_objective_in_us((order.objective - now).count());
+    group->set_deadline_in_us((order.deadline - now).count());
+  }
+  direct_wire::OrderGroup::Task* task = group->add_tasks();
+  task->set_index(order.id.task.index);
+  task->set_number(order.id.number);
+}
+
+direct::RunOrder ReadOrder(const direct_wire::OrderGroup& group,
+                           const direct_wire::OrderGroup::Task& task, core::TimePoint now) {
+  direct::RunOrder order;
+  order.id = {{group.job(), group.step(), task.index()}, task.number()};
+  order.payload = group.payload();
+  order.need = ReadResources(group.need());
+  order.estimate = core::Duration(group.estimate_us());
+  order.objective = now + core::Duration(group.objective_in_us());
+  order.deadline = now + core::Duration(group.deadline_in_us());
+  return order;
+}
+
+void WriteRunId(const direct::RunId& id, direct_wire::RunId& message) {
+  message.set_job(id.task.job);
+  message.set_step(id.task.step);
+  message.set_index(id.task.index);
+  message.set_number(id.number);
+}
+
+direct::RunId ReadRunId(const direct_wire::RunId& message) {
+  return {{message.job(), message.step(), message.index()}, message.number()};
+}
+
+void WriteReport(const direct::RunReport& report, direct_wire::RunReport& message) {
+  WriteRunId(report.id, *message.mutable_id());
+  message.set_kind(static_cast<std::uint32_t>(report.kind));
+  message.set_remaining_us(static_cast<std::uint64_t>(report.remaining.count()));
+}
+
+direct::RunReport ReadReport(const direct_wire::RunReport& message) {
+  constexpr auto kLast = static_cast<std::uint32_t>(direct::RunReport::Kind::kNumberUsed);
+  const std::uint32_t kind = std::min(message.kind(), kLast);
+  return {ReadRunId(message.id()), static_cast<direct::RunReport::Kind>(kind),
+          core::Duration(static_cast<std::int64_t>(message.remaining_us()))};
+}
+
+void WriteState(const direct::WorkerState& state, direct_wire::WorkerState& message) {
+  message.set_ready(state.ready);
+  message.set_draining(state.draining);
+  message.set_service(state.service);
+  message.set_data_centre(state.data_centre);
+  message.set_rack(state.rack);
+  for (const std::string& it : state.labels) message.add_labels(it);
+  WriteResources(state.total, *message.mutable_total());
+  WriteResources(state.free, *message.mutable_free());
+  message.set_queued_work(state.queued_work);
+  message.set_slowness(static_cast<float>(state.slowness));
+  message.set_failure_ratio(static_cast<float>(state.failure_ratio));
+}
+
+direct::WorkerState ReadState(const direct_wire::WorkerState& message) {
+  direct::WorkerState state;
+  state.ready = message.ready();
+  state.draining = message.draining();
+  state.service = message.service();
+  state.data_centre = message.data_centre();
+  state.rack = message.rack();
+  state.labels.assign(message.labels().begin(), message.labels().end());
+  state.total = ReadResources(message.total());
+  state.free = ReadResources(message.free());
+  state.queued_work = message.queued_work();
+  state.slowness = message.slowness();
+  state.failure_ratio = message.failure_ratio();
+  return state;
+}
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/src/direct_messages.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/run_order.h"
+#include "coltsfoottide/direct/run_report.h"
+#include "coltsfoottide/direct/worker_state.h"
+#include "coltsfoottide/schema/direct.pb.h"
+
+namespace coltsfoottide::daemon {
+
+// Adds the order to a group of the same step, or begins one. Times travel as
+// distances from `now`, since machines do not share a clock.
+void AddOrder(const direct::RunOrder& order, core::TimePoint now, direct_wire::Frame& frame);
+direct::RunOrder ReadOrder(const direct_wire::OrderGroup& group,
+                           const direct_wire::OrderGroup::Task& task, core::TimePoint now);
+
+void WriteRunId(const direct::RunId& id, direct_wire::RunId& message);
+direct::RunId ReadRunId(const direct_wire::RunId& message);
+
+void WriteReport(const direct::RunReport& report, direct_wire::RunReport& message);
+direct::RunReport ReadReport(const direct_wire::RunReport& message);
+
+void WriteState(const direct::WorkerState& state, direct_wire::WorkerState& message);
+direct::WorkerState ReadState(const direct_wire::WorkerState& message);
+
+}  // namespace coltsfoottide::daemon
--- /dev/null
+++ b/packages/daemon/src/frame_connection.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <QObject>
+#include <QTcpSocket>
+#include <functional>
+#include <memory>
+
+#include "coltsfoottide/schema/direct.pb.h"
+
+namespace coltsfoottide::daemon {
+
+// A TCP connection that carries length-prefixed frames between an entry and
+// an agent, or between two entries. What is added to the outbox in one turn of
+// the event loop leaves as one frame.
+class FrameConnection : public QObject {
+ public:
+  struct Events {
+    std::function<void()> on_open;
+    std::function<void(const direct_wire::Frame&)> on_frame;
+    // Called once, also when the connection could not be opened. Not called
+    // by Close().
+    std::function<void()> on_closed;
+  };
+
+  // Takes over an accepted socket.
+  FrameConnection(qintptr descriptor, Events events);
+  // Connects to a listener.
+  FrameConnection(const QString& host, std::uint16_t port, Events events);
+  ~FrameConnection() override;
+
+  // The frame that leaves at the end of this turn of the event loop.
+  direct_wire::Frame& outbox();
+  // Sends the outbox now.
+  void Flush();
+  // Closes at once, without a callback.
+  void Close();
+  bool open() const { return socket_.state() == QAbstractSocket::ConnectedState; }
+
+ private:
+  void Connect();
+  void OnReadable();
+  void End();
+
+  Events events_;
+  QTcpSocket socket_;
+  QByteArray buf_;
+  direct_wire::Frame outbox_;
+  bool flush_scheduled_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace coltsfoottide::daemon
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -18,6 +18,8 @@
 constexpr std::uint32_t kMaxSlots = 1024;
 constexpr std::uint32_t kMaxConnections = 4096;
 constexpr std::uint32_t kMaxDrainMs = 600'000;
+constexpr std::uint32_t kMaxLeaseMs = 60'000;
+constexpr double kMaxFarFactor = 100.0;
 constexpr std::size_t kMaxNameBytes = 64;
 
 // Reads one of the given words; the key may be absent.
@@ -61,10 +63,24 @@
   if (!valid) reader.Fail("entries", "must be an array of \"IP number:port\"");
 }
 
+Role ToRole(const std::string& word) {
+  if (word == "agent") return Role::kAgent;
+  if (word == "direct-entry") return Role::kDirectEntry;
+  if (word == "direct-agent") return Role::kDirectAgent;
+  return Role::kEntry;
+}
+
+void ReadMilliseconds(SettingsReader& reader, const std::string& key, std::uint32_t max,
+                      std::chrono::milliseconds& value) {
+  auto ms = static_cast<std::uint32_t>(value.count());
+  reader.Read(key, ms, 0, max);
+  value = std::chrono::milliseconds(ms);
+}
+
 void ReadCommon(SettingsReader& reader, Settings& settings) {
   std::string role;
-  ReadChoice(reader, "role", {"entry", "agent"}, role);
-  settings.role = role == "agent" ? Role::kAgent : Role::kEntry;
+  ReadChoice(reader, "role", {"entry", "agent", "direct-entry", "direct-agent"}, role);
+  settings.role = ToRole(role);
   ReadAddress(reader, "listen", settings.listen);
   ReadAddress(reader, "advertise", settings.advertise);
   ReadAddress(reader, "http_listen", settings.http_listen);
@@ -84,15 +100,19 @@
   reader.Read("memory_mb", settings.memory_mb, 0);
   reader.Read("accelerators", settings.accelerators, 0);
   ReadChoice(reader, "placement", {"hybrid", "random"}, settings.placement);
-  auto drain_ms = static_cast<std::uint32_t>(settings.drain_limit.count());
-  reader.Read("drain_limit_ms", drain_ms, 0, kMaxDrainMs);
-  settings.drain_limit = std::chrono::milliseconds(drain_ms);
+  ReadMilliseconds(reader, "drain_limit_ms", kMaxDrainMs, settings.drain_limit);
+  ReadAddress(reader, "ready_listen", settings.ready_listen);
+  ReadMilliseconds(reader, "lease_ms", kMaxLeaseMs, settings.lease);
+  ReadMilliseconds(reader, "stop_ms", kMaxLeaseMs, settings.stop_time);
+  reader.Read("far_factor", settings.far_factor, 1.0, kMaxFarFactor);
 }
 
 void RequireKeys(SettingsReader& reader, Role role) {
   std::vector<std::string> keys = {"role", "listen", "http_listen", "data_centre", "entries"};
   if (role == Role::kEntry) keys.insert(keys.end(), {"log_url"});
   if (role == Role::kAgent) keys.insert(keys.end(), {"rack", "backend_url", "service"});
+  if (role == Role::kDirectEntry) keys.insert(keys.end(), {"log_url", "ready_listen", "lease_ms"});
+  if (role == Role::kDirectAgent) keys.insert(keys.end(), {"log_url", "backend_url", "lease_ms"});
   for (const std::string& it : keys) {
     if (!reader.Has(it)) return reader.Fail(it, "missing");
   }
--- a/packages/daemon/src/settings_reader.cc
+++ b/packages/daemon/src/settings_reader.cc
@@ -86,6 +86,18 @@
   value = static_cast<std::uint32_t>(*n);
 }
 
+void SettingsReader::Read(const std::string& key, double& value, double min, double max) {
+  const toml::node* node = Find(key);
+  if (FindOverride(key) != nullptr) return Fail(key, "cannot be given as a flag");
+  if (node == nullptr) return;
+  const auto number = node->value<double>();
+  if (!number) return Fail(key, "must be a number");
+  if (!(*number >= min && *number <= max)) {
+    return Fail(key, "must be between " + std::to_string(min) + " and " + std::to_string(max));
+  }
+  value = *number;
+}
+
 void SettingsReader::RefuseUnknown() {
   for (const Override& it : overrides_) {
     if (!known_.contains(it.key)) return Fail(it.key, "unknown key");
--- a/packages/daemon/src/settings_reader.h
+++ b/packages/daemon/src/settings_reader.h
@@ -27,6 +27,8 @@
   void Read(const std::string& key, std::vector<std::string>& value);
   void Read(const std::string& key, std::uint32_t& value, std::uint32_t min,
             std::uint32_t max = std::numeric_limits<std::uint32_t>::max());
+  // A whole number is taken too.
+  void Read(const std::string& key, double& value, double min, double max);
 
   // Reports keys that were never asked for.
   void RefuseUnknown();
--- /dev/null
+++ b/packages/direct/include/coltsfoottide/direct/job_outcome.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+
+#include "coltsfoottide/core/time.h"
+
+namespace coltsfoottide::direct {
+
+// The final answer to a job.
+struct JobOutcome {
+  enum class Kind {
+    kCompleted,
+    // A task has failed max_attempts times.
+    kFailed,
+    // Given up; no task of the job has started or will start.
+    kNotRun,
+    // Given up; tasks may have run, all are stopped.
+    kMayHaveRun,
+    kCancelled,
+  };
+
+  Kind kind = Kind::kCompleted;
+  // For logs, one or two words.
+  std::string reason;
+  // kNotRun: when the job could be served.
+  core::Duration retry_after{};
+};
+
+}  // namespace coltsfoottide::direct
--- /dev/null
+++ b/packages/direct/include/coltsfoottide/direct/job_request.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/step_request.h"
+
+namespace coltsfoottide::direct {
+
+// A job whose result goes to the caller that waits on its connection. It is
+// not stored; it ends with that connection.
+struct JobRequest {
+  // Chosen by the caller; the same id is the same job.
+  std::string id;
+  // Name of the route, for logs.
+  std::string route;
+  std::string service;
+  // Passed to each task.
+  std::string payload;
+  std::vector<StepRequest> steps;
+  // 0 is the most urgent.
+  std::uint32_t priority = 0;
+  // A task that has failed so often fails the job.
+  std::uint32_t max_attempts = 1;
+  // An answer by then is in time.
+  core::TimePoint objective;
+  // The caller has left by then.
+  core::TimePoint deadline;
+};
+
+}  // namespace coltsfoottide::direct
--- /dev/null
+++ b/packages/direct/include/coltsfoottide/direct/resources.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+
+namespace coltsfoottide::direct {
+
+// What a task occupies, or what a backend server has.
+struct Resources {
+  std::uint64_t cpu_millicores = 0;
+  std::uint64_t memory_mb = 0;
+  std::uint64_t accelerators = 0;
+
+  bool Fits(const Resources& need) const {
+    return need.cpu_millicores <= cpu_millicores && need.memory_mb <= memory_mb &&
+           need.accelerators <= accelerators;
+  }
+  // Keeps each part at zero where less is there than is taken.
+  void Take(const Resources& need) {
+    cpu_millicores -= need.cpu_millicores < cpu_millicores ? need.cpu_millicores : cpu_millicores;
+    memory_mb -= need.memory_mb < memory_mb ? need.memory_mb : memory_mb;
+    accelerators -= need.accelerators < accelerators ? need.accelerators : accelerators;
+  }
+  void Return(const Resources& freed) {
+    cpu_millicores += freed.cpu_millicores;
+    memory_mb += freed.memory_mb;
+    accelerators += freed.accelerators;
+  }
+};
+
+}  // namespace coltsfoottide::direct
--- /dev/null
+++ b/packages/direct/include/coltsfoottide/direct/run_id.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include "coltsfoottide/direct/task_id.h"
+
+namespace coltsfoottide::direct {
+
+// One attempt at a task. Numbers of the same task begin at 1 and rise.
+struct RunId {
+  TaskId task;
+  std::uint32_t number = 0;
+
+  auto operator<=>(const RunId&) const = default;
+};
+
+}  // namespace coltsfoottide::direct
--- /dev/null
+++ b/packages/direct/include/coltsfoottide/direct/run_order.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/resources.h"
+#include "coltsfoottide/direct/run_id.h"
+
+namespace coltsfoottide::direct {
+
+// An entry's order to an agent to run one task.
+struct RunOrder {
+  RunId id;
+  std::string payload;
+  Resources need;
+  core::Duration estimate{};
+  // The run should end by then to be in time.
+  core::TimePoint objective;
+  // The run is of no use after that.
+  core::TimePoint deadline;
+};
+
+}  // namespace coltsfoottide::direct
--- /dev/null
+++ b/packages/direct/include/coltsfoottide/direct/run_queue.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/resources.h"
+#include "coltsfoottide/direct/run_order.h"
+
+namespace coltsfoottide::direct {
+
+// Runs that wait for room at an agent. In a burst those that can still end in
+// time go first, by their latest start; those that are late already fill what
+// room is left, so that one overload does not make every later run late too.
+class RunQueue {
+ public:
+  struct Item {
+    RunOrder order;
+    std::string owner;
+    // Runs behind it that were started before it.
+    std::uint32_t passed = 0;
+  };
+
+  void Add(RunOrder order, std::string owner);
+
+  // Removes and returns the run to start next in the free room.
+  std::optional<Item> TakeNext(const Resources& free, core::TimePoint now);
+
+  // Removes the run; returns whether it was there.
+  bool Remove(const RunId& id);
+
+  // Removes and returns runs that can no longer end by their deadline.
+  std::vector<Item> TakeExpired(core::TimePoint now);
+  // Removes and returns the runs of an owner.
+  std::vector<Item> TakeOwnedBy(const std::string& owner);
+  std::vector<Item> TakeAll();
+
+  // Waiting work in millicores times milliseconds.
+  std::uint64_t Work() const;
+  bool Contains(const RunId& id) const;
+  bool empty() const { return items_.empty(); }
+  std::size_t size() const { return items_.size(); }
+  const std::list<Item>& items() const { return items_; }
+
+ private:
+  template <typename Predicate>
+  std::vector<Item> TakeIf(Predicate predicate);
+
+  std::list<Item> items_;
+};
+
+}  // namespace coltsfoottide::direct
--- /dev/null
+++ b/packages/direct/include/coltsfoottide/direct/worker_fleet.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/placement_choice.h"
+#include "coltsfoottide/direct/worker_view.h"
+
+namespace coltsfoottide::direct {
+
+// The backend servers that an entry knows, by agent, and the choice among
+// them.
+class WorkerFleet {
+ public:
+  // `data_centre` is the entry's own; `far_factor` is how many times as long
+  // a task takes away from its data.
+  WorkerFleet(std::string data_centre, double far_factor);
+
+  WorkerView& Get(const std::string& agent) { return workers_[agent]; }
+  const WorkerView* Find(const std::string& agent) const;
+  void Forget(const std::string& agent) { workers_.erase(agent); }
+  void SetEvacuated(std::set<std::string> data_centres) { evacuated_ = std::move(data_centres); }
+
+  // Returns the backend server with the earliest expected end for one task of
+  // the step, nothing where none may take it. Those that `excluded` names are
+  // used only when there is no other.
+  std::optional<PlacementChoice> Choose(const std::string& service, const StepRequest& step,
+                                        const std::set<std::string>& excluded,
+                                        const std::function<bool(const std::string&)>& full) const;
+
+  // Cores, in millicores, of all that may take work of the service.
+  std::uint64_t Capacity(const std::string& service) const;
+
+  std::size_t size() const { return workers_.size(); }
+
+ private:
+  std::optional<PlacementChoice> ChooseAmong(
+      const std::string& service, const StepRequest& step, const std::set<std::string>& excluded,
+      const std::function<bool(const std::string&)>& full) const;
+
+  std::string data_centre_;
+  double far_factor_;
+  std::map<std::string, WorkerView> workers_;
+  std::set<std::string> evacuated_;
+};
+
+}  // namespace coltsfoottide::direct
--- /dev/null
+++ b/packages/direct/src/job.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/job_outcome.h"
+#include "coltsfoottide/direct/job_request.h"
+#include "task.h"
+
+namespace coltsfoottide::direct {
+
+// A job in progress at an entry.
+struct Job {
+  JobRequest request;
+  // By step and index.
+  std::vector<std::vector<Task>> steps;
+  core::TimePoint submitted;
+  // A task has started, or it is not certain that none has.
+  bool may_have_run = false;
+  // Being given up: answered as not run once all orders are withdrawn.
+  bool withdrawing = false;
+  std::string give_up_reason;
+  // The answer has been given; runs are being stopped.
+  bool finished = false;
+  // The same job, submitted again while the runs of this one are stopped.
+  std::optional<JobRequest> again;
+};
+
+}  // namespace coltsfoottide::direct
--- /dev/null
+++ b/packages/direct/src/job_dispatcher.cc
@@ -0,0 +1,482 @@
+#include "coltsfoottide/direct/job_dispatcher.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "coltsfoottide/direct/entry_sink.h"
+#include "job.h"
+
+namespace coltsfoottide::direct {
+
+namespace {
+
+// A duplicate of an answered submission may arrive some seconds later.
+constexpr core::Duration kRememberAnswers = std::chrono::seconds(10);
+
+// Longest chain of estimates through the steps.
+core::Duration CriticalPath(const std::vector<StepRequest>& steps) {
+  std::vector<core::Duration> ends(steps.size());
+  core::Duration longest{};
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    core::Duration begin{};
+    for (const std::uint32_t before : steps[i].after) begin = std::max(begin, ends[before]);
+    ends[i] = begin + steps[i].estimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+bool HasRuns(const Job& job) {
+  return std::any_of(job.steps.begin(), job.steps.end(), [](const std::vector<Task>& tasks) {
+    return std::any_of(tasks.begin(), tasks.end(), [](const Task& it) { return it.HasRun(); });
+  });
+}
+
+std::unique_ptr<Job> MakeJob(JobRequest request, core::TimePoint now) {
+  auto job = std::make_unique<Job>();
+  job->submitted = now;
+  for (const StepRequest& step : request.steps) job->steps.emplace_back(step.count);
+  job->request = std::move(request);
+  return job;
+}
+
+}  // namespace
+
+JobDispatcher::JobDispatcher(const Tuning& tuning, std::string data_centre, double far_factor,
+                             EntrySink& sink)
+    : tuning_(tuning), sink_(sink), fleet_(std::move(data_centre), far_factor) {}
+
+JobDispatcher::~JobDispatcher() = default;
+
+void JobDispatcher::Submit(JobRequest request, core::TimePoint now) {
+  while (!ended_.empty() && now - ended_.front().time > kRememberAnswers) ended_.pop_front();
+  for (const Ended& it : ended_) {
+    if (it.job == request.id) return sink_.Answer(it.job, it.outcome);
+  }
+  const std::string id = request.id;
+  if (const auto it = jobs_.find(id); it != jobs_.end()) {
+    if (it->second->finished) it->second->again = std::move(request);
+    return;
+  }
+  Job& job = *jobs_.emplace(id, MakeJob(std::move(request), now)).first->second;
+  UnlockSteps(job);
+  if (Admit(job, now)) PlaceReady(job, now);
+  RemoveIfOver(id, now);
+}
+
+// Refuses at once what the backlog already makes too late.
+bool JobDispatcher::Admit(Job& job, core::TimePoint now) {
+  const StepRequest& first = job.request.steps.front();
+  const auto choice =
+      fleet_.Choose(job.request.service, first, {}, [](const std::string&) { return false; });
+  // Without a backend server it waits for one to come back.
+  if (!choice) return true;
+  const core::Duration path = CriticalPath(job.request.steps);
+  const core::Duration slower = std::max(choice->run_time - first.estimate, core::Duration::zero());
+  if (now + choice->start_delay + path + slower <= job.request.deadline) return true;
+  GiveUp(job, "backlog", now);
+  return false;
+}
+
+void JobDispatcher::UnlockSteps(Job& job) {
+  for (std::size_t i = 0; i < job.steps.size(); ++i) {
+    const std::vector<std::uint32_t>& after = job.request.steps[i].after;
+    const bool open = std::all_of(after.begin(), after.end(), [&job](std::uint32_t before) {
+      return std::all_of(job.steps[before].begin(), job.steps[before].end(),
+                         [](const Task& it) { return it.state == Task::State::kDone; });
+    });
+    if (!open) continue;
+    for (Task& it : job.steps[i]) {
+      if (it.state == Task::State::kBlocked) it.state = Task::State::kReady;
+    }
+  }
+}
+
+void JobDispatcher::PlaceReady(Job& job, core::TimePoint now) {
+  if (job.finished || job.withdrawing) return;
+  for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
+      if (job.steps[step][index].state != Task::State::kReady) continue;
+      if (!Place(job, step, index, now)) return;
+    }
+  }
+}
+
+// Returns whether the next ready task can be tried.
+bool JobDispatcher::Place(Job& job, std::uint32_t step, std::uint32_t index, core::TimePoint now) {
+  // Estimates are off by up to this part; a job that has begun is not given
+  // up while it may still end in time.
+  constexpr int kCertainPercent = 60;
+  const StepRequest& request = job.request.steps[step];
+  Task& task = job.steps[step][index];
+  const auto full = [&job, step, &request](const std::string& agent) {
+    if (request.max_per_worker == 0) return false;
+    const auto here =
+        std::count_if(job.steps[step].begin(), job.steps[step].end(),
+                      [&agent](const Task& it) { return it.HasRun() && it.agent == agent; });
+    return static_cast<std::uint32_t>(here) >= request.max_per_worker;
+  };
+  const auto choice = fleet_.Choose(job.request.service, request, task.avoided, full);
+  const core::Duration least = request.estimate * kCertainPercent / 100;
+  const core::Duration delay = choice ? choice->start_delay : core::Duration::zero();
+  if (now + delay + least > job.request.deadline) {
+    GiveUp(job, choice ? "too late" : "no backend server", now);
+    return false;
+  }
+  if (!choice) return false;
+  task.agent = choice->agent;
+  task.agent_incarnation = incarnations_[choice->agent];
+  task.state = Task::State::kOrdered;
+  task.ordered_at = now;
+  ++task.run_number;
+  ++runs_at_[choice->agent];
+  fleet_.Get(choice->agent).OnOrder(request.each, request.estimate, now);
+  sink_.SendOrder(
+      choice->agent,
+      RunOrder{RunId{TaskId{job.request.id, step, index}, task.run_number}, job.request.payload,
+               request.each, request.estimate, job.request.objective, job.request.deadline});
+  return true;
+}
+
+void JobDispatcher::Cancel(const std::string& id, core::TimePoint now) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  it->second->again.reset();
+  if (!it->second->finished) {
+    Finish(*it->second, JobOutcome{JobOutcome::Kind::kCancelled, "cancelled", {}}, now);
+  }
+  RemoveIfOver(id, now);
+}
+
+bool JobDispatcher::InProgress(const std::string& job) const {
+  const auto it = jobs_.find(job);
+  return it != jobs_.end() && (!it->second->finished || it->second->again);
+}
+
+void JobDispatcher::OnWorkerState(const std::string& agent, const WorkerState& state,
+                                  core::TimePoint now) {
+  WorkerView& view = fleet_.Get(agent);
+  view.set_connected(true);
+  view.OnReport(state, now);
+}
+
+Task* JobDispatcher::FindRun(const std::string& agent, const RunId& id, Job** job) {
+  const auto it = jobs_.find(id.task.job);
+  if (it == jobs_.end() || id.task.step >= it->second->steps.size()) return nullptr;
+  std::vector<Task>& tasks = it->second->steps[id.task.step];
+  if (id.task.index >= tasks.size()) return nullptr;
+  Task& task = tasks[id.task.index];
+  if (!task.HasRun() || task.agent != agent || task.run_number != id.number) return nullptr;
+  *job = it->second.get();
+  return &task;
+}
+
+void JobDispatcher::OnReport(const std::string& agent, const RunReport& report,
+                             core::TimePoint now) {
+  // Further numbers of a task whose earlier runs another entry has ordered.
+  constexpr std::uint32_t kNumberStep = 64;
+  Job* job = nullptr;
+  Task* task = FindRun(agent, report.id, &job);
+  if (task == nullptr) return;
+  switch (report.kind) {
+    case RunReport::Kind::kQueued:
+      if (task->state == Task::State::kOutOfReach) task->state = Task::State::kOrdered;
+      break;
+    case RunReport::Kind::kStarted:
+      job->may_have_run = true;
+      job->withdrawing = false;
+      if (task->state != Task::State::kStopping || task->may_continue) {
+        task->state = Task::State::kStarted;
+      }
+      if (job->finished) break;
+      MoveIfSlow(*job, report.id.task.step, *task, report.id, report.remaining, now);
+      break;
+    case RunReport::Kind::kDone:
+      OnDone(*job, *task, now);
+      break;
+    case RunReport::Kind::kFailed:
+      OnFailed(*job, *task, now);
+      break;
+    case RunReport::Kind::kLost:
+      OnRunOver(*job, *task, true, now);
+      break;
+    case RunReport::Kind::kNotRun:
+      task->avoided.insert(agent);
+      OnRunOver(*job, *task, false, now);
+      break;
+    case RunReport::Kind::kNumberUsed:
+      task->run_number += kNumberStep;
+      OnRunOver(*job, *task, false, now);
+      break;
+  }
+  RemoveIfOver(report.id.task.job, now);
+}
+
+void JobDispatcher::OnRunOver(Job& job, Task& task, bool may_have_run, core::TimePoint now) {
+  --runs_at_[task.agent];
+  task.state = Task::State::kReady;
+  job.may_have_run = job.may_have_run || may_have_run;
+  if (job.finished) return;
+  if (job.withdrawing && !HasRuns(job)) return GiveUp(job, job.give_up_reason, now);
+  PlaceReady(job, now);
+}
+
+void JobDispatcher::OnDone(Job& job, Task& task, core::TimePoint now) {
+  --runs_at_[task.agent];
+  task.state = Task::State::kDone;
+  job.may_have_run = true;
+  job.withdrawing = false;
+  if (job.finished) return;
+  UnlockSteps(job);
+  const bool complete =
+      std::all_of(job.steps.begin(), job.steps.end(), [](const std::vector<Task>& tasks) {
+        return std::all_of(tasks.begin(), tasks.end(),
+                           [](const Task& it) { return it.state == Task::State::kDone; });
+      });
+  if (complete) return Finish(job, JobOutcome{JobOutcome::Kind::kCompleted, "completed", {}}, now);
+  PlaceReady(job, now);
+}
+
+void JobDispatcher::OnFailed(Job& job, Task& task, core::TimePoint now) {
+  ++task.failures;
+  task.avoided.insert(task.agent);
+  if (!job.finished && task.failures >= job.request.max_attempts) {
+    --runs_at_[task.agent];
+    task.state = Task::State::kReady;
+    job.may_have_run = true;
+    return Finish(job, JobOutcome{JobOutcome::Kind::kFailed, "attempts used", {}}, now);
+  }
+  job.withdrawing = false;
+  OnRunOver(job, task, true, now);
+}
+
+void JobDispatcher::MoveIfSlow(Job& job, std::uint32_t step, Task& task, const RunId& id,
+                               core::Duration remaining, core::TimePoint now) {
+  // Stopping takes 50 ms at most, and the order two passes on the network.
+  constexpr core::Duration kMoveTime = std::chrono::milliseconds(65);
+  // A run of an estimate that is too low is not moved for that alone.
+  constexpr int kGainPercent = 140;
+  constexpr std::uint32_t kMostMoves = 2;
+  if (remaining <= core::Duration::zero() || task.state != Task::State::kStarted) return;
+  if (task.moves >= kMostMoves) return;
+  const StepRequest& request = job.request.steps[step];
+  const auto choice = fleet_.Choose(job.request.service, request, {task.agent},
+                                    [](const std::string&) { return false; });
+  if (!choice || choice->agent == task.agent) return;
+  const core::Duration elsewhere = kMoveTime + choice->start_delay + choice->run_time;
+  if (remaining * 100 < elsewhere * kGainPercent) return;
+  if (now + elsewhere > job.request.deadline) return;
+  ++task.moves;
+  task.avoided.insert(task.agent);
+  task.state = Task::State::kStopping;
+  task.may_continue = false;
+  sink_.SendStop(task.agent, id);
+}
+
+void JobDispatcher::OnAgentHello(const AgentHello& hello, core::TimePoint now) {
+  std::uint64_t& known = incarnations_[hello.agent];
+  const bool same_process = known == hello.incarnation;
+  known = hello.incarnation;
+  std::set<RunId> listed;
+  for (const RunReport& it : hello.runs) {
+    listed.insert(it.id);
+    Job* job = nullptr;
+    const Task* task = FindRun(hello.agent, it.id, &job);
+    const bool alive = it.kind == RunReport::Kind::kStarted || it.kind == RunReport::Kind::kQueued;
+    if (alive && task != nullptr) sink_.SendClaim(hello.agent, it.id);
+    OnReport(hello.agent, it, now);
+    // A run that was to end while the agent was out of reach.
+    if (alive && FindRun(hello.agent, it.id, &job) != nullptr && job->finished) {
+      sink_.SendStop(hello.agent, it.id);
+    }
+  }
+  if (!same_process && !hello.runs_known) return;
+  std::vector<std::string> ids;
+  for (auto& [id, job] : jobs_) {
+    for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
+      for (std::uint32_t index = 0; index < job->steps[step].size(); ++index) {
+        Task& task = job->steps[step][index];
+        if (!task.HasRun() || task.agent != hello.agent) continue;
+        if (listed.contains(RunId{TaskId{id, step, index}, task.run_number})) continue;
+        OnRunOver(*job, task, true, now);
+      }
+    }
+    ids.push_back(id);
+  }
+  for (const std::string& id : ids) RemoveIfOver(id, now);
+}
+
+void JobDispatcher::OnAgentLost(const std::string& agent, core::TimePoint last_heard,
+                                core::TimePoint /*now*/) {
+  fleet_.Get(agent).set_connected(false);
+  for (auto& [id, job] : jobs_) {
+    for (std::vector<Task>& tasks : job->steps) {
+      for (Task& it : tasks) {
+        if (!it.HasRun() || it.agent != agent || it.state == Task::State::kOutOfReach) continue;
+        job->may_have_run = true;
+        job->withdrawing = false;
+        it.state = Task::State::kOutOfReach;
+        it.over_at = last_heard + tuning_.silent_agent_bound;
+      }
+    }
+  }
+}
+
+void JobDispatcher::SetEvacuated(const std::set<std::string>& data_centres) {
+  fleet_.SetEvacuated(data_centres);
+}
+
+void JobDispatcher::Advance(core::TimePoint now) {
+  // Bounds the messages of one call; the next one follows within tens of
+  // milliseconds.
+  constexpr int kWithdrawalsPerCall = 8;
+  withdrawals_left_ = kWithdrawalsPerCall;
+  std::vector<std::string> ids;
+  ids.reserve(jobs_.size());
+  for (const auto& [id, job] : jobs_) ids.push_back(id);
+  for (const std::string& id : ids) {
+    AdvanceJob(*jobs_.at(id), now);
+    RemoveIfOver(id, now);
+  }
+}
+
+void JobDispatcher::AdvanceJob(Job& job, core::TimePoint now) {
+  for (std::vector<Task>& tasks : job.steps) {
+    for (Task& it : tasks) {
+      if (it.state == Task::State::kOutOfReach && now >= it.over_at) {
+        it.avoided.insert(it.agent);
+        OnRunOver(job, it, true, now);
+      }
+    }
+  }
+  if (job.finished) return;
+  if (now >= job.request.deadline) {
+    const bool not_run = !job.may_have_run && !HasRuns(job);
+    const auto kind = not_run ? JobOutcome::Kind::kNotRun : JobOutcome::Kind::kMayHaveRun;
+    return Finish(job, JobOutcome{kind, "deadline", ReturnTime(job, {}, now)}, now);
+  }
+  PlaceReady(job, now);
+  if (!job.finished && !job.withdrawing) MoveWaiting(job, now);
+}
+
+// Takes runs out of a backend server's queue while another one is free.
+void JobDispatcher::MoveWaiting(Job& job, core::TimePoint now) {
+  // An order that finds room is reported as started well before.
+  constexpr core::Duration kPatience = std::chrono::milliseconds(40);
+  constexpr std::uint32_t kMostMoves = 4;
+  for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
+      Task& task = job.steps[step][index];
+      if (task.state != Task::State::kOrdered || now - task.ordered_at < kPatience) continue;
+      if (withdrawals_left_ == 0 || task.moves >= kMostMoves) continue;
+      const StepRequest& request = job.request.steps[step];
+      const auto choice = fleet_.Choose(job.request.service, request, {task.agent},
+                                        [](const std::string&) { return false; });
+      if (!choice || choice->agent == task.agent) continue;
+      if (choice->start_delay > core::Duration::zero()) continue;
+      --withdrawals_left_;
+      ++task.moves;
+      task.state = Task::State::kStopping;
+      task.may_continue = true;
+      sink_.SendWithdraw(task.agent, RunId{TaskId{job.request.id, step, index}, task.run_number});
+      // The room there is spoken for.
+      fleet_.Get(choice->agent).OnOrder(request.each, request.estimate, now);
+    }
+  }
+}
+
+bool JobDispatcher::HasRunsAt(const std::string& agent) const {
+  const auto it = runs_at_.find(agent);
+  return it != runs_at_.end() && it->second > 0;
+}
+
+std::size_t JobDispatcher::CountWaiting(const std::string& route) const {
+  return static_cast<std::size_t>(
+      std::count_if(jobs_.begin(), jobs_.end(), [&route](const auto& it) {
+        return it.second->request.route == route && !it.second->may_have_run;
+      }));
+}
+
+void JobDispatcher::StopRuns(Job& job) {
+  for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
+      Task& task = job.steps[step][index];
+      if (!task.HasRun() || task.state == Task::State::kOutOfReach) continue;
+      if (task.state == Task::State::kStopping && !task.may_continue) continue;
+      task.state = Task::State::kStopping;
+      task.may_continue = false;
+      sink_.SendStop(task.agent, RunId{TaskId{job.request.id, step, index}, task.run_number});
+    }
+  }
+}
+
+void JobDispatcher::Finish(Job& job, JobOutcome outcome, core::TimePoint now) {
+  job.finished = true;
+  job.withdrawing = false;
+  StopRuns(job);
+  Remember(job.request.id, outcome, now);
+  sink_.Answer(job.request.id, outcome);
+}
+
+// A job of which nothing can have started is refused as not run once its
+// orders are withdrawn; any other ends as one that may have run.
+void JobDispatcher::GiveUp(Job& job, const std::string& reason, core::TimePoint now) {
+  if (job.finished) return;
+  job.give_up_reason = reason;
+  if (job.may_have_run) {
+    return Finish(job, JobOutcome{JobOutcome::Kind::kMayHaveRun, reason, {}}, now);
+  }
+  if (!HasRuns(job)) {
+    const auto retry_after = ReturnTime(job, {}, now);
+    return Finish(job, JobOutcome{JobOutcome::Kind::kNotRun, reason, retry_after}, now);
+  }
+  job.withdrawing = true;
+  for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
+      Task& task = job.steps[step][index];
+      if (task.state != Task::State::kOrdered) continue;
+      task.state = Task::State::kStopping;
+      task.may_continue = true;
+      sink_.SendWithdraw(task.agent, RunId{TaskId{job.request.id, step, index}, task.run_number});
+    }
+  }
+}
+
+core::Duration JobDispatcher::ReturnTime(const Job& job, core::Duration clears_in,
+                                         core::TimePoint now) {
+  std::uint64_t work = 0;
+  for (const StepRequest& it : job.request.steps) {
+    const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(it.estimate);
+    work += it.count * it.each.cpu_millicores * static_cast<std::uint64_t>(length.count());
+  }
+  return returns_.Book(work, fleet_.Capacity(job.request.service), clears_in, now);
+}
+
+void JobDispatcher::RemoveIfOver(const std::string& id, core::TimePoint now) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || !it->second->finished || HasRuns(*it->second)) return;
+  const std::unique_ptr<Job> job = std::move(it->second);
+  jobs_.erase(it);
+  if (!job->again) return;
+  Job& next = *jobs_.emplace(id, MakeJob(std::move(*job->again), now)).first->second;
+  // Numbers of a task's runs rise also across submissions.
+  for (std::size_t step = 0; step < std::min(next.steps.size(), job->steps.size()); ++step) {
+    const std::size_t n = std::min(next.steps[step].size(), job->steps[step].size());
+    for (std::size_t index = 0; index < n; ++index) {
+      next.steps[step][index].run_number = job->steps[step][index].run_number;
+    }
+  }
+  UnlockSteps(next);
+  if (Admit(next, now)) PlaceReady(next, now);
+  RemoveIfOver(id, now);
+}
+
+void JobDispatcher::Remember(const std::string& job, const JobOutcome& outcome,
+                             core::TimePoint now) {
+  const bool final =
+      outcome.kind == JobOutcome::Kind::kCompleted || outcome.kind == JobOutcome::Kind::kFailed;
+  if (final) ended_.push_back(Ended{job, outcome, now});
+}
+
+}  // namespace coltsfoottide::direct
--- /dev/null
+++ b/packages/direct/src/run_queue.cc
@@ -0,0 +1,97 @@
+#include "coltsfoottide/direct/run_queue.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace coltsfoottide::direct {
+
+namespace {
+
+// Smaller runs may pass a large one that does not fit so often; then room is
+// kept for it.
+constexpr std::uint32_t kMostPassed = 6;
+// Estimates are off by up to 40%.
+constexpr int kCertainPercent = 60;
+
+core::TimePoint LatestStart(const RunOrder& order) { return order.objective - order.estimate; }
+
+// Whether `a` goes before `b`.
+bool Precedes(const RunQueue::Item& a, const RunQueue::Item& b, core::TimePoint now) {
+  const core::TimePoint latest_a = LatestStart(a.order);
+  const core::TimePoint latest_b = LatestStart(b.order);
+  const bool late_a = latest_a < now;
+  const bool late_b = latest_b < now;
+  if (late_a != late_b) return late_b;
+  if (late_a) return a.order.deadline - a.order.estimate < b.order.deadline - b.order.estimate;
+  return latest_a < latest_b;
+}
+
+}  // namespace
+
+void RunQueue::Add(RunOrder order, std::string owner) {
+  items_.push_back(Item{std::move(order), std::move(owner), 0});
+}
+
+std::optional<RunQueue::Item> RunQueue::TakeNext(const Resources& free, core::TimePoint now) {
+  auto first = items_.end();
+  auto best = items_.end();
+  for (auto it = items_.begin(); it != items_.end(); ++it) {
+    if (first == items_.end() || Precedes(*it, *first, now)) first = it;
+    if (!free.Fits(it->order.need)) continue;
+    if (best == items_.end() || Precedes(*it, *best, now)) best = it;
+  }
+  if (best == items_.end()) return std::nullopt;
+  if (best != first && ++first->passed > kMostPassed) return std::nullopt;
+  Item item = std::move(*best);
+  items_.erase(best);
+  return item;
+}
+
+template <typename Predicate>
+std::vector<RunQueue::Item> RunQueue::TakeIf(Predicate predicate) {
+  std::vector<Item> taken;
+  for (auto it = items_.begin(); it != items_.end();) {
+    if (!predicate(*it)) {
+      ++it;
+      continue;
+    }
+    taken.push_back(std::move(*it));
+    it = items_.erase(it);
+  }
+  return taken;
+}
+
+bool RunQueue::Remove(const RunId& id) {
+  return !TakeIf([&id](const Item& it) { return it.order.id == id; }).empty();
+}
+
+std::vector<RunQueue::Item> RunQueue::TakeExpired(core::TimePoint now) {
+  return TakeIf([now](const Item& it) {
+    return now + it.order.estimate * kCertainPercent / 100 > it.order.deadline;
+  });
+}
+
+std::vector<RunQueue::Item> RunQueue::TakeOwnedBy(const std::string& owner) {
+  return TakeIf([&owner](const Item& it) { return it.owner == owner; });
+}
+
+std::vector<RunQueue::Item> RunQueue::TakeAll() {
+  return TakeIf([](const Item&) { return true; });
+}
+
+std::uint64_t RunQueue::Work() const {
+  std::uint64_t work = 0;
+  for (const Item& it : items_) {
+    const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(it.order.estimate);
+    work += it.order.need.cpu_millicores * static_cast<std::uint64_t>(length.count());
+  }
+  return work;
+}
+
+bool RunQueue::Contains(const RunId& id) const {
+  return std::any_of(items_.begin(), items_.end(),
+                     [&id](const Item& it) { return it.order.id == id; });
+}
+
+}  // namespace coltsfoottide::direct
--- a/packages/http/include/coltsfoottide/http/client.h
+++ b/packages/http/include/coltsfoottide/http/client.h
@@ -24,6 +24,8 @@
   // Names in lower case.
   std::map<std::string, std::string> headers;
   Delivery delivery = Delivery::kMaybeSent;
+  // The server's machine answered that no process listens at the port.
+  bool connection_refused = false;
   std::string error;
 };
 
--- /dev/null
+++ b/packages/http/src/channel.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <QObject>
+#include <QTcpSocket>
+#include <QTimer>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "coltsfoottide/http/client.h"
+#include "outgoing_call.h"
+
+namespace coltsfoottide::http {
+
+// One connection to a server that carries one call at a time and stays open
+// between calls.
+class Channel : public QObject {
+ public:
+  struct Events {
+    // The call has ended; the channel is free if it is still open.
+    std::function<void(Channel&, std::unique_ptr<OutgoingCall>, ClientResponse)> on_end;
+    // A reused connection closed before any byte of the answer to a call that
+    // may be sent again.
+    std::function<void(Channel&, std::unique_ptr<OutgoingCall>)> on_resend;
+    // The connection closed while idle.
+    std::function<void(Channel&)> on_closed;
+  };
+
+  explicit Channel(Events events);
+  ~Channel() override;
+
+  // Sends the call; connects first if needed.
+  void Start(const QString& host, std::uint16_t port, std::unique_ptr<OutgoingCall> call);
+
+  // Ends the call in progress with the error and closes.
+  void Fail(const std::string& error);
+
+  bool idle() const { return call_ == nullptr; }
+  bool open() const { return socket_.state() == QAbstractSocket::ConnectedState; }
+  const OutgoingCall* call() const { return call_.get(); }
+
+ private:
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void OnConnected();
+  void OnReadable();
+  void OnDisconnected();
+  void OnError(QAbstractSocket::SocketError error);
+  void Send();
+  void Finish();
+  void End(ClientResponse response);
+
+  Events events_;
+  QTcpSocket socket_;
+  QByteArray buf_;
+  std::optional<Parser> parser_;
+  std::unique_ptr<OutgoingCall> call_;
+  bool reused_ = false;
+  bool sent_ = false;
+  bool refused_ = false;
+};
+
+}  // namespace coltsfoottide::http
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -1,143 +1,165 @@
 #include "coltsfoottide/http/client.h"
 
-#include <QNetworkProxy>
 #include <QUrl>
 #include <algorithm>
 #include <deque>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
-#include "call.h"
+#include "channel.h"
+#include "outgoing_call.h"
 
 namespace coltsfoottide::http {
 
 namespace {
 
-// Connections that Qt 6.4 opens for one key at most; it is not configurable.
-constexpr int kConnectionsPerLane = 6;
-
-QNetworkRequest MakeRequest(const QUrl& url) {
-  using Request = QNetworkRequest;
-  Request request(url);
-  request.setAttribute(Request::RedirectPolicyAttribute, Request::ManualRedirectPolicy);
-  request.setAttribute(Request::CacheLoadControlAttribute, Request::AlwaysNetwork);
-  request.setAttribute(Request::CacheSaveControlAttribute, false);
-  request.setAttribute(Request::CookieLoadControlAttribute, Request::Manual);
-  request.setAttribute(Request::CookieSaveControlAttribute, Request::Manual);
-  request.setAttribute(Request::AuthenticationReuseAttribute, Request::Manual);
-  request.setAttribute(Request::Http2AllowedAttribute, false);
-  request.setAttribute(Request::HttpPipeliningAllowedAttribute, false);
-  // A buffered body could be sent a second time.
-  request.setAttribute(Request::DoNotBufferUploadDataAttribute, true);
-  request.setRawHeader("User-Agent", "coltsfoottide");
-  request.setRawHeader("Accept-Encoding", "identity");
-  return request;
-}
-
-// The connections to one server: lanes of up to 6, and the calls that wait
-// for one to be free.
+// The connections to one server, and the calls that wait for one to be free.
 class Peer {
  public:
-  explicit Peer(int max_connections) : capacity_(max_connections) {
-    const int lanes = (max_connections + kConnectionsPerLane - 1) / kConnectionsPerLane;
-    outstanding_.resize(static_cast<std::size_t>(std::max(lanes, 1)));
+  Peer(QString host, std::uint16_t port, int max_channels)
+      : host_(std::move(host)), port_(port), max_channels_(max_channels) {}
+
+  void Add(std::unique_ptr<OutgoingCall> call) {
+    OutgoingCall* raw = call.get();
+    QObject::connect(&call->time_limit, &QTimer::timeout, &context_, [this, raw] { Expire(raw); });
+    waiting_.push_back(std::move(call));
+    StartWaiting();
   }
 
-  void Add(Call* call) { waiting_.push_back(call); }
-
-  // Starts waiting calls while connections are free, each on the lane with
-  // the fewest outstanding ones.
-  void StartWaiting(QNetworkAccessManager& manager) {
-    while (!waiting_.empty() && in_progress_ < capacity_) {
-      const auto lane = std::min_element(outstanding_.begin(), outstanding_.end());
-      Call* call = waiting_.front();
+ private:
+  void StartWaiting() {
+    while (!waiting_.empty()) {
+      Channel* channel = FreeChannel();
+      if (channel == nullptr) return;
+      auto call = std::move(waiting_.front());
       waiting_.pop_front();
-      ++*lane;
-      ++in_progress_;
-      call->Start(manager, static_cast<int>(lane - outstanding_.begin()));
+      channel->Start(host_, port_, std::move(call));
     }
   }
 
-  void Remove(Call* call) {
-    if (call->lane() < 0) {
-      std::erase(waiting_, call);
-      return;
+  // An open connection goes before a new one.
+  Channel* FreeChannel() {
+    Channel* closed = nullptr;
+    for (const auto& it : channels_) {
+      if (!it->idle()) continue;
+      if (it->open()) return it.get();
+      closed = it.get();
     }
-    --outstanding_[static_cast<std::size_t>(call->lane())];
-    --in_progress_;
+    if (closed != nullptr) return closed;
+    if (channels_.size() >= static_cast<std::size_t>(max_channels_)) return nullptr;
+    Channel::Events events;
+    events.on_end = [this](Channel&, std::unique_ptr<OutgoingCall> call, ClientResponse response) {
+      OnEnd(std::move(call), std::move(response));
+    };
+    events.on_resend = [this](Channel&, std::unique_ptr<OutgoingCall> call) {
+      waiting_.push_front(std::move(call));
+      StartLater();
+    };
+    events.on_closed = [](Channel&) {};
+    channels_.push_back(std::make_unique<Channel>(std::move(events)));
+    return channels_.back().get();
   }
 
- private:
-  int capacity_;
-  int in_progress_ = 0;
-  std::vector<int> outstanding_;
-  std::deque<Call*> waiting_;
-};
+  void OnEnd(std::unique_ptr<OutgoingCall> call, ClientResponse response) {
+    call->time_limit.stop();
+    // Calls wait only while all channels are busy.
+    if (!waiting_.empty()) StartLater();
+    call->done(std::move(response));
+  }
 
-class QtClient : public Client {
- public:
-  explicit QtClient(int max_connections) : max_connections_(std::max(max_connections, 1)) {
-    manager_.setProxy(QNetworkProxy::NoProxy);
-    manager_.setRedirectPolicy(QNetworkRequest::ManualRedirectPolicy);
+  // The channel that reports is free only once its callback has returned.
+  void StartLater() {
+    QMetaObject::invokeMethod(
+        &context_, [this] { StartWaiting(); }, Qt::QueuedConnection);
   }
 
-  ~QtClient() override {
-    for (Call* it : calls_) delete it;
+  void Expire(OutgoingCall* call) {
+    const auto it = std::find_if(waiting_.begin(), waiting_.end(),
+                                 [call](const auto& other) { return other.get() == call; });
+    if (it != waiting_.end()) {
+      auto expired = std::move(*it);
+      waiting_.erase(it);
+      ClientResponse response;
+      response.delivery = Delivery::kNotSent;
+      response.error = "time limit reached before a connection was free";
+      expired->done(std::move(response));
+      return;
+    }
+    for (const auto& channel : channels_) {
+      if (channel->call() == call) return channel->Fail("time limit reached");
+    }
   }
 
+  QString host_;
+  std::uint16_t port_;
+  int max_channels_;
+  QObject context_;
+  std::deque<std::unique_ptr<OutgoingCall>> waiting_;
+  std::vector<std::unique_ptr<Channel>> channels_;
+};
+
+class PooledClient : public Client {
+ public:
+  explicit PooledClient(int max_connections) : max_connections_(std::max(max_connections, 1)) {}
+
   void Post(const std::string& url, const std::map<std::string, std::string>& headers,
             std::string body, std::chrono::milliseconds time_limit,
             std::function<void(ClientResponse)> done) override {
-    QNetworkRequest request = MakeRequest(QUrl(QString::fromStdString(url)));
+    std::string head;
+    bool has_type = false;
     for (const auto& [name, value] : headers) {
-      request.setRawHeader(QByteArray::fromStdString(name), QByteArray::fromStdString(value));
-    }
-    // Qt adds a form type, with a warning, where none is given.
-    if (!request.hasRawHeader("Content-Type")) {
-      request.setRawHeader("Content-Type", "application/octet-stream");
+      has_type = has_type || name == "Content-Type";
+      head += name + ": " + value + "\r\n";
     }
-    // Qt needs the length in advance of a body that it does not buffer.
-    request.setHeader(QNetworkRequest::ContentLengthHeader, static_cast<qint64>(body.size()));
-    Enqueue(request, std::make_unique<UploadDevice>(std::move(body)), time_limit, std::move(done));
+    if (!has_type) head += "Content-Type: application/octet-stream\r\n";
+    head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    Enqueue("POST", url, head, body, time_limit, std::move(done));
   }
 
   void Get(const std::string& url, std::chrono::milliseconds time_limit,
            std::function<void(ClientResponse)> done) override {
-    Enqueue(MakeRequest(QUrl(QString::fromStdString(url))), nullptr, time_limit, std::move(done));
+    Enqueue("GET", url, "", "", time_limit, std::move(done));
   }
 
  private:
-  void Enqueue(const QNetworkRequest& request, std::unique_ptr<UploadDevice> body,
-               std::chrono::milliseconds time_limit, std::function<void(ClientResponse)> done) {
-    const QUrl url = request.url();
-    Peer& peer = peers_.try_emplace(url.authority(), max_connections_).first->second;
-    Call::Callbacks callbacks;
-    callbacks.on_end = [this, &peer](Call& call) { OnEnd(peer, call); };
-    callbacks.done = std::move(done);
-    auto* call = new Call(request, std::move(body), time_limit, std::move(callbacks));
-    calls_.insert(call);
-    peer.Add(call);
-    peer.StartWaiting(manager_);
-  }
-
-  void OnEnd(Peer& peer, Call& call) {
-    peer.Remove(&call);
-    calls_.erase(&call);
-    call.deleteLater();
-    peer.StartWaiting(manager_);
+  void Enqueue(const std::string& method, const std::string& url, const std::string& head,
+               const std::string& body, std::chrono::milliseconds time_limit,
+               std::function<void(ClientResponse)> done) {
+    constexpr std::string_view kScheme = "http://";
+    constexpr int kHttpPort = 80;
+    const std::size_t host_begin = url.starts_with(kScheme) ? kScheme.size() : 0;
+    const std::size_t host_end = std::min(url.find('/', host_begin), url.size());
+    const std::string authority = url.substr(host_begin, host_end - host_begin);
+    std::string target = url.substr(host_end);
+    if (target.empty()) target = "/";
+    auto call = std::make_unique<OutgoingCall>();
+    call->text = method + " " + target + " HTTP/1.1\r\nHost: " + authority +
+                 "\r\nUser-Agent: coltsfoottide\r\n" + head + "\r\n" + body;
+    call->may_be_resent = method == "GET";
+    call->done = std::move(done);
+    call->time_limit.setSingleShot(true);
+    call->time_limit.start(time_limit);
+    auto it = peers_.find(authority);
+    if (it == peers_.end()) {
+      const QUrl parsed(QString::fromStdString("http://" + authority));
+      it = peers_
+               .emplace(authority,
+                        std::make_unique<Peer>(parsed.host(),
+                                               static_cast<std::uint16_t>(parsed.port(kHttpPort)),
+                                               max_connections_))
+               .first;
+    }
+    it->second->Add(std::move(call));
   }
 
   int max_connections_;
-  QNetworkAccessManager manager_;
-  std::map<QString, Peer> peers_;
-  std::unordered_set<Call*> calls_;
+  std::map<std::string, std::unique_ptr<Peer>> peers_;
 };
 
 }  // namespace
 
 std::unique_ptr<Client> MakeClient(int max_connections) {
-  return std::make_unique<QtClient>(max_connections);
+  return std::make_unique<PooledClient>(max_connections);
 }
 
 }  // namespace coltsfoottide::http
