Spread work by exact views, and take small speed differences for noise

Change: entries draw among equal workers, weighted by free room; states say how many orders they cover; a waiting run is reported at once and moved to a free worker; a smoothed slowness below 1.6 counts as 1, and a run in progress is a sample only beyond 3 times its estimate. Ruled out: processor time (entry 0.03 of 0.12 cores, agents 0.006 of 0.15), and small entries (same latency as large ones).

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -32,7 +32,7 @@
 constexpr core::Duration kFindInterval = std::chrono::milliseconds(1500);
 // Least time between two states to an entry, for each entry: bounds what an
 // agent sends whatever their number.
-constexpr core::Duration kStateInterval = std::chrono::milliseconds(10);
+constexpr core::Duration kStateInterval = std::chrono::milliseconds(5);
 // Left of the time for a graceful stop, for the exit itself.
 constexpr std::chrono::milliseconds kStopReserve{400};
 
@@ -202,6 +202,7 @@
   link.dial_due = now + kDialInterval;
   link.last_heard = now;
   link.owner.clear();
+  link.orders_seen = 0;
   FrameConnection::Events events;
   events.on_frame = [this, name](const direct_wire::Frame& frame) { OnFrame(name, frame); };
   events.on_closed = [this, name] { CloseLink(name, "closed"); };
@@ -234,6 +235,7 @@
   }
   for (const direct_wire::OrderGroup& group : frame.orders()) {
     for (const direct_wire::OrderGroup::Task& task : group.tasks()) {
+      ++link.orders_seen;
       executor_->OnOrder(link.owner, ReadOrder(group, task, now), now);
     }
   }
@@ -266,6 +268,7 @@
   direct_wire::Frame& frame = link.connection->outbox();
   WriteState(executor_->State(now), *frame.mutable_worker());
   frame.set_stamp_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+  frame.set_orders_seen(link.orders_seen);
   link.last_state = now;
 }
 
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -45,6 +45,7 @@
     core::TimePoint dial_due;
     core::TimePoint last_heard;
     core::TimePoint last_state;
+    std::uint64_t orders_seen = 0;
   };
 
   // ReportSink
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -65,6 +65,7 @@
   direct::JobDispatcher::Tuning tuning;
   tuning.silent_agent_bound =
       kOwnerLease + settings.lease * kLeasePercent / 100 + settings.stop_time;
+  tuning.seed = std::hash<std::string>()(settings.listen);
   return tuning;
 }
 
@@ -336,7 +337,8 @@
   const auto it = links_.find(id);
   if (it == links_.end() || !it->second.is_agent) return;
   const std::string agent = it->second.name;
-  if (frame.has_worker()) dispatcher_.OnWorkerState(agent, ReadState(frame.worker()), now);
+  if (frame.has_worker())
+    dispatcher_.OnWorkerState(agent, ReadState(frame.worker()), frame.orders_seen());
   for (const direct_wire::RunReport& report : frame.reports()) {
     dispatcher_.OnReport(agent, ReadReport(report), now);
   }
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -32,6 +32,8 @@
     // the agent's own limit for a silent entry, the lease of the backend
     // server and the time to stop.
     core::Duration silent_agent_bound;
+    // Differs between entries.
+    std::uint64_t seed = 0;
   };
 
   // `far_factor`: see WorkerFleet.
@@ -48,7 +50,8 @@
   // Whether the job is in progress.
   bool InProgress(const std::string& job) const;
 
-  void OnWorkerState(const std::string& agent, const WorkerState& state, core::TimePoint now);
+  // `orders_seen` is how many orders on the present connection it covers.
+  void OnWorkerState(const std::string& agent, const WorkerState& state, std::uint64_t orders_seen);
   void OnReport(const std::string& agent, const RunReport& report, core::TimePoint now);
 
   // A connection to the agent has opened. Runs that it does not list and
--- a/packages/direct/include/coltsfoottide/direct/worker_view.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -14,9 +15,12 @@
 // and what this entry has sent there since.
 class WorkerView {
  public:
-  void OnReport(const WorkerState& state, core::TimePoint now);
-  // Counts an order of this entry that the next reports do not show yet.
-  void OnOrder(const Resources& need, core::Duration estimate, core::TimePoint now);
+  // A connection has opened; orders are counted from zero on it.
+  void OnConnected();
+  // `orders_seen` is how many orders of this connection the state covers.
+  void OnReport(const WorkerState& state, std::uint64_t orders_seen);
+  // Counts an order of this entry that reports do not show yet.
+  void OnOrder(const Resources& need, core::Duration estimate);
 
   // Whether tasks of the step may be placed here at all.
   bool Eligible(const std::string& service, const StepRequest& step) const;
@@ -39,11 +43,19 @@
   void set_connected(bool connected) { connected_ = connected; }
 
  private:
+  struct SentOrder {
+    Resources need;
+    std::uint64_t work = 0;
+  };
+
+  Resources Unclaimed() const;
+  double Slowness() const;
+
   WorkerState state_;
-  // Orders since the last report that covered them.
-  Resources sent_;
-  std::uint64_t sent_work_ = 0;
-  core::TimePoint last_order_;
+  // Orders that no report covers yet, oldest first.
+  std::deque<SentOrder> sent_;
+  // Orders of this connection that reports have covered.
+  std::uint64_t covered_ = 0;
   bool connected_ = false;
 };
 
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -51,7 +51,7 @@
 
 JobDispatcher::JobDispatcher(const Tuning& tuning, std::string data_centre, double far_factor,
                              EntrySink& sink)
-    : tuning_(tuning), sink_(sink), fleet_(std::move(data_centre), far_factor) {}
+    : tuning_(tuning), sink_(sink), fleet_(std::move(data_centre), far_factor, tuning.seed) {}
 
 JobDispatcher::~JobDispatcher() = default;
 
@@ -142,10 +142,11 @@
   task.agent = choice->agent;
   task.agent_incarnation = incarnations_[choice->agent];
   task.state = Task::State::kOrdered;
+  task.queued = false;
   task.ordered_at = now;
   ++task.run_number;
   ++runs_at_[choice->agent];
-  fleet_.Get(choice->agent).OnOrder(request.each, request.estimate, now);
+  fleet_.Get(choice->agent).OnOrder(request.each, request.estimate);
   sink_.SendOrder(choice->agent,
                   RunOrder{RunId{TaskId{job.request.id, step, index}, task.run_number},
                            job.request.payload, request.each, request.estimate,
@@ -169,10 +170,8 @@
 }
 
 void JobDispatcher::OnWorkerState(const std::string& agent, const WorkerState& state,
-                                  core::TimePoint now) {
-  WorkerView& view = fleet_.Get(agent);
-  view.set_connected(true);
-  view.OnReport(state, now);
+                                  std::uint64_t orders_seen) {
+  fleet_.Get(agent).OnReport(state, orders_seen);
 }
 
 Task* JobDispatcher::FindRun(const std::string& agent, const RunId& id, Job** job) {
@@ -198,6 +197,7 @@
       if (task->state == Task::State::kOutOfReach || task->state == Task::State::kStarted) {
         task->state = Task::State::kOrdered;
       }
+      task->queued = true;
       break;
     case RunReport::Kind::kStarted:
       job->withdrawing = false;
@@ -291,6 +291,7 @@
 void JobDispatcher::OnAgentHello(const AgentHello& hello, core::TimePoint now) {
   std::uint64_t& known = incarnations_[hello.agent];
   const bool same_process = known == hello.incarnation;
+  fleet_.Get(hello.agent).OnConnected();
   known = hello.incarnation;
   std::set<RunId> listed;
   for (const RunReport& it : hello.runs) {
@@ -381,7 +382,8 @@
   for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
     for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
       Task& task = job.steps[step][index];
-      if (task.state != Task::State::kOrdered || now - task.ordered_at < kPatience) continue;
+      if (task.state != Task::State::kOrdered) continue;
+      if (!task.queued && now - task.ordered_at < kPatience) continue;
       if (withdrawals_left_ == 0 || task.moves >= kMostMoves) continue;
       const StepRequest& request = job.request.steps[step];
       const auto choice = fleet_.Choose(job.request.service, request, {task.agent},
@@ -393,8 +395,6 @@
       task.state = Task::State::kStopping;
       task.may_continue = true;
       sink_.SendWithdraw(task.agent, RunId{TaskId{job.request.id, step, index}, task.run_number});
-      // The room there is spoken for.
-      fleet_.Get(choice->agent).OnOrder(request.each, request.estimate, now);
     }
   }
 }
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -36,6 +36,7 @@
 constexpr int kLaggardPercent = 160;
 constexpr core::Duration kLaggardLeast = std::chrono::milliseconds(120);
 constexpr core::Duration kLaggardInterval = std::chrono::milliseconds(90);
+constexpr int kSlowFactor = 3;
 constexpr double kEndedSpeedWeight = 0.1;
 constexpr double kRunningSpeedWeight = 0.06;
 // After a refusal for want of room, unless an end frees some.
@@ -116,8 +117,10 @@
     waiting_.push_back(WaitingOrder{owner, std::move(order)});
     return;
   }
+  const RunId id = order.id;
   queue_.Add(std::move(order), owner);
   StartQueued(now);
+  if (queue_.Contains(id)) reports_.Report(owner, RunReport{id, RunReport::Kind::kQueued, {}});
 }
 
 void RunExecutor::OnStop(const RunId& id, core::TimePoint now) {
@@ -401,7 +404,11 @@
   const core::Duration length = elapsed * kWhole / percent;
   if (length < estimate * kLaggardPercent / kWhole + kLaggardLeast) return;
   run.reported = now;
-  health_.OnSpeed(elapsed, estimate, static_cast<double>(percent) / kWhole, kRunningSpeedWeight);
+  // Only what no error of an estimate explains says something of the backend
+  // server before the run has ended.
+  if (length > estimate * kSlowFactor) {
+    health_.OnSpeed(elapsed, estimate, static_cast<double>(percent) / kWhole, kRunningSpeedWeight);
+  }
   if (run.owner.empty()) return;
   const core::Duration remaining = std::max(length - elapsed, core::Duration(1));
   reports_.Report(run.owner, RunReport{run.order.id, RunReport::Kind::kStarted, remaining});
--- a/packages/direct/src/task.h
+++ b/packages/direct/src/task.h
@@ -38,6 +38,8 @@
   std::uint64_t agent_incarnation = 0;
   std::uint32_t run_number = 0;
   std::uint32_t failures = 0;
+  // kOrdered: the agent has said that it waits.
+  bool queued = false;
   // A run that is over may have begun.
   bool ran = false;
   std::uint32_t moves = 0;
--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -1,8 +1,9 @@
 #include "coltsfoottide/direct/worker_fleet.h"
 
+#include <algorithm>
 #include <chrono>
-#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace coltsfoottide::direct {
 
@@ -12,13 +13,13 @@
 // save bytes between them.
 constexpr core::Duration kOtherDataCentreDelay = std::chrono::milliseconds(4);
 // Differences in expected end below this are within what estimates are off,
-// so the backend server with more free cores is taken.
+// so these count as equal.
 constexpr core::Duration kEqualWithin = std::chrono::milliseconds(3);
 
 }  // namespace
 
-WorkerFleet::WorkerFleet(std::string data_centre, double far_factor)
-    : data_centre_(std::move(data_centre)), far_factor_(far_factor) {}
+WorkerFleet::WorkerFleet(std::string data_centre, double far_factor, std::uint64_t seed)
+    : data_centre_(std::move(data_centre)), far_factor_(far_factor), random_(seed) {}
 
 const WorkerView* WorkerFleet::Find(const std::string& agent) const {
   const auto it = workers_.find(agent);
@@ -27,7 +28,7 @@
 
 std::optional<PlacementChoice> WorkerFleet::Choose(
     const std::string& service, const StepRequest& step, const std::set<std::string>& excluded,
-    const std::function<bool(const std::string&)>& full) const {
+    const std::function<bool(const std::string&)>& full) {
   auto choice = ChooseAmong(service, step, excluded, full);
   if (!choice && !excluded.empty()) choice = ChooseAmong(service, step, {}, full);
   return choice;
@@ -35,10 +36,14 @@
 
 std::optional<PlacementChoice> WorkerFleet::ChooseAmong(
     const std::string& service, const StepRequest& step, const std::set<std::string>& excluded,
-    const std::function<bool(const std::string&)>& full) const {
-  std::optional<PlacementChoice> best;
-  core::Duration best_cost{};
-  std::uint64_t best_free = 0;
+    const std::function<bool(const std::string&)>& full) {
+  struct Candidate {
+    PlacementChoice choice;
+    core::Duration cost{};
+    double free = 0;
+  };
+  std::vector<Candidate> candidates;
+  core::Duration best = core::Duration::max();
   for (const auto& [agent, view] : workers_) {
     if (!view.Eligible(service, step) || evacuated_.contains(view.state().data_centre)) continue;
     if (excluded.contains(agent) || full(agent)) continue;
@@ -46,15 +51,17 @@
     const core::Duration run_time = view.RunTime(step, far_factor_);
     core::Duration cost = delay + run_time + view.FailurePenalty(run_time);
     if (view.state().data_centre != data_centre_) cost += kOtherDataCentreDelay;
-    const std::uint64_t free = view.UnclaimedCpu();
-    const bool better = !best || cost + kEqualWithin < best_cost ||
-                        (cost < best_cost + kEqualWithin && free > best_free);
-    if (!better) continue;
-    best = PlacementChoice{agent, delay, run_time};
-    best_cost = cost;
-    best_free = free;
+    best = std::min(best, cost);
+    // A full one is drawn rarely among those that are as full.
+    const double free = static_cast<double>(view.UnclaimedCpu()) + 1.0;
+    candidates.push_back({{agent, delay, run_time}, cost, free});
   }
-  return best;
+  std::erase_if(candidates, [best](const Candidate& it) { return it.cost > best + kEqualWithin; });
+  if (candidates.empty()) return std::nullopt;
+  std::vector<double> weights;
+  for (const Candidate& it : candidates) weights.push_back(it.free * it.free);
+  std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
+  return candidates[draw(random_)].choice;
 }
 
 std::uint64_t WorkerFleet::Capacity(const std::string& service) const {
--- a/packages/direct/src/worker_view.cc
+++ b/packages/direct/src/worker_view.cc
@@ -2,15 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 
 namespace coltsfoottide::direct {
 
 namespace {
 
-// A report that arrives this soon after an order may have left before it: two
-// passes between data centres and the agent's own turn.
-constexpr core::Duration kOrderInFlight = std::chrono::milliseconds(12);
 // A full backend server frees room within about one short task.
 constexpr core::Duration kFullDelay = std::chrono::milliseconds(30);
 // A run that fails costs its time and the way there and back.
@@ -18,18 +14,26 @@
 
 }  // namespace
 
-void WorkerView::OnReport(const WorkerState& state, core::TimePoint now) {
+void WorkerView::OnConnected() {
+  connected_ = true;
+  sent_.clear();
+  covered_ = 0;
+}
+
+void WorkerView::OnReport(const WorkerState& state, std::uint64_t orders_seen) {
   state_ = state;
-  if (now - last_order_ < kOrderInFlight) return;
-  sent_ = {};
-  sent_work_ = 0;
+  for (; covered_ < orders_seen && !sent_.empty(); ++covered_) sent_.pop_front();
 }
 
-void WorkerView::OnOrder(const Resources& need, core::Duration estimate, core::TimePoint now) {
-  sent_.Return(need);
+void WorkerView::OnOrder(const Resources& need, core::Duration estimate) {
   const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(estimate);
-  sent_work_ += need.cpu_millicores * static_cast<std::uint64_t>(length.count());
-  last_order_ = now;
+  sent_.push_back({need, need.cpu_millicores * static_cast<std::uint64_t>(length.count())});
+}
+
+Resources WorkerView::Unclaimed() const {
+  Resources free = state_.free;
+  for (const SentOrder& it : sent_) free.Take(it.need);
+  return free;
 }
 
 bool WorkerView::Eligible(const std::string& service, const StepRequest& step) const {
@@ -40,31 +44,31 @@
 }
 
 core::Duration WorkerView::StartDelay(const Resources& need) const {
-  Resources free = state_.free;
-  free.Take(sent_);
-  if (state_.queued_work == 0 && free.Fits(need)) return core::Duration::zero();
+  if (state_.queued_work == 0 && Unclaimed().Fits(need)) return core::Duration::zero();
   if (state_.total.cpu_millicores == 0) return core::Duration::max() / 4;
-  // Without a queue only the part of the latest orders that exceeds the free
-  // room waits.
-  const std::uint64_t sent = state_.queued_work > 0 ? sent_work_ : sent_work_ / 2;
+  std::uint64_t sent = 0;
+  for (const SentOrder& it : sent_) sent += it.work;
+  // Without a queue only the part of these orders that exceeds the free room
+  // waits.
+  if (state_.queued_work == 0) sent /= 2;
   const double wait_ms = static_cast<double>(state_.queued_work + sent) /
-                         static_cast<double>(state_.total.cpu_millicores) * state_.slowness;
+                         static_cast<double>(state_.total.cpu_millicores) * Slowness();
   return kFullDelay + std::chrono::duration_cast<core::Duration>(
                           std::chrono::duration<double, std::milli>(wait_ms));
 }
 
-std::uint64_t WorkerView::UnclaimedCpu() const {
-  Resources free = state_.free;
-  free.Take(sent_);
-  return free.cpu_millicores;
+// Callers' estimates are off by up to 40%, so a lower figure is taken for
+// noise: steering by it empties some backend servers and fills others.
+double WorkerView::Slowness() const {
+  constexpr double kNoise = 1.6;
+  return state_.slowness < kNoise ? 1.0 : state_.slowness;
 }
 
+std::uint64_t WorkerView::UnclaimedCpu() const { return Unclaimed().cpu_millicores; }
+
 core::Duration WorkerView::RunTime(const StepRequest& step, double far_factor) const {
   const bool far = !step.data_rack.empty() && step.data_rack != state_.rack;
-  // In steps, since small differences are noise of the callers' estimates.
-  constexpr double kStep = 0.25;
-  const double slowness = std::max(std::round(state_.slowness / kStep) * kStep, kStep);
-  const double factor = slowness * (far ? far_factor : 1.0);
+  const double factor = Slowness() * (far ? far_factor : 1.0);
   return std::chrono::duration_cast<core::Duration>(step.estimate * factor);
 }
 
