Write logs to standard output without waiting, and serve metrics on their own address

Cause: logs went to standard error, a reader that stopped would have stopped the process, and nothing bounded their volume; the direct roles had no gauges. Change: a line is left out, and counted in a later line, when standard output does not take it at once or the budget of the second is used; warnings and errors have a budget of their own. Gauges say what a process believes.

--- a/packages/daemon/include/coltsfoottide/daemon/logging.h
+++ b/packages/daemon/include/coltsfoottide/daemon/logging.h
@@ -9,8 +9,10 @@
 
 namespace coltsfoottide::daemon {
 
-// Writes one JSON object a line to standard error: time (UTC, ISO 8601 with
-// milliseconds), level, process, event and the given fields. Thread-safe.
+// Writes one JSON object a line to standard output: time (UTC, ISO 8601 with
+// milliseconds), level, process, event and the given fields. Never waits for a
+// reader: lines that standard output does not take, and those over the budget
+// of a second, are left out and counted in a later line. Thread-safe.
 class Logger {
  public:
   using Field = std::pair<std::string_view, std::string>;
--- a/packages/daemon/include/coltsfoottide/daemon/settings.h
+++ b/packages/daemon/include/coltsfoottide/daemon/settings.h
@@ -45,6 +45,8 @@
 
   // Direct entry: "IP:port" at which a balancer asks whether it is ready.
   std::string ready_listen;
+  // Direct roles: "IP:port" for /metrics, or empty.
+  std::string metrics_listen;
   // Direct roles: longest lease of the backend server, and its time to stop a
   // run.
   std::chrono::milliseconds lease = std::chrono::seconds(1);
--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -74,6 +74,7 @@
     : settings_(settings),
       logger_(logger),
       metrics_(metrics),
+      metrics_server_(metrics),
       incarnation_(static_cast<std::uint64_t>(UnixMs())) {}
 
 DirectAgentRuntime::~DirectAgentRuntime() = default;
@@ -88,6 +89,7 @@
   executor_ = std::make_unique<direct::RunExecutor>(
       direct::RunExecutor::Tuning{settings_.lease, kOwnerLease}, *worker_, reports);
   if (auto error = OpenServer()) return error;
+  if (auto error = metrics_server_.Open(settings_.metrics_listen)) return error;
   store_ = std::make_unique<platform::StoreClient>(settings_.log_url);
   for (const std::string& it : settings_.entries) LearnEntry(ParseEndpoint(it)->address);
   store_read_due_ = started_ + kFindInterval;
@@ -146,10 +148,7 @@
 void DirectAgentRuntime::OnRequest(const http::Request& request) {
   http::Response response;
   const std::string id = platform::DecodeReportPath(request.path);
-  if (request.method == "GET" && request.path == "/metrics") {
-    response.content_type = "text/plain";
-    response.body = metrics_.ReportText();
-  } else if (id.empty()) {
+  if (id.empty()) {
     response.status = kNotFound;
   } else if (request.method == "PUT") {
     response.body = "{}";
@@ -314,6 +313,9 @@
   if (now < log_due_) return;
   log_due_ = now + kStateLogInterval;
   const direct::WorkerState state = executor_->State(now);
+  metrics_.Set("worker_ready", state.ready ? 1 : 0);
+  metrics_.Set("worker_free_millicores", state.free.cpu_millicores);
+  metrics_.Set("queued_work", state.queued_work + state.late_work);
   logger_.Info("backend server load",
                {{"free_millicores", std::to_string(state.free.cpu_millicores)},
                 {"millicores", std::to_string(state.total.cpu_millicores)},
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -14,6 +14,7 @@
 #include "coltsfoottide/direct/run_executor.h"
 #include "coltsfoottide/http/server.h"
 #include "frame_connection.h"
+#include "metrics_server.h"
 
 namespace coltsfoottide::platform {
 class StoreClient;
@@ -72,6 +73,7 @@
   Settings settings_;
   Logger& logger_;
   Metrics& metrics_;
+  MetricsServer metrics_server_;
   std::string name_;
   std::uint16_t link_port_ = 0;
   std::uint64_t incarnation_ = 0;
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -33,6 +33,7 @@
 // confirmed lately: a change has to be in force within 2 s.
 constexpr core::Duration kViewAge = std::chrono::seconds(3);
 constexpr core::Duration kComeBack = std::chrono::seconds(1);
+constexpr core::Duration kGaugeInterval = std::chrono::seconds(1);
 // Pause between attempts to reach another entry.
 constexpr core::Duration kDialInterval = std::chrono::milliseconds(500);
 
@@ -75,6 +76,7 @@
     : settings_(settings),
       logger_(logger),
       metrics_(metrics),
+      metrics_server_(metrics),
       incarnation_(static_cast<std::uint64_t>(BootNow().time_since_epoch().count())),
       dispatcher_(MakeTuning(settings), settings.data_centre, settings.far_factor, *this),
       listener_([this](qintptr descriptor) { Accept(descriptor); }) {}
@@ -83,6 +85,7 @@
 
 std::optional<RuntimeError> DirectEntryRuntime::Start() {
   if (auto error = OpenServers()) return error;
+  if (auto error = metrics_server_.Open(settings_.metrics_listen)) return error;
   for (const std::string& it : settings_.entries) LearnEntry(ParseEndpoint(it)->address);
   FollowStore();
   QObject::connect(&tick_, &QTimer::timeout, &tick_, [this] { Tick(); });
@@ -122,9 +125,7 @@
 void DirectEntryRuntime::OnProbe(const http::Request& request) {
   http::Response response;
   response.content_type = "text/plain";
-  if (request.path == "/metrics") {
-    response.body = metrics_.ReportText();
-  } else if (request.path == "/ready") {
+  if (request.path == "/ready") {
     response.status = ready() ? kOk : kUnavailable;
   } else {
     response.status = kNotFound;
@@ -224,13 +225,15 @@
     callers_->Respond(request, response);
     jobs_by_request_.erase(request);
   }
+  const core::Duration elapsed = BootNow() - it->second.submitted;
   metrics_.Add(std::string("jobs_") + KindName(outcome.kind), 1);
+  metrics_.Observe(it->second.route, api::URGENT, elapsed);
   logger_.Info("job ended", {{"job", job},
                              {"route", it->second.route},
                              {"outcome", KindName(outcome.kind)},
                              {"reason", outcome.reason},
                              {"status", std::to_string(response.status)},
-                             {"elapsed_ms", std::to_string(ToMs(BootNow() - it->second.submitted))},
+                             {"elapsed_ms", std::to_string(ToMs(elapsed))},
                              {"in_progress", std::to_string(dispatcher_.size())}});
   submissions_.erase(it);
 }
@@ -465,6 +468,20 @@
   DialPeers();
   if (!announced_ && operator_topic_->reachable()) Announce();
   dispatcher_.Advance(now);
+  SetGauges(now);
+}
+
+// What this process believes, for its metrics.
+void DirectEntryRuntime::SetGauges(core::TimePoint now) {
+  if (now < gauges_due_) return;
+  gauges_due_ = now + kGaugeInterval;
+  const auto configuration = view_.configuration();
+  metrics_.Set("jobs_in_progress", dispatcher_.size());
+  metrics_.Set("agents_connected", agents_.size());
+  metrics_.Set("entries_known", entries_.size());
+  metrics_.Set("config_version", configuration ? configuration->version : 0);
+  metrics_.Set("config_age_ms", static_cast<std::uint64_t>(ToMs(now - view_.confirmed())));
+  metrics_.Set("store_reachable", operator_topic_->reachable() ? 1 : 0);
 }
 
 void DirectEntryRuntime::Reload(const Settings& settings) {
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -18,6 +18,7 @@
 #include "coltsfoottide/platform/store_client.h"
 #include "frame_connection.h"
 #include "frame_listener.h"
+#include "metrics_server.h"
 #include "topic_follower.h"
 
 namespace coltsfoottide::daemon {
@@ -85,12 +86,14 @@
   void OnViewChanged(const std::string& source);
   void FollowStore();
   void Announce();
+  void SetGauges(core::TimePoint now);
   void Tick();
   void EndStop();
 
   Settings settings_;
   Logger& logger_;
   Metrics& metrics_;
+  MetricsServer metrics_server_;
   std::string name_;
   std::uint16_t link_port_ = 0;
   std::uint64_t incarnation_ = 0;
@@ -115,6 +118,7 @@
   std::uint64_t last_link_ = 0;
   QTimer tick_;
   std::function<void()> stopped_;
+  core::TimePoint gauges_due_;
   bool stopping_ = false;
   std::chrono::milliseconds stop_waited_{0};
   bool announced_ = false;
--- a/packages/daemon/src/logging.cc
+++ b/packages/daemon/src/logging.cc
@@ -1,19 +1,36 @@
 #include "coltsfoottide/daemon/logging.h"
 
+#include <poll.h>
 #include <spdlog/logger.h>
 #include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
+
+#include <mutex>
 
 #include "json_text.h"
+#include "line_budget.h"
 
 namespace coltsfoottide::daemon {
 
 namespace {
 
+// Lines a second: some times the decisions of an entry at 100 jobs a second,
+// and a bound for the disk of the reader.
+constexpr LineBudget::Limits kLinesPerSecond{400, 200};
+// A pipe that is ready takes so much at once (PIPE_BUF).
+constexpr std::size_t kMaxLineBytes = 4000;
+
+// Whether a line can be written without waiting.
+bool StandardOutputIsReady() {
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
 class JsonLogger : public Logger {
  public:
   JsonLogger(const std::string& level, const std::string& process)
       : process_(QuoteJson(process)),
-        logger_("json", std::make_shared<spdlog::sinks::stderr_sink_mt>()) {
+        logger_("json", std::make_shared<spdlog::sinks::stdout_sink_mt>()) {
     logger_.set_level(spdlog::level::from_str(level));
     // Everything but time and level is in the message.
     logger_.set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})",
@@ -42,11 +59,19 @@
     for (const auto& [name, value] : fields) {
       text += ',' + QuoteJson(name) + ':' + QuoteJson(value);
     }
+    const std::lock_guard lock(mutex_);
+    if (!budget_.Take(level >= spdlog::level::warn, LineBudget::Clock::now())) return;
+    if (text.size() > kMaxLineBytes || !StandardOutputIsReady()) return budget_.CountLost();
     logger_.log(level, spdlog::string_view_t(text.data(), text.size()));
+    if (const std::uint64_t n = budget_.TakeLeftOut(); n > 0) {
+      logger_.warn("\"process\":{},\"event\":\"lines left out\",\"lines\":{}", process_, n);
+    }
   }
 
   const std::string process_;
   spdlog::logger logger_;
+  std::mutex mutex_;
+  LineBudget budget_{kLinesPerSecond};
 };
 
 }  // namespace
--- /dev/null
+++ b/packages/daemon/src/metrics_server.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "coltsfoottide/daemon/runtime.h"
+
+namespace coltsfoottide::http {
+class Server;
+}
+
+namespace coltsfoottide::daemon {
+
+class Metrics;
+
+// Serves GET /metrics as text on an address of its own.
+class MetricsServer {
+ public:
+  explicit MetricsServer(const Metrics& metrics);
+  ~MetricsServer();
+
+  // Listens on "IP:port"; an empty address opens nothing.
+  std::optional<RuntimeError> Open(const std::string& address);
+
+ private:
+  const Metrics& metrics_;
+  std::unique_ptr<http::Server> server_;
+};
+
+}  // namespace coltsfoottide::daemon
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -102,6 +102,7 @@
   ReadChoice(reader, "placement", {"hybrid", "random"}, settings.placement);
   ReadMilliseconds(reader, "drain_limit_ms", kMaxDrainMs, settings.drain_limit);
   ReadAddress(reader, "ready_listen", settings.ready_listen);
+  ReadAddress(reader, "metrics_listen", settings.metrics_listen);
   ReadMilliseconds(reader, "lease_ms", kMaxLeaseMs, settings.lease);
   ReadMilliseconds(reader, "stop_ms", kMaxLeaseMs, settings.stop_time);
   reader.Read("far_factor", settings.far_factor, 1.0, kMaxFarFactor);
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -379,7 +379,6 @@
   // An order that finds room is reported as started well before.
   constexpr core::Duration kPatience = std::chrono::milliseconds(40);
   constexpr std::uint32_t kMostMoves = 4;
-  constexpr std::uint64_t kRoomFactor = 3;
   for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
     for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
       Task& task = job.steps[step][index];
@@ -391,9 +390,6 @@
                                         [](const std::string&) { return false; });
       if (!choice || choice->agent == task.agent) continue;
       if (choice->start_delay > core::Duration::zero()) continue;
-      // Other entries see the same room; what is just enough is gone first.
-      const std::uint64_t room = fleet_.Find(choice->agent)->UnclaimedCpu();
-      if (room < request.each.cpu_millicores * kRoomFactor) continue;
       --withdrawals_left_;
       ++task.moves;
       task.state = Task::State::kStopping;
