--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -96,7 +96,7 @@
   void MoveIfSlow(Job& job, std::uint32_t step, Task& task, const RunId& id,
                   core::Duration remaining, core::TimePoint now);
   // Ends the job; runs that are left are stopped.
-  void Finish(Job& job, JobOutcome outcome, core::TimePoint now);
+  void Finish(Job& job, const JobOutcome& outcome, core::TimePoint now);
   void StopRuns(Job& job);
   void GiveUp(Job& job, const std::string& reason, core::TimePoint now);
   // Removes a finished job once none of its runs is left.
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -118,7 +118,7 @@
   void EndRun(const RunId& id, RunReport::Kind kind, core::TimePoint now);
   void LoseAllRuns(core::TimePoint now);
   void ReportFinal(const std::string& owner, const RunReport& report, core::TimePoint now);
-  void HandBack(std::vector<RunQueue::Item> items, core::TimePoint now);
+  void HandBack(const std::vector<RunQueue::Item>& items, core::TimePoint now);
   void MaybeHold(core::TimePoint now);
   void OnUnansweredStart(Run& run, core::TimePoint now);
   void CheckWorkerAnswers(core::TimePoint now);
--- a/packages/direct/include/coltsfoottide/direct/run_id.h
+++ b/packages/direct/include/coltsfoottide/direct/run_id.h
@@ -12,7 +12,7 @@
   TaskId task;
   std::uint32_t number = 0;
 
-  auto operator<=>(const RunId&) const = default;
+  auto operator<=>(const RunId&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/task_id.h
+++ b/packages/direct/include/coltsfoottide/direct/task_id.h
@@ -12,7 +12,7 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
 
-  auto operator<=>(const TaskId&) const = default;
+  auto operator<=>(const TaskId&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -424,7 +424,7 @@
   }
 }
 
-void JobDispatcher::Finish(Job& job, JobOutcome outcome, core::TimePoint now) {
+void JobDispatcher::Finish(Job& job, const JobOutcome& outcome, core::TimePoint now) {
   job.finished = true;
   job.withdrawing = false;
   StopRuns(job);
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -303,8 +303,8 @@
   HandBack(queue_.TakeAll(), now);
 }
 
-void RunExecutor::HandBack(std::vector<RunQueue::Item> items, core::TimePoint now) {
-  for (RunQueue::Item& it : items) {
+void RunExecutor::HandBack(const std::vector<RunQueue::Item>& items, core::TimePoint now) {
+  for (const RunQueue::Item& it : items) {
     ReportFinal(it.owner, RunReport{it.order.id, RunReport::Kind::kNotRun, {}}, now);
   }
 }
--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -59,6 +59,7 @@
   std::erase_if(candidates, [best](const Candidate& it) { return it.cost > best + kEqualWithin; });
   if (candidates.empty()) return std::nullopt;
   std::vector<double> weights;
+  weights.reserve(candidates.size());
   for (const Candidate& it : candidates) weights.push_back(it.free * it.free);
   std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
   return candidates[draw(random_)].choice;
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -13,7 +13,7 @@
 
 constexpr core::Duration kLease = std::chrono::seconds(1);
 constexpr core::Duration kOwnerLease = std::chrono::milliseconds(700);
-const std::string kOwner = "entry-1";  // NOLINT(cert-err58-cpp)
+constexpr char kOwner[] = "entry-1";
 
 class RecordingReports : public ReportSink {
  public:
--- a/packages/http/src/channel.cc
+++ b/packages/http/src/channel.cc
@@ -80,7 +80,8 @@
   ClientResponse response;
   response.status = static_cast<int>(message.result_int());
   for (const auto& field : message) {
-    response.headers[LowerCase(field.name_string())] = std::string(field.value());
+    const auto value = field.value();
+    response.headers[LowerCase(field.name_string())].assign(value.data(), value.size());
   }
   response.body = std::move(message.body());
   // Bytes after the answer would be taken for the next one.
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -113,7 +113,7 @@
     bool has_type = false;
     for (const auto& [name, value] : headers) {
       has_type = has_type || name == "Content-Type";
-      head += name + ": " + value + "\r\n";
+      head.append(name).append(": ").append(value).append("\r\n");
     }
     if (!has_type) head += "Content-Type: application/octet-stream\r\n";
     head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
