--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -63,6 +63,31 @@
   return "number_used";
 }
 
+const char* ResultName(direct::StartResult result) {
+  using Result = direct::StartResult;
+  switch (result) {
+    case Result::kStarted:
+      return "started";
+    case Result::kNoRoom:
+      return "no room";
+    case Result::kNumberUsed:
+      return "number used";
+    case Result::kTooLate:
+      return "too late";
+    case Result::kUnhealthy:
+      return "unhealthy";
+    case Result::kFenced:
+      return "fenced";
+    case Result::kInvalid:
+      return "invalid";
+    case Result::kGone:
+      return "gone";
+    case Result::kUnknown:
+      break;
+  }
+  return "no answer";
+}
+
 std::int64_t UnixMs() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
@@ -110,7 +135,7 @@
       logger_.Info("start not accepted", {{"job", id.task.job},
                                           {"task", std::to_string(id.task.index)},
                                           {"run", std::to_string(id.number)},
-                                          {"result", std::to_string(static_cast<int>(result))}});
+                                          {"result", ResultName(result)}});
     }
     executor_->OnStartResult(id, result, BootNow());
     state_changed_ = true;
@@ -274,12 +299,18 @@
 
 void DirectAgentRuntime::Report(const std::string& owner, const direct::RunReport& report) {
   state_changed_ = true;
-  if (report.kind != direct::RunReport::Kind::kStarted) {
+  using Kind = direct::RunReport::Kind;
+  if (report.kind != Kind::kStarted && report.kind != Kind::kQueued) {
     metrics_.Add(std::string("runs_") + KindName(report.kind), 1);
-    logger_.Debug("run ended", {{"job", report.id.task.job},
-                                {"task", std::to_string(report.id.task.index)},
-                                {"run", std::to_string(report.id.number)},
-                                {"how", KindName(report.kind)}});
+  }
+  // Ends as expected are counted only: they are most of all reports.
+  if (report.kind == Kind::kFailed || report.kind == Kind::kLost ||
+      report.kind == Kind::kNumberUsed) {
+    logger_.Info("run ended", {{"job", report.id.task.job},
+                               {"task", std::to_string(report.id.task.index)},
+                               {"run", std::to_string(report.id.number)},
+                               {"how", KindName(report.kind)},
+                               {"entry", owner}});
   }
   for (auto& [name, link] : links_) {
     if (!link.connection || link.owner.empty() || link.owner != owner) continue;
