Keep one copy of the longest chain of a job; remove what nothing calls

Cause: the dispatcher and the adapter each computed the longest chain of steps; three accessors and an argument were never used. Change: direct::LongestChain serves both.

--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -384,7 +384,7 @@
     logger_.Warn("agent lost", {{"agent", link.name},
                                 {"reason", reason},
                                 {"silent_ms", std::to_string(ToMs(BootNow() - link.last_heard))}});
-    dispatcher_.OnAgentLost(link.name, link.last_heard, BootNow());
+    dispatcher_.OnAgentLost(link.name, link.last_heard);
   }
   // The connection may be what reports its end, so it lives on for a tick.
   closed_.push_back(std::move(link.connection));
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -59,7 +59,7 @@
   void OnAgentHello(const AgentHello& hello, core::TimePoint now);
 
   // The connection to the agent has closed or is silent since `last_heard`.
-  void OnAgentLost(const std::string& agent, core::TimePoint last_heard, core::TimePoint now);
+  void OnAgentLost(const std::string& agent, core::TimePoint last_heard);
 
   // No start goes to these data centres.
   void SetEvacuated(const std::set<std::string>& data_centres);
@@ -75,7 +75,6 @@
   std::size_t size() const { return jobs_.size(); }
   // Jobs of the route, by its name, of which no task has started.
   std::size_t CountWaiting(const std::string& route) const;
-  const WorkerFleet& fleet() const { return fleet_; }
 
  private:
   struct Ended {
--- a/packages/direct/include/coltsfoottide/direct/worker_fleet.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_fleet.h
@@ -23,7 +23,6 @@
 
   WorkerView& Get(const std::string& agent) { return workers_[agent]; }
   const WorkerView* Find(const std::string& agent) const;
-  void Forget(const std::string& agent) { workers_.erase(agent); }
   void SetEvacuated(std::set<std::string> data_centres) { evacuated_ = std::move(data_centres); }
 
   // Returns a backend server with the earliest expected end for one task of
@@ -38,8 +37,6 @@
   // Cores, in millicores, of all that may take work of the service.
   std::uint64_t Capacity(const std::string& service) const;
 
-  std::size_t size() const { return workers_.size(); }
-
  private:
   std::optional<PlacementChoice> ChooseAmong(const std::string& service, const StepRequest& step,
                                              const std::set<std::string>& excluded,
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "coltsfoottide/direct/entry_sink.h"
+#include "coltsfoottide/direct/longest_chain.h"
 #include "job.h"
 
 namespace coltsfoottide::direct {
@@ -14,19 +15,6 @@
 // A duplicate of an answered submission may arrive some seconds later.
 constexpr core::Duration kRememberAnswers = std::chrono::seconds(10);
 
-// Longest chain of estimates through the steps.
-core::Duration CriticalPath(const std::vector<StepRequest>& steps) {
-  std::vector<core::Duration> ends(steps.size());
-  core::Duration longest{};
-  for (std::size_t i = 0; i < steps.size(); ++i) {
-    core::Duration begin{};
-    for (const std::uint32_t before : steps[i].after) begin = std::max(begin, ends[before]);
-    ends[i] = begin + steps[i].estimate;
-    longest = std::max(longest, ends[i]);
-  }
-  return longest;
-}
-
 // Millicores times milliseconds of all tasks of the step.
 std::uint64_t StepWork(const StepRequest& step) {
   const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(step.estimate);
@@ -78,7 +66,7 @@
       fleet_.Choose(job.request.service, first, {}, [](const std::string&) { return false; });
   // Without a backend server it waits for one to come back.
   if (!choice) return true;
-  const core::Duration path = CriticalPath(job.request.steps);
+  const core::Duration path = LongestChain(job.request.steps);
   const core::Duration slower = std::max(choice->run_time - first.estimate, core::Duration::zero());
   const core::Duration wait = choice->start_delay + OwnWait(job, choice->start_delay);
   if (now + wait + path + slower <= job.request.useful_until) return true;
@@ -322,8 +310,7 @@
   for (const std::string& id : ids) RemoveIfOver(id, now);
 }
 
-void JobDispatcher::OnAgentLost(const std::string& agent, core::TimePoint last_heard,
-                                core::TimePoint /*now*/) {
+void JobDispatcher::OnAgentLost(const std::string& agent, core::TimePoint last_heard) {
   fleet_.Get(agent).set_connected(false);
   for (auto& [id, job] : jobs_) {
     for (std::vector<Task>& tasks : job->steps) {
--- a/packages/direct/test/job_dispatcher_test.cc
+++ b/packages/direct/test/job_dispatcher_test.cc
@@ -85,7 +85,7 @@
     dispatcher_->Submit(job, kStart);
     Report(0, RunReport::Kind::kStarted);
     const std::string first = sink_.orders[0].agent;
-    dispatcher_->OnAgentLost(first, kStart, kStart + Ms(500));
+    dispatcher_->OnAgentLost(first, kStart);
     Connect("agent-2", 1);
     dispatcher_->Advance(kStart + kBound - Ms(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.orders.size());
@@ -98,7 +98,7 @@
   void RestartedAgentKeepsItsRuns() {
     dispatcher_->Submit(SampleJob("j", 1), kStart);
     Report(0, RunReport::Kind::kStarted);
-    dispatcher_->OnAgentLost("agent-1", kStart, kStart + Ms(10));
+    dispatcher_->OnAgentLost("agent-1", kStart);
     const RunReport running{sink_.orders[0].id, RunReport::Kind::kStarted, {}};
     dispatcher_->OnAgentHello({"agent-1", 2, true, {running}}, kStart + Ms(50));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.claims.size());
@@ -109,7 +109,7 @@
   // Guards against waiting out the bound for a run that provably is over.
   void AgentThatKnowsItsRunsFreesTheOthers() {
     dispatcher_->Submit(SampleJob("j", 1), kStart);
-    dispatcher_->OnAgentLost("agent-1", kStart, kStart + Ms(10));
+    dispatcher_->OnAgentLost("agent-1", kStart);
     dispatcher_->OnAgentHello({"agent-1", 2, false, {}}, kStart + Ms(50));
     dispatcher_->OnWorkerState("agent-1", IdleWorker(), 0);
     dispatcher_->Advance(kStart + Ms(60));
