Add a soak of the direct roles against stand-ins of the platform

It checks that no task has two runs at a time, that a completed job ran whole, that a refused one never starts, and that service is back after 4 s. Traced to the soak: the kernel ends a child together with the thread that started it, and the series had ended; they now live until the end.

--- /dev/null
+++ b/scripts/lib/platform_standin.py
@@ -0,0 +1,248 @@
+"""Stand-ins for the platform's store and for backend servers, by its published calls.
+
+They run as threads of the caller, misbehave on request, and record every run.
+"""
+
+import base64
+import json
+import random
+import struct
+import threading
+import time
+import urllib.parse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+MAX_LEASE_S = 1.0
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 128
+
+    def handle_error(self, request, client_address):
+        """Connections break by design of the faults."""
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def answer(self, status, body=b"{}"):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def log_message(self, *args):
+        """Requests are not logged."""
+
+
+def serve(address, port, handler):
+    server = Server((address, port), handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+class Store:
+    """Topics of keyed records; `outage` is None, "busy" or "silent"."""
+
+    def __init__(self, address, port):
+        self.topics = {}
+        self.outage = None
+        self.lock = threading.Condition()
+        store = self
+
+        class Calls(Handler):
+            def do_GET(self):
+                if not store.available(self):
+                    return
+                url = urllib.parse.urlparse(self.path)
+                query = dict(urllib.parse.parse_qsl(url.query))
+                with store.lock:
+                    records = store.topics.setdefault(query["Topic"], [])
+                    if url.path == "/log-newest":
+                        newest = {key: (value, n) for n, (key, value) in enumerate(records)}
+                        items = [{"Key": k, "Value": base64.b64encode(v).decode(), "Offset": n}
+                                 for k, (v, n) in newest.items() if v]
+                        return self.answer(200, {"items": items, "More": False,
+                                                 "End": len(records)})
+                    first = int(query["From"])
+                    if len(records) <= first:
+                        store.lock.wait(int(query.get("WaitMs", 0)) / 1000)
+                    data = struct.pack(">QQ", len(records), 0)
+                    for key, value in records[first:]:
+                        content = bytes([len(key)]) + key.encode() + value
+                        data += struct.pack(">I", len(content)) + content
+                self.answer(200, data)
+
+            def do_POST(self):
+                data = self.body()
+                if not store.available(self):
+                    return
+                query = dict(urllib.parse.parse_qsl(urllib.parse.urlparse(self.path).query))
+                store.append(query["Topic"], data[5:5 + data[4]].decode(), data[5 + data[4]:])
+                self.answer(200, {"Offset": 0, "End": 0})
+
+        self.server = serve(address, port, Calls)
+
+    def available(self, call):
+        if self.outage == "busy":
+            call.answer(503)
+        elif self.outage == "silent":
+            call.close_connection = True
+            time.sleep(1.0)
+        return self.outage is None
+
+    def append(self, topic, key, value):
+        with self.lock:
+            self.topics.setdefault(topic, []).append((key, value))
+            self.lock.notify_all()
+
+
+class Worker:
+    """A backend server. A task's payload is "MILLISECONDS MILLICORES"."""
+
+    def __init__(self, name, address, port, report_to, seed, history):
+        self.name, self.address, self.port = name, address, port
+        self.report_to = report_to
+        self.public = f"{address}:{port}"
+        self.cpu = 24000
+        self.lost_share = 0.0
+        self.draining = False
+        # Acknowledges stops and grants leases, but lets everything run on.
+        self.ignores_stops = False
+        self.random = random.Random(seed)
+        self.history = history
+        self.lock = threading.Condition()
+        self.restart()
+        worker = self
+
+        class Calls(Handler):
+            def do_POST(self):
+                body = json.loads(self.body())
+                lost = worker.random.random() < worker.lost_share
+                if lost and self.path == "/run-start":
+                    late = worker.random.uniform(0.3, 2.0)
+                    threading.Timer(late, worker.start, [body]).start()
+                if lost:
+                    self.close_connection = True
+                    time.sleep(0.6)
+                    return
+                self.answer(*worker.call(self.path, body))
+
+        self.server = serve(address, port, Calls)
+        threading.Thread(target=self._report, daemon=True).start()
+        threading.Thread(target=self._expire, daemon=True).start()
+
+    def restart(self):
+        """Begins a new life: nothing runs and nothing is known."""
+        with self.lock:
+            for run in list(getattr(self, "running", {}).values()):
+                self.history.end(self.name, run["task"], run["run"], "crashed")
+            self.life = int(time.time() * 1000)
+            self.running, self.ended, self.highest = {}, [], {}
+            self.fence, self.next_end, self.until, self.sequence = 0, 1, 0.0, 0
+
+    def clock(self):
+        return int(time.monotonic() * 1000)
+
+    def call(self, path, body):
+        with self.lock:
+            if body.get("Fence", 0) < self.fence:
+                return 409, {"ClockMs": self.clock(), "Reason": "fence"}
+            self.fence = body.get("Fence", 0)
+        if path == "/run-start":
+            return self.start(body)
+        if path == "/run-stop":
+            return self.stop(body)
+        return self.hold(body)
+
+    def extend(self, body):
+        if "DeadlineMs" in body:
+            limit = time.monotonic() + MAX_LEASE_S
+            self.until = max(self.until, min(body["DeadlineMs"] / 1000, limit))
+
+    def start(self, body):
+        with self.lock:
+            task, run = body["Task"], body["Run"]
+            reply = {"ClockMs": self.clock()}
+            if body.get("Fence", 0) < self.fence:
+                return 409, {**reply, "Reason": "fence"}
+            if self.running.get(task, {}).get("run") == run:
+                return 200, reply
+            if run <= self.highest.get(task, 0):
+                return 409, {**reply, "Reason": "old"}
+            if body["DeadlineMs"] / 1000 < time.monotonic():
+                return 409, {**reply, "Reason": "late"}
+            self.extend(body)
+            ms, cpu = (int(it) for it in body["Spec"].split())
+            if sum(it["cpu"] for it in self.running.values()) + cpu > self.cpu:
+                return 409, {**reply, "Reason": "room"}
+            self.running[task] = {"task": task, "run": run, "cpu": cpu, "ms": ms,
+                                  "begun": time.monotonic(), "life": self.life}
+            self.highest[task] = run
+            self.history.start(self.name, task, run)
+            threading.Timer(ms / 1000, self._finish, [task, run, "done", self.life]).start()
+            return 200, reply
+
+    def stop(self, body):
+        with self.lock:
+            task, run = body["Task"], body["Run"]
+            self.highest[task] = max(self.highest.get(task, 0), run)
+        if not self.ignores_stops:
+            self._finish(task, run, "stopped", self.life)
+        return 200, {"ClockMs": self.clock()}
+
+    def hold(self, body):
+        with self.lock:
+            self.extend(body)
+            self.ended = [it for it in self.ended if it[0] > body.get("AckCursor", 0)]
+            if not self.ended and body.get("WaitMs"):
+                self.lock.wait(body["WaitMs"] / 1000)
+            now = time.monotonic()
+            running = [[it["task"], it["run"], "",
+                        min(99, int(100 * (now - it["begun"]) * 1000 / it["ms"])), it["cpu"]]
+                       for it in self.running.values()]
+            return 200, {"ClockMs": self.clock(), "born": self.life, "Running": running,
+                         "Ended": self.ended[:500]}
+
+    def _finish(self, task, run, how, life):
+        with self.lock:
+            it = self.running.get(task)
+            if it is None or it["run"] != run or it["life"] != life:
+                return
+            del self.running[task]
+            self.history.end(self.name, task, run, how)
+            self.ended.append([self.next_end, task, run, how, ""])
+            self.next_end += 1
+            self.lock.notify_all()
+
+    def _expire(self):
+        while True:
+            time.sleep(0.01)
+            if self.running and time.monotonic() > self.until and not self.ignores_stops:
+                for it in list(self.running.values()):
+                    self._finish(it["task"], it["run"], "lapsed", it["life"])
+
+    def _report(self):
+        import http.client
+        while True:
+            self.sequence += 1
+            state = "draining" if self.draining else "ready"
+            body = {"Service": "review", "Address": self.public, "Zone": "a", "Version": "v1",
+                    "Slots": 8, "State": state, "Room": {"Cpu": self.cpu, "MemMb": 4096, "Gpu": 0},
+                    "Labels": ["a", "r1"], "ClockMs": self.clock(), "Sequence": self.sequence,
+                    "born": self.life}
+            try:
+                link = http.client.HTTPConnection(self.report_to, timeout=1.0)
+                link.request("PUT", f"/instances/{self.name}", json.dumps(body))
+                link.getresponse().read()
+                link.close()
+            except OSError:
+                pass
+            time.sleep(0.4)
--- /dev/null
+++ b/scripts/lib/soak.py
@@ -0,0 +1,259 @@
+"""Runs entries and agents under random faults and checks what callers and backend servers see.
+
+The direct roles run as separate processes on loopback addresses of their own;
+faults come from outside, in overlapping series drawn from the seed.
+"""
+
+import argparse
+import http.client
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+from fleet import Process, write_toml
+from platform_standin import Store, Worker
+from relay import Relay
+
+ENTRIES, WORKERS, CALLERS, SERIES = 2, 4, 8, 2
+LINK_PORT, CALL_PORT, READY_PORT = 17010, 17011, 17012
+REPORT_PORT, WORKER_PORT, RELAY_PORT, STORE_PORT = 17013, 17014, 17100, 17015
+RETRY_S, PATIENCE_S = 1.3, 2.5
+# Service that has to be back this long after the last fault, and its share.
+SETTLE_S, SETTLED_SHARE = 4.0, 0.9
+
+
+class History:
+    """Starts and ends at backend servers, answers at callers."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.active, self.done, self.started = {}, {}, set()
+        self.errors, self.starts, self.answers = [], 0, []
+
+    def start(self, worker, task, run):
+        with self.lock:
+            self.starts += 1
+            self.started.add(task.split(".")[0])
+            if self.active.get(task):
+                self.errors.append(f"{task}: run {run} at {worker} beside {self.active[task]}")
+            self.active.setdefault(task, []).append((worker, run))
+
+    def end(self, worker, task, run, how):
+        with self.lock:
+            if (worker, run) in self.active.get(task, []):
+                self.active[task].remove((worker, run))
+            if how == "done":
+                self.done.setdefault(task.split(".")[0], set()).add(task)
+
+    def answer(self, job, tasks, status, body, refused_only):
+        with self.lock:
+            self.answers.append((time.monotonic(), status))
+            if status == 200 and b"completed" in body and len(self.done.get(job, ())) < tasks:
+                self.errors.append(f"{job}: completed with {len(self.done.get(job, ()))} of {tasks}")
+            if refused_only and job in self.started:
+                self.errors.append(f"{job}: refused with {status} but started")
+
+
+class Soak:
+    def __init__(self, build, folder, seed):
+        self.random, self.history = random.Random(seed), History()
+        self.store = Store("127.6.0.1", STORE_PORT)
+        entries = [f"127.5.0.{n + 1}" for n in range(ENTRIES)]
+        seeds = [f"{it}:{READY_PORT}" for it in entries]
+        common = {"entries": seeds, "log_url": f"http://127.6.0.1:{STORE_PORT}", "lease_ms": 1000,
+                  "stop_ms": 50, "drain_limit_ms": 6000, "data_centre": "a"}
+        self.entries = [self._process(build, folder, f"entry{n}", {
+            **common, "role": "direct-entry", "listen": f"{ip}:{LINK_PORT}",
+            "http_listen": f"{ip}:{CALL_PORT}", "ready_listen": f"{ip}:{READY_PORT}"},
+            f"{ip}:{READY_PORT}") for n, ip in enumerate(entries)]
+        self.workers, self.relays, self.agents = [], [], []
+        for n in range(WORKERS):
+            ip, target = f"127.4.0.{n + 1}", f"127.3.0.{n + 1}"
+            worker = Worker(f"i-{n}", target, WORKER_PORT, f"{ip}:{REPORT_PORT}", seed + n,
+                            self.history)
+            relay = Relay(RELAY_PORT + n, (target, WORKER_PORT))
+            worker.public = f"127.0.0.1:{RELAY_PORT + n}"
+            self.workers.append(worker)
+            self.relays.append(relay)
+            self.agents.append(self._process(build, folder, f"agent{n}", {
+                **common, "role": "direct-agent", "listen": f"{ip}:{LINK_PORT}",
+                "http_listen": f"{ip}:{REPORT_PORT}",
+                "backend_url": f"http://127.0.0.1:{RELAY_PORT + n}"}, f"{ip}:{REPORT_PORT}"))
+        self.hosts = entries
+        self.running = True
+        self.quiet = threading.Barrier(SERIES + 1)
+        self.over = threading.Event()
+
+    @staticmethod
+    def _process(build, folder, name, settings, address):
+        path = folder / f"{name}.toml"
+        write_toml(path, settings)
+        return Process(name, [build / "packages/daemon/coltsfoottided", f"--settings={path}"],
+                       folder, address, "/ready")
+
+    def configure(self, version):
+        route = {"Name": "r", "Host": "h", "PathPrefix": "/j/", "Service": "review",
+                 "TimeoutMs": 1500, "TargetLatencyMs": 60, "Priority": 0, "MaxAttempts": 4,
+                 "Stretch": 1.6}
+        config = {"Version": version, "Routes": [route], "Services": [], "Limits": {}}
+        self.store.append("keyed.op", "config", json.dumps(config).encode())
+
+    def call_once(self, host, job, tasks, ms):
+        steps = [{"Count": tasks, "Cpu": 6000, "MemMb": 64, "EstimateMs": ms}]
+        body = json.dumps({"Spec": f"{ms} 6000", "BestEffort": True, "Steps": steps})
+        link = http.client.HTTPConnection(host, CALL_PORT, timeout=PATIENCE_S)
+        try:
+            link.request("POST", f"/j/{job}", body, {
+                "Host": "h", "X-Deadline-Ms": str(int(PATIENCE_S * 1000))})
+            reply = link.getresponse()
+            return reply.status, reply.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b""
+        finally:
+            link.close()
+
+    def caller(self, number, seed):
+        draw = random.Random(seed)
+        count = 0
+        while self.running:
+            count += 1
+            job = f"{number:04x}{count:012x}"
+            tasks, ms = draw.choice([(2, 60), (3, 120), (1, 400), (1, 1800)])
+            statuses = []
+            for _ in range(4):
+                status, body = self.call_once(draw.choice(self.hosts), job, tasks, ms)
+                statuses.append(status)
+                if status not in (0, 502, 504) or not self.running:
+                    break
+                time.sleep(RETRY_S)
+            refused_only = all(it in (429, 503) for it in statuses)
+            if refused_only:
+                # An order that is carried out late would show by then.
+                time.sleep(2.2)
+            self.history.answer(job, tasks, statuses[-1], body, refused_only)
+            time.sleep(draw.uniform(0.0, 0.15))
+
+    def fault(self, draw, series):
+        kind = draw.choice(["kill", "kill", "pause", "pause", "term", "hup", "store", "lose",
+                            "crash", "silence", "drain", "config"])
+        # Each process belongs to one series, so that a signal always meets
+        # one that runs; faults of different series overlap.
+        process = draw.choice((self.entries + self.agents)[series::SERIES])
+        worker = draw.choice(self.workers)
+        length = draw.uniform(0.2, 2.5)
+        if kind == "kill":
+            process.kill()
+            time.sleep(0.3)
+            process.start()
+        elif kind == "pause":
+            process.pause()
+            time.sleep(length)
+            process.resume()
+        elif kind == "term":
+            process.stop(15.0)
+            process.start()
+        elif kind == "hup":
+            process.signal(signal.SIGHUP)
+        elif kind == "store":
+            self.store.outage = draw.choice(["busy", "silent"])
+            time.sleep(length)
+            self.store.outage = None
+        elif kind == "lose":
+            worker.lost_share = 0.2
+            time.sleep(length)
+            worker.lost_share = 0.0
+        elif kind == "crash":
+            worker.restart()
+        elif kind == "silence":
+            draw.choice(self.relays).silence()
+        elif kind == "drain":
+            worker.draining = True
+            time.sleep(length)
+            worker.draining = False
+        else:
+            self.configure(int(time.time() * 1000) % 10**9)
+        return kind
+
+    def faults(self, until, counts, draw, series):
+        while time.monotonic() < until:
+            kind = self.fault(draw, series)
+            counts[kind] = counts.get(kind, 0) + 1
+            time.sleep(draw.uniform(0.1, 0.8))
+        self.quiet.wait()
+        # The kernel ends a process together with the thread that started it.
+        self.over.wait()
+
+    def run(self, seconds, seed):
+        self.configure(1)
+        processes = self.entries + self.agents
+        try:
+            for it in processes:
+                it.start()
+            for it in self.entries:
+                it.wait_ready()
+            callers = [threading.Thread(target=self.caller, args=(n, seed * 1000 + n), daemon=True)
+                       for n in range(CALLERS)]
+            for it in callers:
+                it.start()
+            counts = {}
+            until = time.monotonic() + seconds
+            series = [threading.Thread(
+                target=self.faults,
+                args=(until, counts, random.Random(self.random.random()), n), daemon=True)
+                for n in range(SERIES)]
+            for it in series:
+                it.start()
+            self.quiet.wait()
+            settled = time.monotonic() + SETTLE_S
+            time.sleep(SETTLE_S + 4.0)
+            self.running = False
+            for it in callers:
+                it.join(15.0)
+            self.check_settled(settled)
+            return counts
+        finally:
+            self.running = False
+            for it in processes:
+                it.resume()
+                it.kill()
+            self.over.set()
+
+    def check_settled(self, since):
+        late = [status for at, status in self.history.answers if at > since]
+        served = sum(1 for it in late if it == 200)
+        if not late or served < SETTLED_SHARE * len(late):
+            self.history.errors.append(f"after the faults {served} of {len(late)} were served")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", type=pathlib.Path, default="build")
+    parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 31))
+    parser.add_argument("--seconds", type=float, default=20.0, help="length of the faults")
+    parser.add_argument("--broken", action="store_true",
+                        help="backend servers ignore stops; succeeds when that is caught")
+    options = parser.parse_args()
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="coltsfoottide-soak-"))
+    soak = Soak(options.build.resolve(), folder, options.seed)
+    for it in soak.workers:
+        it.ignores_stops = options.broken
+    counts = soak.run(options.seconds, options.seed)
+    history = soak.history
+    served = sum(1 for _, status in history.answers if status == 200)
+    print(f"soak: seed={options.seed} jobs={len(history.answers)} served={served} "
+          f"starts={history.starts} faults={json.dumps(counts, sort_keys=True)} "
+          f"errors={len(history.errors)}")
+    for it in history.errors[:10]:
+        print(f"  {it}")
+    if bool(history.errors) != options.broken:
+        print(f"  logs: {folder}")
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
