Count the backlog in Retry-After, and answer a cancelled resubmission

Cause: a refused caller was told when the work of earlier refusals is done, without the work that already waits at the agents, so it returned into the same backlog; and a job that reached its deadline after it may have run booked a return although its caller is not refused. A submission that waits for the stop of an earlier one was forgotten without an answer when its caller left, which kept its entry in the runtime's table until the process ended.

The first lines of a job's life and the walk over its tasks are now written once each.

Tried first: counting late work in the backlog too.

Three tests fail on the code before.

--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -83,6 +83,7 @@
     core::TimePoint time;
   };
 
+  void Begin(std::unique_ptr<Job> owned, core::TimePoint now);
   bool Admit(Job& job, core::TimePoint now);
   core::Duration OwnWait(const Job& job, core::Duration start_delay) const;
   void PlaceReady(Job& job, core::TimePoint now);
@@ -98,11 +99,14 @@
   void Finish(Job& job, const JobOutcome& outcome, core::TimePoint now);
   void StopRuns(Job& job);
   void GiveUp(Job& job, const std::string& reason, core::TimePoint now);
+  // Ends a job of which nothing has started and no order is out.
+  void Refuse(Job& job, const std::string& reason, core::TimePoint now);
+  // Asks for the run back unless it has started.
+  void Withdraw(Task& task, const RunId& id);
   // Removes a finished job once none of its runs is left.
   void RemoveIfOver(const std::string& id, core::TimePoint now);
   void AdvanceJob(Job& job, core::TimePoint now);
   void MoveWaiting(Job& job, core::TimePoint now);
-  core::Duration ReturnTime(const Job& job, core::Duration clears_in, core::TimePoint now);
   void Remember(const std::string& job, const JobOutcome& outcome, core::TimePoint now);
 
   Tuning tuning_;
--- a/packages/direct/include/coltsfoottide/direct/worker_fleet.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_fleet.h
@@ -37,7 +37,12 @@
   // Cores, in millicores, of all that may take work of the service.
   std::uint64_t Capacity(const std::string& service) const;
 
+  // Time that the work waiting for the service keeps all of them busy. Work
+  // that is late already is left out: it goes behind what can be in time.
+  core::Duration Backlog(const std::string& service) const;
+
  private:
+  bool MayTakeWork(const WorkerView& view, const std::string& service) const;
   std::optional<PlacementChoice> ChooseAmong(const std::string& service, const StepRequest& step,
                                              const std::set<std::string>& excluded,
                                              const std::function<bool(const std::string&)>& full);
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -27,6 +27,17 @@
   });
 }
 
+// Calls `visit(Task&, const RunId&)` with each task and its latest run.
+template <typename Visit>
+void ForEachTask(Job& job, Visit visit) {
+  for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
+      Task& task = job.steps[step][index];
+      visit(task, RunId{TaskId{job.request.id, step, index}, task.run_number});
+    }
+  }
+}
+
 std::unique_ptr<Job> MakeJob(JobRequest request, core::TimePoint now) {
   auto job = std::make_unique<Job>();
   job->submitted = now;
@@ -48,12 +59,16 @@
   for (const Ended& it : ended_) {
     if (it.job == request.id) return sink_.Answer(it.job, it.outcome);
   }
-  const std::string id = request.id;
-  if (const auto it = jobs_.find(id); it != jobs_.end()) {
+  if (const auto it = jobs_.find(request.id); it != jobs_.end()) {
     if (it->second->finished) it->second->again = std::move(request);
     return;
   }
-  Job& job = *jobs_.emplace(id, MakeJob(std::move(request), now)).first->second;
+  Begin(MakeJob(std::move(request), now), now);
+}
+
+void JobDispatcher::Begin(std::unique_ptr<Job> owned, core::TimePoint now) {
+  const std::string id = owned->request.id;
+  Job& job = *jobs_.emplace(id, std::move(owned)).first->second;
   UnlockSteps(job);
   if (Admit(job, now)) PlaceReady(job, now);
   RemoveIfOver(id, now);
@@ -145,9 +160,12 @@
 void JobDispatcher::Cancel(const std::string& id, core::TimePoint now) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
-  it->second->again.reset();
+  const JobOutcome cancelled{JobOutcome::Kind::kCancelled, "cancelled", {}};
   if (!it->second->finished) {
-    Finish(*it->second, JobOutcome{JobOutcome::Kind::kCancelled, "cancelled", {}}, now);
+    Finish(*it->second, cancelled, now);
+  } else if (it->second->again) {
+    it->second->again.reset();
+    sink_.Answer(id, cancelled);
   }
   RemoveIfOver(id, now);
 }
@@ -354,8 +372,8 @@
   if (job.finished) return;
   if (now >= job.request.deadline) {
     const bool not_run = !job.MayHaveRun() && !HasRuns(job);
-    const auto kind = not_run ? JobOutcome::Kind::kNotRun : JobOutcome::Kind::kMayHaveRun;
-    return Finish(job, JobOutcome{kind, "deadline", ReturnTime(job, {}, now)}, now);
+    if (not_run) return Refuse(job, "deadline", now);
+    return Finish(job, JobOutcome{JobOutcome::Kind::kMayHaveRun, "deadline", {}}, now);
   }
   PlaceReady(job, now);
   if (!job.finished && !job.withdrawing) MoveWaiting(job, now);
@@ -379,9 +397,7 @@
       if (choice->start_delay > core::Duration::zero()) continue;
       --withdrawals_left_;
       ++task.moves;
-      task.state = Task::State::kStopping;
-      task.may_continue = true;
-      sink_.SendWithdraw(task.agent, RunId{TaskId{job.request.id, step, index}, task.run_number});
+      Withdraw(task, RunId{TaskId{job.request.id, step, index}, task.run_number});
     }
   }
 }
@@ -399,16 +415,13 @@
 }
 
 void JobDispatcher::StopRuns(Job& job) {
-  for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-    for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
-      Task& task = job.steps[step][index];
-      if (!task.HasRun() || task.state == Task::State::kOutOfReach) continue;
-      if (task.state == Task::State::kStopping && !task.may_continue) continue;
-      task.state = Task::State::kStopping;
-      task.may_continue = false;
-      sink_.SendStop(task.agent, RunId{TaskId{job.request.id, step, index}, task.run_number});
-    }
-  }
+  ForEachTask(job, [this](Task& task, const RunId& id) {
+    if (!task.HasRun() || task.state == Task::State::kOutOfReach) return;
+    if (task.state == Task::State::kStopping && !task.may_continue) return;
+    task.state = Task::State::kStopping;
+    task.may_continue = false;
+    sink_.SendStop(task.agent, id);
+  });
 }
 
 void JobDispatcher::Finish(Job& job, const JobOutcome& outcome, core::TimePoint now) {
@@ -427,27 +440,28 @@
   if (job.MayHaveRun()) {
     return Finish(job, JobOutcome{JobOutcome::Kind::kMayHaveRun, reason, {}}, now);
   }
-  if (!HasRuns(job)) {
-    const auto retry_after = ReturnTime(job, {}, now);
-    return Finish(job, JobOutcome{JobOutcome::Kind::kNotRun, reason, retry_after}, now);
-  }
+  if (!HasRuns(job)) return Refuse(job, reason, now);
   job.withdrawing = true;
-  for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-    for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
-      Task& task = job.steps[step][index];
-      if (task.state != Task::State::kOrdered) continue;
-      task.state = Task::State::kStopping;
-      task.may_continue = true;
-      sink_.SendWithdraw(task.agent, RunId{TaskId{job.request.id, step, index}, task.run_number});
-    }
-  }
+  ForEachTask(job, [this](Task& task, const RunId& id) {
+    if (task.state == Task::State::kOrdered) Withdraw(task, id);
+  });
+}
+
+void JobDispatcher::Withdraw(Task& task, const RunId& id) {
+  task.state = Task::State::kStopping;
+  task.may_continue = true;
+  sink_.SendWithdraw(task.agent, id);
 }
 
-core::Duration JobDispatcher::ReturnTime(const Job& job, core::Duration clears_in,
-                                         core::TimePoint now) {
+// The caller is told to return when the backlog and the work of those refused
+// before it are done.
+void JobDispatcher::Refuse(Job& job, const std::string& reason, core::TimePoint now) {
   std::uint64_t work = 0;
   for (const StepRequest& it : job.request.steps) work += StepWork(it);
-  return returns_.Book(work, fleet_.Capacity(job.request.service), clears_in, now);
+  const std::string& service = job.request.service;
+  const core::Duration retry_after =
+      returns_.Book(work, fleet_.Capacity(service), fleet_.Backlog(service), now);
+  Finish(job, JobOutcome{JobOutcome::Kind::kNotRun, reason, retry_after}, now);
 }
 
 void JobDispatcher::RemoveIfOver(const std::string& id, core::TimePoint now) {
@@ -456,17 +470,15 @@
   const std::unique_ptr<Job> job = std::move(it->second);
   jobs_.erase(it);
   if (!job->again) return;
-  Job& next = *jobs_.emplace(id, MakeJob(std::move(*job->again), now)).first->second;
+  auto next = MakeJob(std::move(*job->again), now);
   // Numbers of a task's runs rise also across submissions.
-  for (std::size_t step = 0; step < std::min(next.steps.size(), job->steps.size()); ++step) {
-    const std::size_t n = std::min(next.steps[step].size(), job->steps[step].size());
+  for (std::size_t step = 0; step < std::min(next->steps.size(), job->steps.size()); ++step) {
+    const std::size_t n = std::min(next->steps[step].size(), job->steps[step].size());
     for (std::size_t index = 0; index < n; ++index) {
-      next.steps[step][index].run_number = job->steps[step][index].run_number;
+      next->steps[step][index].run_number = job->steps[step][index].run_number;
     }
   }
-  UnlockSteps(next);
-  if (Admit(next, now)) PlaceReady(next, now);
-  RemoveIfOver(id, now);
+  Begin(std::move(next), now);
 }
 
 void JobDispatcher::Remember(const std::string& job, const JobOutcome& outcome,
--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -65,16 +65,27 @@
   return candidates[draw(random_)].choice;
 }
 
+bool WorkerFleet::MayTakeWork(const WorkerView& view, const std::string& service) const {
+  const WorkerState& state = view.state();
+  return view.connected() && state.ready && !state.draining && state.service == service &&
+         !evacuated_.contains(state.data_centre);
+}
+
 std::uint64_t WorkerFleet::Capacity(const std::string& service) const {
   std::uint64_t millicores = 0;
   for (const auto& [agent, view] : workers_) {
-    const WorkerState& state = view.state();
-    const bool usable = view.connected() && state.ready && !state.draining;
-    if (usable && state.service == service && !evacuated_.contains(state.data_centre)) {
-      millicores += state.total.cpu_millicores;
-    }
+    if (MayTakeWork(view, service)) millicores += view.state().total.cpu_millicores;
   }
   return millicores;
 }
 
+core::Duration WorkerFleet::Backlog(const std::string& service) const {
+  std::uint64_t work = 0;
+  for (const auto& [agent, view] : workers_) {
+    if (MayTakeWork(view, service)) work += view.state().queued_work;
+  }
+  const std::uint64_t millicores = Capacity(service);
+  return millicores == 0 ? core::Duration::zero() : std::chrono::milliseconds(work / millicores);
+}
+
 }  // namespace coltsfoottide::direct
--- a/packages/direct/test/job_dispatcher_test.cc
+++ b/packages/direct/test/job_dispatcher_test.cc
@@ -25,6 +25,9 @@
   CPPUNIT_TEST(StartedJobIsNeverRefusedAsNotRun);
   CPPUNIT_TEST(CancelStopsRunsAndFreesTheId);
   CPPUNIT_TEST(SameIdAgainRunsAfterTheStoppedOne);
+  CPPUNIT_TEST(CancelOfAWaitingSecondSubmissionIsAnswered);
+  CPPUNIT_TEST(RefusedCallersReturnAfterTheBacklog);
+  CPPUNIT_TEST(JobThatMayHaveRunBooksNoReturn);
   CPPUNIT_TEST(DuplicateOfAnEndedJobGetsItsAnswer);
   CPPUNIT_TEST(WaitingRunMovesToAFreeWorker);
   CPPUNIT_TEST(SlowRunMovesOnlyWhereThatPays);
@@ -189,6 +192,55 @@
     CPPUNIT_ASSERT(sink_.orders[1].id.number > sink_.orders[0].id.number);
   }
 
+  // Guards against a submission that waits for a stop, loses its caller, and
+  // never gets a final answer.
+  void CancelOfAWaitingSecondSubmissionIsAnswered() {
+    dispatcher_->Submit(SampleJob("j", 1), kStart);
+    Report(0, RunReport::Kind::kStarted);
+    dispatcher_->Cancel("j", kStart + Ms(5));
+    dispatcher_->Submit(SampleJob("j", 1), kStart + Ms(10));
+    dispatcher_->Cancel("j", kStart + Ms(15));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sink_.answers.size());
+    CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kCancelled);
+    Report(0, RunReport::Kind::kLost);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.orders.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, dispatcher_->size());
+  }
+
+  // Overload: a backlog of three seconds. Guards against callers that are
+  // refused and told to return into the same backlog.
+  void RefusedCallersReturnAfterTheBacklog() {
+    WorkerState state = IdleWorker();
+    state.free = {};
+    state.queued_work = state.total.cpu_millicores * 3000;
+    state.late_work = state.total.cpu_millicores * 9000;
+    dispatcher_->OnWorkerState("agent-1", state, 0);
+    dispatcher_->Submit(SampleJob("j", 1), kStart);
+    CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kNotRun);
+    CPPUNIT_ASSERT(sink_.answers.back().second.retry_after >= Ms(3000));
+    CPPUNIT_ASSERT(sink_.answers.back().second.retry_after < Ms(4000));
+  }
+
+  // Guards against refusals that wait behind work which was not refused.
+  void JobThatMayHaveRunBooksNoReturn() {
+    JobRequest wide = SampleJob("wide", 10);
+    wide.steps[0].estimate = Ms(5000);
+    wide.useful_until = wide.deadline = kStart + Ms(6000);
+    dispatcher_->Submit(wide, kStart);
+    Report(0, RunReport::Kind::kStarted);
+    dispatcher_->Advance(kStart + Ms(6001));
+    CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kMayHaveRun);
+    WorkerState state = IdleWorker();
+    state.free = {};
+    state.queued_work = state.total.cpu_millicores * 500;
+    dispatcher_->OnWorkerState("agent-1", state, 10);
+    JobRequest late = SampleJob("late", 1);
+    late.useful_until = kStart + Ms(6200);
+    dispatcher_->Submit(late, kStart + Ms(6001));
+    CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kNotRun);
+    CPPUNIT_ASSERT(sink_.answers.back().second.retry_after < Ms(1000));
+  }
+
   // Guards against a second execution for a duplicate that arrives late.
   void DuplicateOfAnEndedJobGetsItsAnswer() {
     dispatcher_->Submit(SampleJob("j", 1), kStart);
