Answer callers that end their input after the request

Cause: Qt closes a socket at the end of its input, so a caller that shuts down its sending side after the request, as HTTP allows, lost its answer, and its job was cancelled as abandoned.

The connection now holds a duplicate of its descriptor during a request. When the input ends it sends "100 Continue": a peer that has closed the connection resets it, which is noticed within 10 ms and ends the job as before; one that only ended its input reads on and gets the answer. A caller of HTTP/1.0, which knows no interim responses, is treated as before.

Ruled out: going on without a probe, which would work for callers that have left; a socket class of our own in place of QTcpSocket.

Two tests fail on the code before; a third guards against work for a caller that closes normally.

--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -50,11 +50,14 @@
 void Connection::BeginRequest(std::uint64_t id) {
   request_id_ = id;
   state_ = State::kInProgress;
+  if (head_.takes_interim) half_open_ = std::make_unique<HalfOpenPeer>(socket_.socketDescriptor());
 }
 
 void Connection::Respond(const Response& response) {
+  if (state_ == State::kHalfOpen) return RespondHalfOpen(response);
   if (state_ != State::kInProgress) return;
   state_ = State::kAnswering;
+  half_open_.reset();
   const bool keep_alive = head_.keep_alive && !stopping_;
   close_after_answer_ = !keep_alive;
   timer_.start(limits_.idle_time);
@@ -62,9 +65,33 @@
   socket_.flush();
 }
 
+void Connection::RespondHalfOpen(const Response& response) {
+  const QByteArray answer = FormatResponse(response, false, head_.method != "HEAD");
+  if (!half_open_->WriteLast(answer)) {
+    qWarning("answer of %lld bytes not sent to a caller that has ended its input",
+             static_cast<long long>(answer.size()));
+  }
+  EndHalfOpen();
+}
+
+// Ends later, because the caller may still use the request.
+void Connection::EndHalfOpen() {
+  state_ = State::kClosed;
+  half_open_.reset();
+  QMetaObject::invokeMethod(
+      this,
+      [this] {
+        events_.on_written(*this);
+        End();
+      },
+      Qt::QueuedConnection);
+}
+
 void Connection::Drop() {
+  if (state_ == State::kHalfOpen) return EndHalfOpen();
   if (state_ != State::kInProgress) return;
   state_ = State::kAnswering;
+  half_open_.reset();
   // Later, because the parser may still be in the call that reported the
   // request.
   QMetaObject::invokeMethod(
@@ -165,12 +192,28 @@
 }
 
 void Connection::OnDisconnected() {
+  const bool ended = socket_.error() == QAbstractSocket::RemoteHostClosedError;
+  if (state_ == State::kInProgress && ended && half_open_ && half_open_->valid()) {
+    state_ = State::kHalfOpen;
+    half_open_->Probe([this] { OnPeerGone(); });
+    return;
+  }
   const State last = std::exchange(state_, State::kClosed);
   if (last == State::kClosed) return;
-  timer_.stop();
-  if (gate_) gate_->End();
   if (last == State::kInProgress) events_.on_abandoned(*this);
   if (last == State::kAnswering) events_.on_written(*this);
+  End();
+}
+
+void Connection::OnPeerGone() {
+  state_ = State::kClosed;
+  events_.on_abandoned(*this);
+  End();
+}
+
+void Connection::End() {
+  timer_.stop();
+  if (gate_) gate_->End();
   events_.on_closed(*this);
   deleteLater();
 }
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -5,9 +5,11 @@
 #include <QTcpSocket>
 #include <QTimer>
 #include <functional>
+#include <memory>
 
 #include "coltsfoottide/http/server.h"
 #include "gate_socket.h"
+#include "half_open_peer.h"
 #include "request_framer.h"
 
 namespace coltsfoottide::http {
@@ -15,7 +17,8 @@
 // One accepted connection: reads one request at a time within the limits,
 // passes it to Qt's parser through the gate socket, and writes its answer.
 // What follows the request stays in the kernel and in a read buffer of fixed
-// size until the answer has been written. Deletes itself once it has closed.
+// size until the answer has been written. A peer that ends its input after the
+// request still gets the answer. Deletes itself once it has closed.
 class Connection : public QObject {
  public:
   struct Events {
@@ -47,11 +50,24 @@
   void BeginStop();
 
  private:
-  enum class State { kReceiving, kParsing, kInProgress, kAnswering, kLingering, kClosed };
+  enum class State {
+    kReceiving,
+    kParsing,
+    kInProgress,
+    // In progress; the peer has ended its input.
+    kHalfOpen,
+    kAnswering,
+    kLingering,
+    kClosed,
+  };
 
   void OnReadable();
   void OnWritten();
   void OnDisconnected();
+  void OnPeerGone();
+  void RespondHalfOpen(const Response& response);
+  void EndHalfOpen();
+  void End();
   void OnTimeout();
   void Receive();
   void Dispatch();
@@ -65,6 +81,8 @@
   QTcpSocket socket_;
   QTimer timer_;
   QPointer<GateSocket> gate_;
+  // During a request.
+  std::unique_ptr<HalfOpenPeer> half_open_;
   RequestFramer framer_;
   RequestFramer::State timed_state_ = RequestFramer::State::kRefused;
   RequestHead head_;
--- /dev/null
+++ b/packages/http/src/half_open_peer.cc
@@ -0,0 +1,61 @@
+#include "half_open_peer.h"
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <utility>
+
+namespace coltsfoottide::http {
+
+namespace {
+
+// A reset comes back within one round trip; work for a caller that has left
+// goes on no longer than this.
+constexpr std::chrono::milliseconds kCheckInterval{10};
+constexpr char kInterimResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+}  // namespace
+
+HalfOpenPeer::HalfOpenPeer(qintptr descriptor)
+    : descriptor_(::fcntl(static_cast<int>(descriptor), F_DUPFD_CLOEXEC, 0)) {
+  QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { Check(); });
+}
+
+HalfOpenPeer::~HalfOpenPeer() { Close(); }
+
+void HalfOpenPeer::Probe(std::function<void()> on_gone) {
+  on_gone_ = std::move(on_gone);
+  // Reported by Check, since the connection must not end within this call.
+  send_failed_ = !Send(kInterimResponse);
+  timer_.start(kCheckInterval);
+}
+
+void HalfOpenPeer::Check() {
+  int error = 0;
+  socklen_t n = sizeof(error);
+  const bool asked = ::getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &n) == 0;
+  if (asked && error == 0 && !send_failed_) return;
+  timer_.stop();
+  if (auto on_gone = std::exchange(on_gone_, nullptr)) on_gone();
+}
+
+bool HalfOpenPeer::WriteLast(const QByteArray& answer) {
+  const bool sent = Send(answer);
+  Close();
+  return sent;
+}
+
+bool HalfOpenPeer::Send(const QByteArray& bytes) const {
+  const ssize_t n = ::send(descriptor_, bytes.constData(), static_cast<std::size_t>(bytes.size()),
+                           MSG_NOSIGNAL | MSG_DONTWAIT);
+  return n == bytes.size();
+}
+
+void HalfOpenPeer::Close() {
+  timer_.stop();
+  if (descriptor_ >= 0) ::close(std::exchange(descriptor_, -1));
+}
+
+}  // namespace coltsfoottide::http
--- a/packages/http/src/request_head.cc
+++ b/packages/http/src/request_head.cc
@@ -36,7 +36,8 @@
   if (parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0") return kVersionNotSupported;
   if (parts[0] == "CONNECT") return kNotImplemented;
   head.method = parts[0];
-  head.keep_alive = parts[2] == "HTTP/1.1";
+  head.takes_interim = parts[2] == "HTTP/1.1";
+  head.keep_alive = head.takes_interim;
   return 0;
 }
 
--- a/packages/http/src/request_head.h
+++ b/packages/http/src/request_head.h
@@ -8,6 +8,8 @@
 struct RequestHead {
   QByteArray method;
   bool keep_alive = true;
+  // The caller's version knows responses that precede the final one.
+  bool takes_interim = true;
   // The caller waits for "100 Continue" before it sends the body.
   bool expects_continue = false;
   qsizetype content_length = 0;
--- a/packages/http/test/server_test.cc
+++ b/packages/http/test/server_test.cc
@@ -1,6 +1,7 @@
 #include "coltsfoottide/http/server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
 
 #include <QHostAddress>
 #include <QTcpSocket>
@@ -68,6 +69,9 @@
   CPPUNIT_TEST_SUITE(ServerTest);
   CPPUNIT_TEST(KeepsConnectionAlive);
   CPPUNIT_TEST(DropsAnswerToGonePeer);
+  CPPUNIT_TEST(ReportsPeerThatClosesNormally);
+  CPPUNIT_TEST(AnswersPeerThatEndsItsInput);
+  CPPUNIT_TEST(StopWaitsForPeerThatEndedItsInput);
   CPPUNIT_TEST(HoldsBackPipelinedRequests);
   CPPUNIT_TEST(AnswersWithinTheCallback);
   CPPUNIT_TEST(StopsReadingWhileRequestInProgress);
@@ -119,6 +123,56 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.server->pending());
   }
 
+  // Guards against work that goes on for a caller that has left: its close
+  // looks like the end of its input at first.
+  void ReportsPeerThatClosesNormally() {
+    Fixture fixture;
+    {
+      RawPeer peer(fixture);
+      peer.socket.write(PostText("/v1/x", "a"));
+      CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == 1; }));
+      peer.socket.close();
+    }
+    CPPUNIT_ASSERT(RunUntil([&] { return fixture.abandoned.size() == 1; }));
+    CPPUNIT_ASSERT(!fixture.server->Respond(fixture.requests[0].id, TextResponse("late")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.server->pending());
+  }
+
+  // Guards against a request without an answer when its caller ends its input
+  // after it, as HTTP allows.
+  void AnswersPeerThatEndsItsInput() {
+    Fixture fixture;
+    RawPeer peer(fixture);
+    peer.socket.write(PostText("/v1/x", "a"));
+    peer.socket.flush();
+    ::shutdown(static_cast<int>(peer.socket.socketDescriptor()), SHUT_WR);
+    CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == 1; }));
+    RunFor(std::chrono::milliseconds(60));
+    CPPUNIT_ASSERT(fixture.abandoned.empty());
+    CPPUNIT_ASSERT(fixture.server->Respond(fixture.requests[0].id, TextResponse("answer")));
+    CPPUNIT_ASSERT(peer.WaitFor("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT(peer.WaitForClose());
+    CPPUNIT_ASSERT(peer.received.endsWith("answer"));
+    CPPUNIT_ASSERT(RunUntil([&] { return fixture.server->pending() == 0; }));
+  }
+
+  // Guards against a stop that counts such a request as over.
+  void StopWaitsForPeerThatEndedItsInput() {
+    Fixture fixture;
+    RawPeer peer(fixture);
+    peer.socket.write(PostText("/v1/x", "a"));
+    peer.socket.flush();
+    ::shutdown(static_cast<int>(peer.socket.socketDescriptor()), SHUT_WR);
+    CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == 1; }));
+    RunFor(std::chrono::milliseconds(30));
+    fixture.server->BeginStop();
+    RunFor(std::chrono::milliseconds(30));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.server->pending());
+    fixture.server->Drop(fixture.requests[0].id);
+    CPPUNIT_ASSERT(peer.WaitForClose());
+    CPPUNIT_ASSERT(RunUntil([&] { return fixture.server->pending() == 0; }));
+  }
+
   // Qt answers pipelined requests in the order of completion.
   void HoldsBackPipelinedRequests() {
     Fixture fixture;
