Tell entries what a backend server is only when it changes

Cause: every state that an agent sent carried service, data centre, rack, labels and total room, though these change only with a report.

Ruled out: fewer states. Their age decides where work goes.

A frame has the description first on a connection and when it has changed.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -228,6 +228,7 @@
   link.last_heard = now;
   link.owner.clear();
   link.orders_seen = 0;
+  link.described.reset();
   FrameConnection::Events events;
   events.on_frame = [this, name](const direct_wire::Frame& frame) { OnFrame(name, frame); };
   events.on_closed = [this, name] { CloseLink(name, "closed"); };
@@ -291,6 +292,11 @@
 
 void DirectAgentRuntime::WriteStateTo(Link& link, core::TimePoint now) {
   direct_wire::Frame& frame = link.connection->outbox();
+  const direct::WorkerDescription description = executor_->Description();
+  if (!link.described || *link.described != description) {
+    WriteDescription(description, *frame.mutable_description());
+    link.described = description;
+  }
   WriteState(executor_->State(now), *frame.mutable_worker());
   frame.set_stamp_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
   frame.set_orders_seen(link.orders_seen);
@@ -349,7 +355,7 @@
   metrics_.Set("queued_work", state.queued_work + state.late_work);
   logger_.Info("backend server load",
                {{"free_millicores", std::to_string(state.free.cpu_millicores)},
-                {"millicores", std::to_string(state.total.cpu_millicores)},
+                {"millicores", std::to_string(executor_->Description().total.cpu_millicores)},
                 {"queued_work", std::to_string(state.queued_work)},
                 {"late_work", std::to_string(state.late_work)},
                 {"slowness", std::to_string(state.slowness)},
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,6 +48,8 @@
     core::TimePoint last_heard;
     core::TimePoint last_state;
     std::uint64_t orders_seen = 0;
+    // What the entry has been told on this connection.
+    std::optional<direct::WorkerDescription> described;
   };
 
   // ReportSink
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -340,6 +340,9 @@
   const auto it = links_.find(id);
   if (it == links_.end() || !it->second.is_agent) return;
   const std::string agent = it->second.name;
+  if (frame.has_description()) {
+    dispatcher_.OnWorkerDescription(agent, ReadDescription(frame.description()));
+  }
   if (frame.has_worker()) {
     dispatcher_.OnWorkerState(agent, ReadState(frame.worker()), frame.orders_seen());
   }
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -76,14 +76,29 @@
           core::Duration(static_cast<std::int64_t>(message.remaining_us()))};
 }
 
+void WriteDescription(const direct::WorkerDescription& description,
+                      direct_wire::WorkerDescription& message) {
+  message.Clear();
+  message.set_service(description.service);
+  message.set_data_centre(description.data_centre);
+  message.set_rack(description.rack);
+  for (const std::string& it : description.labels) message.add_labels(it);
+  WriteResources(description.total, *message.mutable_total());
+}
+
+direct::WorkerDescription ReadDescription(const direct_wire::WorkerDescription& message) {
+  direct::WorkerDescription description;
+  description.service = message.service();
+  description.data_centre = message.data_centre();
+  description.rack = message.rack();
+  description.labels.assign(message.labels().begin(), message.labels().end());
+  description.total = ReadResources(message.total());
+  return description;
+}
+
 void WriteState(const direct::WorkerState& state, direct_wire::WorkerState& message) {
   message.set_ready(state.ready);
   message.set_draining(state.draining);
-  message.set_service(state.service);
-  message.set_data_centre(state.data_centre);
-  message.set_rack(state.rack);
-  for (const std::string& it : state.labels) message.add_labels(it);
-  WriteResources(state.total, *message.mutable_total());
   WriteResources(state.free, *message.mutable_free());
   message.set_queued_work(state.queued_work);
   message.set_late_work(state.late_work);
@@ -95,11 +110,6 @@
   direct::WorkerState state;
   state.ready = message.ready();
   state.draining = message.draining();
-  state.service = message.service();
-  state.data_centre = message.data_centre();
-  state.rack = message.rack();
-  state.labels.assign(message.labels().begin(), message.labels().end());
-  state.total = ReadResources(message.total());
   state.free = ReadResources(message.free());
   state.queued_work = message.queued_work();
   state.late_work = message.late_work();
--- a/packages/daemon/src/direct_messages.h
+++ b/packages/daemon/src/direct_messages.h
@@ -3,6 +3,7 @@
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/run_order.h"
 #include "coltsfoottide/direct/run_report.h"
+#include "coltsfoottide/direct/worker_description.h"
 #include "coltsfoottide/direct/worker_state.h"
 #include "coltsfoottide/schema/direct.pb.h"
 
@@ -20,6 +21,10 @@
 void WriteReport(const direct::RunReport& report, direct_wire::RunReport& message);
 direct::RunReport ReadReport(const direct_wire::RunReport& message);
 
+void WriteDescription(const direct::WorkerDescription& description,
+                      direct_wire::WorkerDescription& message);
+direct::WorkerDescription ReadDescription(const direct_wire::WorkerDescription& message);
+
 void WriteState(const direct::WorkerState& state, direct_wire::WorkerState& message);
 direct::WorkerState ReadState(const direct_wire::WorkerState& message);
 
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -50,6 +50,7 @@
   // Whether the job is in progress.
   bool InProgress(const std::string& job) const;
 
+  void OnWorkerDescription(const std::string& agent, const WorkerDescription& description);
   // `orders_seen` is how many orders on the present connection it covers.
   void OnWorkerState(const std::string& agent, const WorkerState& state, std::uint64_t orders_seen);
   void OnReport(const std::string& agent, const RunReport& report, core::TimePoint now);
--- a/packages/direct/include/coltsfoottide/direct/resources.h
+++ b/packages/direct/include/coltsfoottide/direct/resources.h
@@ -10,6 +10,8 @@
   std::uint64_t memory_mb = 0;
   std::uint64_t accelerators = 0;
 
+  bool operator==(const Resources&) const = default;
+
   bool Fits(const Resources& need) const {
     return need.cpu_millicores <= cpu_millicores && need.memory_mb <= memory_mb &&
            need.accelerators <= accelerators;
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -69,7 +69,9 @@
   // Carries out what is due. Must be called every few tens of milliseconds.
   void Advance(core::TimePoint now);
 
-  // What entries are told. Changes with nearly every call.
+  // The last report's; empty before the first.
+  WorkerDescription Description() const;
+  // Changes with nearly every call.
   WorkerState State(core::TimePoint now) const;
   // Runs for the hello to the owner: its own, those without an owner, and
   // those that ended lately.
--- a/packages/direct/include/coltsfoottide/direct/worker_report.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_report.h
@@ -2,9 +2,8 @@
 
 #include <cstdint>
 #include <string>
-#include <vector>
 
-#include "coltsfoottide/direct/resources.h"
+#include "coltsfoottide/direct/worker_description.h"
 
 namespace coltsfoottide::direct {
 
@@ -16,11 +15,7 @@
   std::int64_t life = 0;
   // Rises within one life.
   std::uint64_t sequence = 0;
-  std::string service;
-  std::string data_centre;
-  std::string rack;
-  std::vector<std::string> labels;
-  Resources room;
+  WorkerDescription description;
   bool draining = false;
 };
 
--- a/packages/direct/include/coltsfoottide/direct/worker_state.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_state.h
@@ -1,25 +1,18 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
-#include <vector>
 
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/resources.h"
 
 namespace coltsfoottide::direct {
 
-// What an agent tells entries about its backend server.
+// How loaded a backend server is, as its agent tells entries.
 struct WorkerState {
   // False before the first report, and after the backend server has left or
   // crashed.
   bool ready = false;
   bool draining = false;
-  std::string service;
-  std::string data_centre;
-  std::string rack;
-  std::vector<std::string> labels;
-  Resources total;
   Resources free;
   // Work that waits at the agent and can still end in time, and that which is
   // late already: millicores times milliseconds.
--- a/packages/direct/include/coltsfoottide/direct/worker_view.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_view.h
@@ -7,6 +7,7 @@
 
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/step_request.h"
+#include "coltsfoottide/direct/worker_description.h"
 #include "coltsfoottide/direct/worker_state.h"
 
 namespace coltsfoottide::direct {
@@ -17,6 +18,7 @@
  public:
   // A connection has opened; orders are counted from zero on it.
   void OnConnected();
+  void OnDescription(const WorkerDescription& description) { description_ = description; }
   // `orders_seen` is how many orders of this connection the state covers.
   void OnReport(const WorkerState& state, std::uint64_t orders_seen);
   // Counts an order of this entry that reports do not show yet.
@@ -38,6 +40,7 @@
   // Free millicores less those of orders that no report covers yet.
   std::uint64_t UnclaimedCpu() const;
 
+  const WorkerDescription& description() const { return description_; }
   const WorkerState& state() const { return state_; }
   bool connected() const { return connected_; }
   void set_connected(bool connected) { connected_ = connected; }
@@ -51,6 +54,7 @@
   Resources Unclaimed() const;
   double Slowness() const;
 
+  WorkerDescription description_;
   WorkerState state_;
   // Orders that no report covers yet, oldest first.
   std::deque<SentOrder> sent_;
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -175,6 +175,11 @@
   return it != jobs_.end() && (!it->second->finished || it->second->again);
 }
 
+void JobDispatcher::OnWorkerDescription(const std::string& agent,
+                                        const WorkerDescription& description) {
+  fleet_.Get(agent).OnDescription(description);
+}
+
 void JobDispatcher::OnWorkerState(const std::string& agent, const WorkerState& state,
                                   std::uint64_t orders_seen) {
   fleet_.Get(agent).OnReport(state, orders_seen);
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -170,7 +170,7 @@
 
 Resources RunExecutor::FreeRoom() const {
   if (!worker_report_) return {};
-  Resources free = worker_report_->room;
+  Resources free = worker_report_->description.total;
   for (const auto& [id, run] : runs_) free.Take(run.order.need);
   return free;
 }
@@ -490,16 +490,15 @@
   MaybeHold(now);
 }
 
+WorkerDescription RunExecutor::Description() const {
+  return worker_report_ ? worker_report_->description : WorkerDescription{};
+}
+
 WorkerState RunExecutor::State(core::TimePoint now) const {
   WorkerState state;
   if (!worker_report_) return state;
   state.ready = worker_ready_;
   state.draining = worker_report_->draining || draining_;
-  state.service = worker_report_->service;
-  state.data_centre = worker_report_->data_centre;
-  state.rack = worker_report_->rack;
-  state.labels = worker_report_->labels;
-  state.total = worker_report_->room;
   state.free = FreeRoom();
   state.queued_work = queue_.OnTimeWork(now);
   state.late_work = queue_.LateWork(now);
--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -45,12 +45,13 @@
   std::vector<Candidate> candidates;
   core::Duration best = core::Duration::max();
   for (const auto& [agent, view] : workers_) {
-    if (!view.Eligible(service, step) || evacuated_.contains(view.state().data_centre)) continue;
+    if (!view.Eligible(service, step) || evacuated_.contains(view.description().data_centre))
+      continue;
     if (excluded.contains(agent) || full(agent)) continue;
     const core::Duration delay = view.StartDelay(step.each);
     const core::Duration run_time = view.RunTime(step, far_factor_);
     core::Duration cost = delay + run_time + view.FailurePenalty(run_time);
-    if (view.state().data_centre != data_centre_) cost += kOtherDataCentreDelay;
+    if (view.description().data_centre != data_centre_) cost += kOtherDataCentreDelay;
     best = std::min(best, cost);
     // A full one is drawn rarely among those that are as full.
     const double free = static_cast<double>(view.UnclaimedCpu()) + 1.0;
@@ -67,14 +68,15 @@
 
 bool WorkerFleet::MayTakeWork(const WorkerView& view, const std::string& service) const {
   const WorkerState& state = view.state();
-  return view.connected() && state.ready && !state.draining && state.service == service &&
-         !evacuated_.contains(state.data_centre);
+  return view.connected() && state.ready && !state.draining &&
+         view.description().service == service &&
+         !evacuated_.contains(view.description().data_centre);
 }
 
 std::uint64_t WorkerFleet::Capacity(const std::string& service) const {
   std::uint64_t millicores = 0;
   for (const auto& [agent, view] : workers_) {
-    if (MayTakeWork(view, service)) millicores += view.state().total.cpu_millicores;
+    if (MayTakeWork(view, service)) millicores += view.description().total.cpu_millicores;
   }
   return millicores;
 }
--- a/packages/direct/src/worker_view.cc
+++ b/packages/direct/src/worker_view.cc
@@ -39,22 +39,24 @@
 }
 
 bool WorkerView::Eligible(const std::string& service, const StepRequest& step) const {
-  if (!connected_ || !state_.ready || state_.draining || state_.service != service) return false;
-  if (!state_.total.Fits(step.each)) return false;
-  return step.required_label.empty() || std::find(state_.labels.begin(), state_.labels.end(),
-                                                  step.required_label) != state_.labels.end();
+  if (!connected_ || !state_.ready || state_.draining || description_.service != service)
+    return false;
+  if (!description_.total.Fits(step.each)) return false;
+  return step.required_label.empty() ||
+         std::find(description_.labels.begin(), description_.labels.end(), step.required_label) !=
+             description_.labels.end();
 }
 
 core::Duration WorkerView::StartDelay(const Resources& need) const {
   if (state_.queued_work == 0 && Unclaimed().Fits(need)) return core::Duration::zero();
-  if (state_.total.cpu_millicores == 0) return core::Duration::max() / 4;
+  if (description_.total.cpu_millicores == 0) return core::Duration::max() / 4;
   std::uint64_t sent = 0;
   for (const SentOrder& it : sent_) sent += it.work;
   // Without a queue only the part of these orders that exceeds the free room
   // waits.
   if (state_.queued_work == 0) sent /= 2;
   const double wait_ms = static_cast<double>(state_.queued_work + sent) /
-                         static_cast<double>(state_.total.cpu_millicores) * Slowness();
+                         static_cast<double>(description_.total.cpu_millicores) * Slowness();
   return kFullDelay + std::chrono::duration_cast<core::Duration>(
                           std::chrono::duration<double, std::milli>(wait_ms));
 }
@@ -68,7 +70,7 @@
 std::uint64_t WorkerView::UnclaimedCpu() const { return Unclaimed().cpu_millicores; }
 
 core::Duration WorkerView::RunTime(const StepRequest& step, double far_factor) const {
-  const bool far = !step.data_rack.empty() && step.data_rack != state_.rack;
+  const bool far = !step.data_rack.empty() && step.data_rack != description_.rack;
   const double factor = Slowness() * (far ? far_factor : 1.0);
   return std::chrono::duration_cast<core::Duration>(step.estimate * factor);
 }
--- a/packages/direct/test/direct_samples.h
+++ b/packages/direct/test/direct_samples.h
@@ -6,6 +6,7 @@
 
 #include "coltsfoottide/direct/job_request.h"
 #include "coltsfoottide/direct/run_order.h"
+#include "coltsfoottide/direct/worker_description.h"
 #include "coltsfoottide/direct/worker_report.h"
 #include "coltsfoottide/direct/worker_state.h"
 
@@ -35,14 +36,20 @@
   return request;
 }
 
-// A backend server of 64 cores without work.
-inline WorkerState IdleWorker(const std::string& data_centre = "a") {
+// A backend server of 64 cores.
+inline WorkerDescription SampleWorker(const std::string& data_centre = "a") {
+  WorkerDescription description;
+  description.service = "review";
+  description.data_centre = data_centre;
+  description.total = {64000, 131072, 0};
+  return description;
+}
+
+// The state of a SampleWorker without work.
+inline WorkerState IdleWorker() {
   WorkerState state;
   state.ready = true;
-  state.service = "review";
-  state.data_centre = data_centre;
-  state.total = {64000, 131072, 0};
-  state.free = state.total;
+  state.free = SampleWorker().total;
   return state;
 }
 
@@ -51,9 +58,8 @@
   report.id = "i-1";
   report.life = 1000;
   report.sequence = sequence;
-  report.service = "review";
-  report.data_centre = "a";
-  report.room = {12000, 1024, 0};
+  report.description = SampleWorker();
+  report.description.total = {12000, 1024, 0};
   return report;
 }
 
--- a/packages/direct/test/job_dispatcher_test.cc
+++ b/packages/direct/test/job_dispatcher_test.cc
@@ -46,6 +46,7 @@
  private:
   void Connect(const std::string& agent, std::uint64_t incarnation) {
     dispatcher_->OnAgentHello({agent, incarnation, true, {}}, kStart);
+    dispatcher_->OnWorkerDescription(agent, SampleWorker());
     dispatcher_->OnWorkerState(agent, IdleWorker(), 0);
   }
 
@@ -138,7 +139,7 @@
   void RefusesAtOnceWhatTheBacklogMakesUseless() {
     WorkerState state = IdleWorker();
     state.free = {};
-    state.queued_work = state.total.cpu_millicores * 1000;
+    state.queued_work = SampleWorker().total.cpu_millicores * 1000;
     dispatcher_->OnWorkerState("agent-1", state, 0);
     dispatcher_->Submit(SampleJob("j", 8), kStart);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.answers.size());
@@ -212,8 +213,8 @@
   void RefusedCallersReturnAfterTheBacklog() {
     WorkerState state = IdleWorker();
     state.free = {};
-    state.queued_work = state.total.cpu_millicores * 3000;
-    state.late_work = state.total.cpu_millicores * 9000;
+    state.queued_work = SampleWorker().total.cpu_millicores * 3000;
+    state.late_work = SampleWorker().total.cpu_millicores * 9000;
     dispatcher_->OnWorkerState("agent-1", state, 0);
     dispatcher_->Submit(SampleJob("j", 1), kStart);
     CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kNotRun);
@@ -232,7 +233,7 @@
     CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kMayHaveRun);
     WorkerState state = IdleWorker();
     state.free = {};
-    state.queued_work = state.total.cpu_millicores * 500;
+    state.queued_work = SampleWorker().total.cpu_millicores * 500;
     dispatcher_->OnWorkerState("agent-1", state, 10);
     JobRequest late = SampleJob("late", 1);
     late.useful_until = kStart + Ms(6200);
--- a/packages/direct/test/worker_fleet_test.cc
+++ b/packages/direct/test/worker_fleet_test.cc
@@ -11,8 +11,10 @@
 
 bool NeverFull(const std::string& /*agent*/) { return false; }
 
-void Add(WorkerFleet& fleet, const std::string& agent, const WorkerState& state) {
+void Add(WorkerFleet& fleet, const std::string& agent, const WorkerState& state,
+         const WorkerDescription& description = SampleWorker()) {
   fleet.Get(agent).OnConnected();
+  fleet.Get(agent).OnDescription(description);
   fleet.Get(agent).OnReport(state, 0);
 }
 
@@ -56,6 +58,7 @@
   void OrdersOnTheirWayCountUntilAReportCoversThem() {
     WorkerView view;
     view.OnConnected();
+    view.OnDescription(SampleWorker());
     view.OnReport(IdleWorker(), 0);
     view.OnOrder({6000, 64, 0}, Ms(60));
     view.OnOrder({6000, 64, 0}, Ms(60));
@@ -103,11 +106,11 @@
   // Guards against traffic between data centres without need.
   void OwnDataCentreGoesFirstWhileItHasRoom() {
     WorkerFleet fleet("a", 1.5, 1);
-    Add(fleet, "near", IdleWorker("a"));
-    Add(fleet, "far", IdleWorker("b"));
+    Add(fleet, "near", IdleWorker());
+    Add(fleet, "far", IdleWorker(), SampleWorker("b"));
     const StepRequest step = SampleJob("j", 1).steps[0];
     CPPUNIT_ASSERT_EQUAL(std::string("near"), fleet.Choose("review", step, {}, NeverFull)->agent);
-    WorkerState full = IdleWorker("a");
+    WorkerState full = IdleWorker();
     full.free = {};
     Add(fleet, "near", full);
     CPPUNIT_ASSERT_EQUAL(std::string("far"), fleet.Choose("review", step, {}, NeverFull)->agent);
@@ -116,10 +119,10 @@
   // Guards against runs that take longer away from their data.
   void DataRackGoesFirst() {
     WorkerFleet fleet("a", 2.0, 1);
-    WorkerState with_data = IdleWorker("b");
+    WorkerDescription with_data = SampleWorker("b");
     with_data.rack = "r1";
-    Add(fleet, "with data", with_data);
-    Add(fleet, "without", IdleWorker("a"));
+    Add(fleet, "with data", IdleWorker(), with_data);
+    Add(fleet, "without", IdleWorker());
     StepRequest step = SampleJob("j", 1).steps[0];
     step.data_rack = "r1";
     CPPUNIT_ASSERT_EQUAL(std::string("with data"),
@@ -133,9 +136,9 @@
     WorkerState draining = IdleWorker();
     draining.draining = true;
     Add(fleet, "draining", draining);
-    WorkerState other = IdleWorker();
+    WorkerDescription other = SampleWorker();
     other.service = "other";
-    Add(fleet, "other service", other);
+    Add(fleet, "other service", IdleWorker(), other);
     StepRequest step = SampleJob("j", 1).steps[0];
     CPPUNIT_ASSERT(!fleet.Choose("review", step, {}, NeverFull));
     Add(fleet, "usable", IdleWorker());
