Log each decision about a request with what decided it

Cause: entries logged only the end of a job and agents only failed runs, so a late or refused job could not be traced to the backend server it waited for.

An entry now logs a job's acceptance, each placement with the agents, the expected wait and the age of the states it rests on, stops, withdrawals and callers that leave; an agent logs each report of a run with its free room and queue. Failures and refusals are warnings, whose budget successes cannot use up. `delivered` says how many callers took the answer. Messages of Qt and protobuf become lines of the log; three tests guard that, one with text that is not UTF-8, which printed raw lines before.

--- a/packages/daemon/src/daemon_main.cc
+++ b/packages/daemon/src/daemon_main.cc
@@ -18,6 +18,7 @@
 #include "coltsfoottide/daemon/runtime_parts.h"
 #include "coltsfoottide/daemon/settings.h"
 #include "coltsfoottide/daemon/stop_signal.h"
+#include "library_messages.h"
 
 ABSL_FLAG(std::string, settings, "", "path of the TOML settings file");
 ABSL_FLAG(std::string, role, "",
@@ -76,6 +77,7 @@
   const bool entry = settings.role == Role::kEntry || settings.role == Role::kDirectEntry;
   const std::string process = std::string(entry ? "entry " : "agent ") + settings.listen;
   auto logger = MakeJsonLogger(settings.log_level, process);
+  const LibraryMessages messages(*logger);
   auto metrics = MakeMetrics();
   std::unique_ptr<Runtime> runtime;
   const auto on_stop = [&runtime, &parts] {
--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -309,21 +309,34 @@
   if (report.kind != Kind::kStarted && report.kind != Kind::kQueued) {
     metrics_.Add(std::string("runs_") + KindName(report.kind), 1);
   }
-  // Ends as expected are counted only: they are most of all reports.
-  if (report.kind == Kind::kFailed || report.kind == Kind::kLost ||
-      report.kind == Kind::kNumberUsed) {
-    logger_.Info("run ended", {{"job", report.id.task.job},
-                               {"task", std::to_string(report.id.task.index)},
-                               {"run", std::to_string(report.id.number)},
-                               {"how", KindName(report.kind)},
-                               {"entry", owner}});
-  }
+  LogReport(owner, report);
   for (auto& [name, link] : links_) {
     if (!link.connection || link.owner.empty() || link.owner != owner) continue;
     WriteReport(report, *link.connection->outbox().add_reports());
   }
 }
 
+void DirectAgentRuntime::LogReport(const std::string& owner, const direct::RunReport& report) {
+  using Kind = direct::RunReport::Kind;
+  const direct::WorkerState state = executor_->State(BootNow());
+  const bool slow = report.remaining > core::Duration::zero();
+  // Failures have a budget of their own, so that successes do not crowd them out.
+  const bool failed = slow || report.kind == Kind::kFailed || report.kind == Kind::kLost ||
+                      report.kind == Kind::kNumberUsed;
+  const auto log = failed ? &Logger::Warn : &Logger::Info;
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(report.remaining);
+  (logger_.*log)(slow ? "run slow" : "run",
+                 {{"job", report.id.task.job},
+                  {"task", std::to_string(report.id.task.index)},
+                  {"run", std::to_string(report.id.number)},
+                  {"how", KindName(report.kind)},
+                  {"remaining_ms", std::to_string(remaining.count())},
+                  {"free_millicores", std::to_string(state.free.cpu_millicores)},
+                  {"queued_work", std::to_string(state.queued_work + state.late_work)},
+                  {"slowness", std::to_string(state.slowness)},
+                  {"entry", owner}});
+}
+
 void DirectAgentRuntime::SendStates(core::TimePoint now) {
   const auto connected = std::count_if(links_.begin(), links_.end(), [](const auto& it) {
     return it.second.connection && !it.second.owner.empty();
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -66,6 +66,7 @@
   void CloseLink(const std::string& name, const std::string& reason);
   void OnFrame(const std::string& name, const direct_wire::Frame& frame);
   void OnHello(const std::string& name, Link& link, const direct_wire::Hello& hello);
+  void LogReport(const std::string& owner, const direct::RunReport& report);
   void SendStates(core::TimePoint now);
   void WriteStateTo(Link& link, core::TimePoint now);
   void LogState(core::TimePoint now);
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -139,7 +139,7 @@
                                        core::Duration retry_after) {
     callers_->Respond(request.id, platform::EncodeRefusal(status, reason, retry_after));
     metrics_.Add("refused", 1);
-    logger_.Info("request refused",
+    logger_.Warn("request refused",
                  {{"path", request.path},
                   {"status", std::to_string(status)},
                   {"reason", reason},
@@ -192,12 +192,21 @@
   if (const auto* refusal = std::get_if<http::Response>(&decoded)) {
     callers_->Respond(request.id, *refusal);
     metrics_.Add("refused", 1);
-    logger_.Info("job refused", {{"job", job},
+    logger_.Warn("job refused", {{"job", job},
                                  {"route", route.name},
                                  {"status", std::to_string(refusal->status)},
                                  {"answer", refusal->body}});
     return;
   }
+  const direct::JobRequest& accepted = std::get<direct::JobRequest>(decoded);
+  logger_.Info("job accepted", {{"job", job},
+                                {"route", route.name},
+                                {"tasks", std::to_string(accepted.steps.front().count)},
+                                {"steps", std::to_string(accepted.steps.size())},
+                                {"in_time_ms", std::to_string(ToMs(accepted.objective - now))},
+                                {"deadline_ms", std::to_string(ToMs(accepted.deadline - now))},
+                                {"agents", std::to_string(agents_.size())},
+                                {"config_version", ConfigurationVersion()}});
   Submission& submission = submissions_[job];
   submission.requests.push_back(request.id);
   submission.route = route.name;
@@ -213,6 +222,8 @@
   jobs_by_request_.erase(it);
   Submission& submission = submissions_[job];
   std::erase(submission.requests, request);
+  logger_.Info("caller gone",
+               {{"job", job}, {"callers_left", std::to_string(submission.requests.size())}});
   if (!submission.requests.empty()) return;
   dispatcher_.Cancel(job, BootNow());
 }
@@ -221,20 +232,27 @@
   const auto it = submissions_.find(job);
   if (it == submissions_.end()) return;
   const http::Response response = platform::EncodeOutcome(outcome);
+  int delivered = 0;
   for (const std::uint64_t request : it->second.requests) {
-    callers_->Respond(request, response);
+    if (callers_->Respond(request, response)) ++delivered;
     jobs_by_request_.erase(request);
   }
   const core::Duration elapsed = BootNow() - it->second.submitted;
   metrics_.Add(std::string("jobs_") + KindName(outcome.kind), 1);
   metrics_.Observe(it->second.route, api::URGENT, elapsed);
-  logger_.Info("job ended", {{"job", job},
-                             {"route", it->second.route},
-                             {"outcome", KindName(outcome.kind)},
-                             {"reason", outcome.reason},
-                             {"status", std::to_string(response.status)},
-                             {"elapsed_ms", std::to_string(ToMs(elapsed))},
-                             {"in_progress", std::to_string(dispatcher_.size())}});
+  // Failures have a budget of their own, so that successes do not crowd them out.
+  const bool served = outcome.kind == direct::JobOutcome::Kind::kCompleted;
+  const auto log = served ? &Logger::Info : &Logger::Warn;
+  (logger_.*log)("job ended", {{"job", job},
+                               {"route", it->second.route},
+                               {"outcome", KindName(outcome.kind)},
+                               {"reason", outcome.reason},
+                               {"delivered", std::to_string(delivered)},
+                               {"status", std::to_string(response.status)},
+                               {"retry_after_ms", std::to_string(ToMs(outcome.retry_after))},
+                               {"elapsed_ms", std::to_string(ToMs(elapsed))},
+                               {"in_progress", std::to_string(dispatcher_.size())},
+                               {"config_version", ConfigurationVersion()}});
   submissions_.erase(it);
 }
 
@@ -247,14 +265,49 @@
   if (Link* link = FindAgent(agent)) AddOrder(order, BootNow(), link->connection->outbox());
 }
 
+void DirectEntryRuntime::OnPlaced(const std::string& job,
+                                  const std::vector<direct::PlacedTask>& placed,
+                                  core::TimePoint now) {
+  // The line of the widest jobs stays under the limit of a line.
+  constexpr std::size_t kMostListed = 64;
+  core::Duration wait{};
+  core::Duration age{};
+  std::string tasks;
+  for (std::size_t i = 0; i < placed.size(); ++i) {
+    const direct::PlacementChoice& choice = placed[i].choice;
+    wait = std::max(wait, choice.start_delay);
+    age = std::max(age, now - choice.state_time);
+    if (i >= kMostListed) continue;
+    const direct::RunId& id = placed[i].id;
+    if (!tasks.empty()) tasks += ' ';
+    tasks += std::to_string(id.task.step) + '.' + std::to_string(id.task.index) + '.' +
+             std::to_string(id.number) + '@' + choice.agent;
+  }
+  logger_.Info("tasks placed", {{"job", job},
+                                {"count", std::to_string(placed.size())},
+                                {"tasks", tasks},
+                                {"expected_wait_ms", std::to_string(ToMs(wait))},
+                                {"state_age_ms", std::to_string(ToMs(age))}});
+}
+
 void DirectEntryRuntime::SendStop(const std::string& agent, const direct::RunId& id) {
+  LogRecall("run stopped", agent, id);
   if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_stops());
 }
 
 void DirectEntryRuntime::SendWithdraw(const std::string& agent, const direct::RunId& id) {
+  LogRecall("run withdrawn", agent, id);
   if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_withdrawals());
 }
 
+void DirectEntryRuntime::LogRecall(std::string_view event, const std::string& agent,
+                                   const direct::RunId& id) {
+  logger_.Info(event, {{"job", id.task.job},
+                       {"task", std::to_string(id.task.index)},
+                       {"run", std::to_string(id.number)},
+                       {"agent", agent}});
+}
+
 void DirectEntryRuntime::SendClaim(const std::string& agent, const direct::RunId& id) {
   if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_claims());
 }
@@ -344,7 +397,7 @@
     dispatcher_.OnWorkerDescription(agent, ReadDescription(frame.description()));
   }
   if (frame.has_worker()) {
-    dispatcher_.OnWorkerState(agent, ReadState(frame.worker()), frame.orders_seen());
+    dispatcher_.OnWorkerState(agent, ReadState(frame.worker()), frame.orders_seen(), now);
   }
   for (const direct_wire::RunReport& report : frame.reports()) {
     dispatcher_.OnReport(agent, ReadReport(report), now);
@@ -399,15 +452,17 @@
   for (auto& [id, link] : links_) TellEntries(link);
 }
 
-void DirectEntryRuntime::OnViewChanged(const std::string& source) {
+std::string DirectEntryRuntime::ConfigurationVersion() const {
   const auto configuration = view_.configuration();
+  return configuration ? std::to_string(configuration->version) : "none";
+}
+
+void DirectEntryRuntime::OnViewChanged(const std::string& source) {
   dispatcher_.SetEvacuated(view_.evacuated());
   std::string evacuated;
   for (const std::string& it : view_.evacuated()) evacuated += (evacuated.empty() ? "" : ",") + it;
   logger_.Info("configuration in force",
-               {{"version", configuration ? std::to_string(configuration->version) : "none"},
-                {"evacuated", evacuated},
-                {"source", source}});
+               {{"version", ConfigurationVersion()}, {"evacuated", evacuated}, {"source", source}});
   for (auto& [id, link] : links_) {
     if (!link.is_agent && !link.name.empty()) TellConfiguration(link);
   }
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "coltsfoottide/daemon/runtime.h"
@@ -59,6 +60,8 @@
   // EntrySink
   void Answer(const std::string& job, const direct::JobOutcome& outcome) override;
   void SendOrder(const std::string& agent, const direct::RunOrder& order) override;
+  void OnPlaced(const std::string& job, const std::vector<direct::PlacedTask>& placed,
+                core::TimePoint now) override;
   void SendStop(const std::string& agent, const direct::RunId& id) override;
   void SendWithdraw(const std::string& agent, const direct::RunId& id) override;
   void SendClaim(const std::string& agent, const direct::RunId& id) override;
@@ -70,6 +73,9 @@
   void OnAbandoned(std::uint64_t request);
   void OnProbe(const http::Request& request);
   bool ready() const;
+  // For logs; "none" without a configuration.
+  std::string ConfigurationVersion() const;
+  void LogRecall(std::string_view event, const std::string& agent, const direct::RunId& id);
 
   void Accept(qintptr descriptor);
   void DialPeers();
--- /dev/null
+++ b/packages/daemon/test/library_messages_test.cc
@@ -0,0 +1,68 @@
+#include "library_messages.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <QtGlobal>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/daemon/logging.h"
+#include "coltsfoottide/schema/direct.pb.h"
+
+namespace coltsfoottide::daemon {
+namespace {
+
+class RecordingLogger : public Logger {
+ public:
+  void Debug(std::string_view /*event*/, std::initializer_list<Field> /*fields*/) override {}
+  void Info(std::string_view /*event*/, std::initializer_list<Field> /*fields*/) override {}
+  void Warn(std::string_view event, std::initializer_list<Field> fields) override {
+    lines.push_back(std::string(event) + ' ' + fields.begin()->second + ' ' +
+                    (fields.begin() + 1)->second);
+  }
+  void Error(std::string_view /*event*/, std::initializer_list<Field> /*fields*/) override {}
+
+  std::vector<std::string> lines;
+};
+
+class LibraryMessagesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LibraryMessagesTest);
+  CPPUNIT_TEST(QtMessageBecomesALine);
+  CPPUNIT_TEST(TextThatIsNotUtf8BecomesALine);
+  CPPUNIT_TEST(LongTextIsCut);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Guards against lines that are not JSON among those of a process.
+  void QtMessageBecomesALine() {
+    RecordingLogger logger;
+    const LibraryMessages messages(logger);
+    qWarning("socket trouble");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, logger.lines.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("library message Qt socket trouble"), logger.lines[0]);
+  }
+
+  // Guards against raw protobuf lines on standard error because of what a
+  // caller sends.
+  void TextThatIsNotUtf8BecomesALine() {
+    RecordingLogger logger;
+    const LibraryMessages messages(logger);
+    direct_wire::RunId id;
+    id.set_job("\xff\xfe");
+    id.SerializeAsString();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, logger.lines.size());
+    CPPUNIT_ASSERT(logger.lines[0].starts_with("library message protobuf "));
+  }
+
+  // Guards against a line of any length from outside.
+  void LongTextIsCut() {
+    RecordingLogger logger;
+    const LibraryMessages messages(logger);
+    qWarning("%s", std::string(10'000, 'x').c_str());
+    CPPUNIT_ASSERT(logger.lines.at(0).size() < 600);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LibraryMessagesTest);
+
+}  // namespace
+}  // namespace coltsfoottide::daemon
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -20,6 +20,7 @@
 
 class EntrySink;
 struct Job;
+struct PlacedTask;
 struct Task;
 
 // Coordinates the jobs of one entry: places tasks, runs them again after a
@@ -52,7 +53,8 @@
 
   void OnWorkerDescription(const std::string& agent, const WorkerDescription& description);
   // `orders_seen` is how many orders on the present connection it covers.
-  void OnWorkerState(const std::string& agent, const WorkerState& state, std::uint64_t orders_seen);
+  void OnWorkerState(const std::string& agent, const WorkerState& state, std::uint64_t orders_seen,
+                     core::TimePoint now);
   void OnReport(const std::string& agent, const RunReport& report, core::TimePoint now);
 
   // A connection to the agent has opened. Runs that it does not list and
@@ -88,7 +90,8 @@
   bool Admit(Job& job, core::TimePoint now);
   core::Duration OwnWait(const Job& job, core::Duration start_delay) const;
   void PlaceReady(Job& job, core::TimePoint now);
-  bool Place(Job& job, std::uint32_t step, std::uint32_t index, core::TimePoint now);
+  bool Place(Job& job, std::uint32_t step, std::uint32_t index, std::vector<PlacedTask>& placed,
+             core::TimePoint now);
   void UnlockSteps(Job& job);
   Task* FindRun(const std::string& agent, const RunId& id, Job** job);
   void OnRunOver(Job& job, Task& task, bool may_have_run, core::TimePoint now);
--- a/packages/direct/include/coltsfoottide/direct/placement_choice.h
+++ b/packages/direct/include/coltsfoottide/direct/placement_choice.h
@@ -11,6 +11,8 @@
   std::string agent;
   core::Duration start_delay{};
   core::Duration run_time{};
+  // When the backend server's state that this rests on arrived.
+  core::TimePoint state_time;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/worker_view.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_view.h
@@ -20,7 +20,7 @@
   void OnConnected();
   void OnDescription(const WorkerDescription& description) { description_ = description; }
   // `orders_seen` is how many orders of this connection the state covers.
-  void OnReport(const WorkerState& state, std::uint64_t orders_seen);
+  void OnReport(const WorkerState& state, std::uint64_t orders_seen, core::TimePoint now);
   // Counts an order of this entry that reports do not show yet.
   void OnOrder(const Resources& need, core::Duration estimate);
 
@@ -42,6 +42,8 @@
 
   const WorkerDescription& description() const { return description_; }
   const WorkerState& state() const { return state_; }
+  // When the state arrived.
+  core::TimePoint state_time() const { return state_time_; }
   bool connected() const { return connected_; }
   void set_connected(bool connected) { connected_ = connected; }
 
@@ -56,6 +58,7 @@
 
   WorkerDescription description_;
   WorkerState state_;
+  core::TimePoint state_time_;
   // Orders that no report covers yet, oldest first.
   std::deque<SentOrder> sent_;
   // Orders of this connection that reports have covered.
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -112,16 +112,20 @@
 
 void JobDispatcher::PlaceReady(Job& job, core::TimePoint now) {
   if (job.finished || job.withdrawing) return;
-  for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-    for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
+  std::vector<PlacedTask> placed;
+  bool more = true;
+  for (std::uint32_t step = 0; more && step < job.steps.size(); ++step) {
+    for (std::uint32_t index = 0; more && index < job.steps[step].size(); ++index) {
       if (job.steps[step][index].state != Task::State::kReady) continue;
-      if (!Place(job, step, index, now)) return;
+      more = Place(job, step, index, placed, now);
     }
   }
+  if (!placed.empty()) sink_.OnPlaced(job.request.id, placed, now);
 }
 
 // Returns whether the next ready task can be tried.
-bool JobDispatcher::Place(Job& job, std::uint32_t step, std::uint32_t index, core::TimePoint now) {
+bool JobDispatcher::Place(Job& job, std::uint32_t step, std::uint32_t index,
+                          std::vector<PlacedTask>& placed, core::TimePoint now) {
   // Estimates are off by up to this part; a job that has begun is not given
   // up while it may still end in time.
   constexpr int kCertainPercent = 60;
@@ -150,9 +154,10 @@
   ++task.run_number;
   ++runs_at_[choice->agent];
   fleet_.Get(choice->agent).OnOrder(request.each, request.estimate);
+  const RunId id{TaskId{job.request.id, step, index}, task.run_number};
+  placed.push_back(PlacedTask{id, *choice});
   sink_.SendOrder(choice->agent,
-                  RunOrder{RunId{TaskId{job.request.id, step, index}, task.run_number},
-                           job.request.payload, request.each, request.estimate,
+                  RunOrder{id, job.request.payload, request.each, request.estimate,
                            job.request.objective, job.request.useful_until, job.request.priority});
   return true;
 }
@@ -181,8 +186,8 @@
 }
 
 void JobDispatcher::OnWorkerState(const std::string& agent, const WorkerState& state,
-                                  std::uint64_t orders_seen) {
-  fleet_.Get(agent).OnReport(state, orders_seen);
+                                  std::uint64_t orders_seen, core::TimePoint now) {
+  fleet_.Get(agent).OnReport(state, orders_seen, now);
 }
 
 Task* JobDispatcher::FindRun(const std::string& agent, const RunId& id, Job** job) {
--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -55,7 +55,7 @@
     best = std::min(best, cost);
     // A full one is drawn rarely among those that are as full.
     const double free = static_cast<double>(view.UnclaimedCpu()) + 1.0;
-    candidates.push_back({{agent, delay, run_time}, cost, free});
+    candidates.push_back({{agent, delay, run_time, view.state_time()}, cost, free});
   }
   std::erase_if(candidates, [best](const Candidate& it) { return it.cost > best + kEqualWithin; });
   if (candidates.empty()) return std::nullopt;
--- a/packages/direct/src/worker_view.cc
+++ b/packages/direct/src/worker_view.cc
@@ -22,8 +22,10 @@
   covered_ = 0;
 }
 
-void WorkerView::OnReport(const WorkerState& state, std::uint64_t orders_seen) {
+void WorkerView::OnReport(const WorkerState& state, std::uint64_t orders_seen,
+                          core::TimePoint now) {
   state_ = state;
+  state_time_ = now;
   for (; covered_ < orders_seen && !sent_.empty(); ++covered_) sent_.pop_front();
 }
 
--- a/packages/direct/test/job_dispatcher_test.cc
+++ b/packages/direct/test/job_dispatcher_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(SlowRunMovesOnlyWhereThatPays);
   CPPUNIT_TEST(NothingGoesToAnEvacuatedDataCentre);
   CPPUNIT_TEST(LaterStepsWaitForEarlierOnes);
+  CPPUNIT_TEST(PlacementsAreToldWithWhatDecidedThem);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -47,7 +48,7 @@
   void Connect(const std::string& agent, std::uint64_t incarnation) {
     dispatcher_->OnAgentHello({agent, incarnation, true, {}}, kStart);
     dispatcher_->OnWorkerDescription(agent, SampleWorker());
-    dispatcher_->OnWorkerState(agent, IdleWorker(), 0);
+    dispatcher_->OnWorkerState(agent, IdleWorker(), 0, kStart);
   }
 
   void Report(std::size_t order, RunReport::Kind kind, core::TimePoint now = kStart + Ms(1)) {
@@ -115,7 +116,7 @@
     dispatcher_->Submit(SampleJob("j", 1), kStart);
     dispatcher_->OnAgentLost("agent-1", kStart);
     dispatcher_->OnAgentHello({"agent-1", 2, false, {}}, kStart + Ms(50));
-    dispatcher_->OnWorkerState("agent-1", IdleWorker(), 0);
+    dispatcher_->OnWorkerState("agent-1", IdleWorker(), 0, kStart);
     dispatcher_->Advance(kStart + Ms(60));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.orders.size());
     dispatcher_->OnAgentHello({"agent-1", 2, true, {}}, kStart + Ms(70));
@@ -140,7 +141,7 @@
     WorkerState state = IdleWorker();
     state.free = {};
     state.queued_work = SampleWorker().total.cpu_millicores * 1000;
-    dispatcher_->OnWorkerState("agent-1", state, 0);
+    dispatcher_->OnWorkerState("agent-1", state, 0, kStart);
     dispatcher_->Submit(SampleJob("j", 8), kStart);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.answers.size());
     CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kNotRun);
@@ -215,7 +216,7 @@
     state.free = {};
     state.queued_work = SampleWorker().total.cpu_millicores * 3000;
     state.late_work = SampleWorker().total.cpu_millicores * 9000;
-    dispatcher_->OnWorkerState("agent-1", state, 0);
+    dispatcher_->OnWorkerState("agent-1", state, 0, kStart);
     dispatcher_->Submit(SampleJob("j", 1), kStart);
     CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kNotRun);
     CPPUNIT_ASSERT(sink_.answers.back().second.retry_after >= Ms(3000));
@@ -234,7 +235,7 @@
     WorkerState state = IdleWorker();
     state.free = {};
     state.queued_work = SampleWorker().total.cpu_millicores * 500;
-    dispatcher_->OnWorkerState("agent-1", state, 10);
+    dispatcher_->OnWorkerState("agent-1", state, 10, kStart);
     JobRequest late = SampleJob("late", 1);
     late.useful_until = kStart + Ms(6200);
     dispatcher_->Submit(late, kStart + Ms(6001));
@@ -259,7 +260,7 @@
     WorkerState full = IdleWorker();
     full.free = {};
     full.queued_work = 6000 * 60;
-    dispatcher_->OnWorkerState("agent-1", full, 1);
+    dispatcher_->OnWorkerState("agent-1", full, 1, kStart);
     Connect("agent-2", 1);
     Report(0, RunReport::Kind::kQueued);
     dispatcher_->Advance(kStart + Ms(20));
@@ -306,6 +307,16 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, sink_.orders.at(1).id.task.step);
   }
 
+  // Guards against a failure that nobody can explain afterwards.
+  void PlacementsAreToldWithWhatDecidedThem() {
+    dispatcher_->OnWorkerState("agent-1", IdleWorker(), 0, kStart + Ms(7));
+    dispatcher_->Submit(SampleJob("j", 2), kStart + Ms(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sink_.placed.size());
+    CPPUNIT_ASSERT(sink_.placed[1].id == sink_.orders[1].id);
+    CPPUNIT_ASSERT_EQUAL(std::string("agent-1"), sink_.placed[1].choice.agent);
+    CPPUNIT_ASSERT(sink_.placed[1].choice.state_time == kStart + Ms(7));
+  }
+
   RecordingEntrySink sink_;
   std::unique_ptr<JobDispatcher> dispatcher_;
 };
--- a/packages/direct/test/recording_entry_sink.h
+++ b/packages/direct/test/recording_entry_sink.h
@@ -22,6 +22,10 @@
   void SendOrder(const std::string& agent, const RunOrder& order) override {
     orders.push_back({agent, order.id});
   }
+  void OnPlaced(const std::string& /*job*/, const std::vector<PlacedTask>& tasks,
+                core::TimePoint /*now*/) override {
+    placed.insert(placed.end(), tasks.begin(), tasks.end());
+  }
   void SendStop(const std::string& agent, const RunId& id) override {
     stops.push_back({agent, id});
   }
@@ -34,6 +38,7 @@
 
   std::vector<std::pair<std::string, JobOutcome>> answers;
   std::vector<Sent> orders;
+  std::vector<PlacedTask> placed;
   std::vector<Sent> stops;
   std::vector<Sent> withdrawals;
   std::vector<Sent> claims;
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -53,9 +53,9 @@
   if (head_.takes_interim) half_open_ = std::make_unique<HalfOpenPeer>(socket_.socketDescriptor());
 }
 
-void Connection::Respond(const Response& response) {
+bool Connection::Respond(const Response& response) {
   if (state_ == State::kHalfOpen) return RespondHalfOpen(response);
-  if (state_ != State::kInProgress) return;
+  if (state_ != State::kInProgress) return false;
   state_ = State::kAnswering;
   half_open_.reset();
   const bool keep_alive = head_.keep_alive && !stopping_;
@@ -63,15 +63,13 @@
   timer_.start(limits_.idle_time);
   socket_.write(FormatResponse(response, keep_alive, head_.method != "HEAD"));
   socket_.flush();
+  return true;
 }
 
-void Connection::RespondHalfOpen(const Response& response) {
-  const QByteArray answer = FormatResponse(response, false, head_.method != "HEAD");
-  if (!half_open_->WriteLast(answer)) {
-    qWarning("answer of %lld bytes not sent to a caller that has ended its input",
-             static_cast<long long>(answer.size()));
-  }
+bool Connection::RespondHalfOpen(const Response& response) {
+  const bool sent = half_open_->WriteLast(FormatResponse(response, false, head_.method != "HEAD"));
   EndHalfOpen();
+  return sent;
 }
 
 // Ends later, because the caller may still use the request.
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -40,8 +40,9 @@
   std::uint64_t request_id() const { return request_id_; }
   const RequestHead& head() const { return head_; }
 
-  // Writes the answer of the request in progress.
-  void Respond(const Response& response);
+  // Writes the answer of the request in progress. Returns whether the
+  // connection took it.
+  bool Respond(const Response& response);
 
   // Closes without an answer to the request in progress.
   void Drop();
@@ -65,7 +66,7 @@
   void OnWritten();
   void OnDisconnected();
   void OnPeerGone();
-  void RespondHalfOpen(const Response& response);
+  bool RespondHalfOpen(const Response& response);
   void EndHalfOpen();
   void End();
   void OnTimeout();
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -68,8 +68,7 @@
     const auto it = pending_.find(id);
     if (it == pending_.end() || it->second.answered || !it->second.connection) return false;
     it->second.answered = true;
-    it->second.connection->Respond(response);
-    return true;
+    return it->second.connection->Respond(response);
   }
 
   void Drop(std::uint64_t id) override {
