Add the command explain

It reads the logs of several processes and prints one job's lines in the order of time, with what the processes on its way believed meanwhile and a summary.

--- a/packages/console/src/commands.cc
+++ b/packages/console/src/commands.cc
@@ -1,5 +1,6 @@
 #include "coltsfoottide/console/command.h"
 #include "coltsfoottide/console/config_commands.h"
+#include "coltsfoottide/console/explain_command.h"
 #include "coltsfoottide/console/job_commands.h"
 #include "coltsfoottide/console/load_command.h"
 #include "coltsfoottide/console/top_command.h"
@@ -128,9 +129,24 @@
   };
 }
 
+std::vector<Command> LogCommands() {
+  constexpr std::size_t kMostFiles = 100'000;
+  return {
+      {"explain",
+       "ID [FILE...]",
+       "Shows a job's way through the logs of several processes, from files or standard input, in "
+       "the order of time, and what became of it.",
+       {},
+       1,
+       kMostFiles,
+       false,
+       RunExplain},
+  };
+}
+
 std::vector<Command> AllCommands() {
   std::vector<Command> commands;
-  for (const auto& group : {JobCommands(), OperatorCommands(), LoadCommands()}) {
+  for (const auto& group : {JobCommands(), OperatorCommands(), LoadCommands(), LogCommands()}) {
     commands.insert(commands.end(), group.begin(), group.end());
   }
   return commands;
