--- /dev/null
+++ b/packages/daemon/test/stop_signal_test.cc
@@ -0,0 +1,40 @@
+#include "coltsfoottide/daemon/stop_signal.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <chrono>
+#include <csignal>
+
+namespace coltsfoottide::daemon {
+namespace {
+
+class StopSignalTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StopSignalTest);
+  CPPUNIT_TEST(HangupReloadsAndStopsNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Guards against SIGHUP ending the process, its default, with all requests
+  // in progress.
+  void HangupReloadsAndStopsNothing() {
+    static int argc = 0;
+    const QCoreApplication application(argc, nullptr);
+    int stops = 0;
+    int reloads = 0;
+    const auto handler = MakeStopSignal([&stops] { ++stops; }, [&reloads] { ++reloads; });
+    std::raise(SIGHUP);
+    // Far above the time that one turn of the event loop takes.
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (reloads == 0 && std::chrono::steady_clock::now() < limit) {
+      QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, reloads);
+    CPPUNIT_ASSERT_EQUAL(0, stops);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StopSignalTest);
+
+}  // namespace
+}  // namespace coltsfoottide::daemon
