--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -97,9 +97,11 @@
 
 std::optional<RuntimeError> DirectEntryRuntime::OpenServers() {
   const Endpoint links = *ParseEndpoint(settings_.listen);
-  name_ = links.address;
-  link_port_ = links.port;
-  if (!listener_.listen(QHostAddress(QString::fromStdString(name_)), link_port_)) {
+  const Endpoint reached =
+      settings_.advertise.empty() ? links : *ParseEndpoint(settings_.advertise);
+  name_ = reached.address;
+  link_port_ = reached.port;
+  if (!listener_.listen(QHostAddress(QString::fromStdString(links.address)), links.port)) {
     return RuntimeError{settings_.listen + ": " + listener_.errorString().toStdString()};
   }
   const auto open = [](const std::string& address, http::ServerCallbacks callbacks) {
--- a/scripts/lib/relay.py
+++ b/scripts/lib/relay.py
@@ -1,23 +1,32 @@
-"""A TCP relay whose open connections can be made silent.
+"""A TCP relay that stands for the network between two processes.
 
-Stands for something between two processes that loses track of their open
-connections: they stay open and carry nothing, while new ones work.
+It can lose track of its open connections, which then stay open and carry
+nothing while new ones work; reset them; delay what it carries; and hold it
+back in one direction or both, as a cut does.
 """
 
 import socket
+import struct
 import threading
+import time
 
 
 class Relay:
-    """Forwards connections to 127.0.0.1:port to the target address."""
+    """Forwards connections to host:port to the target address.
 
-    def __init__(self, port, target):
+    `delay` is in seconds, each way. `cut` has "in" while nothing is carried to
+    the target and "out" while nothing is carried from it.
+    """
+
+    def __init__(self, port, target, host="127.0.0.1"):
         self.port = port
+        self.delay = 0.0
+        self.cut = frozenset()
         self._target = target
         self._lock = threading.Lock()
         self._open = set()
         self._silent = []
-        self._listener = socket.create_server(("127.0.0.1", port), backlog=256)
+        self._listener = socket.create_server((host, port), backlog=256)
         threading.Thread(target=self._accept, daemon=True).start()
 
     def silence(self):
@@ -26,6 +35,16 @@
             self._silent.extend(self._open)
             self._open.clear()
 
+    def reset(self):
+        """Resets all open connections."""
+        with self._lock:
+            pairs = list(self._open)
+            self._open.clear()
+        for pair in pairs:
+            for it in pair:
+                it.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                it.close()
+
     def close(self):
         self._listener.close()
         with self._lock:
@@ -50,13 +69,18 @@
             pair = (near, far)
             with self._lock:
                 self._open.add(pair)
-            for source, sink in (pair, pair[::-1]):
-                threading.Thread(target=self._pump, args=(pair, source, sink), daemon=True).start()
+            for source, sink, way in ((near, far, "in"), (far, near, "out")):
+                threading.Thread(target=self._pump, args=(pair, source, sink, way),
+                                 daemon=True).start()
 
-    def _pump(self, pair, source, sink):
+    def _pump(self, pair, source, sink, way):
         try:
             while True:
                 data = source.recv(65536)
+                if self.delay:
+                    time.sleep(self.delay)
+                while way in self.cut:
+                    time.sleep(0.01)
                 with self._lock:
                     # A silent connection stays open, also when an end closes.
                     if pair not in self._open:
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -21,7 +21,7 @@
 
 ENTRIES, WORKERS, CALLERS, SERIES = 2, 4, 8, 2
 LINK_PORT, CALL_PORT, READY_PORT = 17010, 17011, 17012
-REPORT_PORT, WORKER_PORT, RELAY_PORT, STORE_PORT = 17013, 17014, 17100, 17015
+REPORT_PORT, WORKER_PORT, STORE_PORT = 17013, 17014, 17015
 RETRY_S, PATIENCE_S = 1.3, 2.5
 # Service that has to be back this long after the last fault, and its share.
 SETTLE_S, SETTLED_SHARE = 4.0, 0.9
@@ -60,30 +60,38 @@
 
 
 class Soak:
-    def __init__(self, build, folder, seed):
+    def __init__(self, build, folder, seed, slot):
+        def address(group, n):
+            return f"127.{group}.{slot}.{n + 1}"
+
         self.random, self.history = random.Random(seed), History()
-        self.store = Store("127.6.0.1", STORE_PORT)
-        entries = [f"127.5.0.{n + 1}" for n in range(ENTRIES)]
-        seeds = [f"{it}:{READY_PORT}" for it in entries]
-        common = {"entries": seeds, "log_url": f"http://127.6.0.1:{STORE_PORT}", "lease_ms": 1000,
+        store = address(6, 0)
+        self.store = Store(store, STORE_PORT)
+        entries = [address(5, n) for n in range(ENTRIES)]
+        # Where agents and other entries reach an entry.
+        self.networks = [Relay(LINK_PORT, (ip, LINK_PORT), address(7, n))
+                         for n, ip in enumerate(entries)]
+        seeds = [f"{address(7, n)}:{READY_PORT}" for n in range(ENTRIES)]
+        common = {"entries": seeds, "log_url": f"http://{store}:{STORE_PORT}", "lease_ms": 1000,
                   "stop_ms": 50, "drain_limit_ms": 6000, "data_centre": "a"}
         self.entries = [self._process(build, folder, f"entry{n}", {
             **common, "role": "direct-entry", "listen": f"{ip}:{LINK_PORT}",
+            "advertise": f"{address(7, n)}:{LINK_PORT}",
             "http_listen": f"{ip}:{CALL_PORT}", "ready_listen": f"{ip}:{READY_PORT}"},
             f"{ip}:{READY_PORT}") for n, ip in enumerate(entries)]
         self.workers, self.relays, self.agents = [], [], []
         for n in range(WORKERS):
-            ip, target = f"127.4.0.{n + 1}", f"127.3.0.{n + 1}"
+            ip, target, relayed = address(4, n), address(3, n), address(8, n)
             worker = Worker(f"i-{n}", target, WORKER_PORT, f"{ip}:{REPORT_PORT}", seed + n,
                             self.history)
-            relay = Relay(RELAY_PORT + n, (target, WORKER_PORT))
-            worker.public = f"127.0.0.1:{RELAY_PORT + n}"
+            relay = Relay(WORKER_PORT, (target, WORKER_PORT), relayed)
+            worker.public = f"{relayed}:{WORKER_PORT}"
             self.workers.append(worker)
             self.relays.append(relay)
             self.agents.append(self._process(build, folder, f"agent{n}", {
                 **common, "role": "direct-agent", "listen": f"{ip}:{LINK_PORT}",
                 "http_listen": f"{ip}:{REPORT_PORT}",
-                "backend_url": f"http://127.0.0.1:{RELAY_PORT + n}"}, f"{ip}:{REPORT_PORT}"))
+                "backend_url": f"http://{relayed}:{WORKER_PORT}"}, f"{ip}:{REPORT_PORT}"))
         self.hosts = entries
         self.running = True
         self.quiet = threading.Barrier(SERIES + 1)
@@ -140,7 +148,8 @@
 
     def fault(self, draw, series):
         kind = draw.choice(["kill", "kill", "pause", "pause", "term", "hup", "store", "lose",
-                            "crash", "silence", "drain", "config"])
+                            "crash", "silence", "drain", "config", "cut", "half_cut", "delay",
+                            "reset"])
         # Each process belongs to one series, so that a signal always meets
         # one that runs; faults of different series overlap.
         process = draw.choice((self.entries + self.agents)[series::SERIES])
@@ -170,7 +179,20 @@
         elif kind == "crash":
             worker.restart()
         elif kind == "silence":
-            draw.choice(self.relays).silence()
+            draw.choice(self.relays + self.networks).silence()
+        elif kind == "reset":
+            draw.choice(self.relays + self.networks).reset()
+        elif kind in ("cut", "half_cut"):
+            ways = {"in", "out"} if kind == "cut" else {draw.choice(["in", "out"])}
+            network = draw.choice(self.relays + self.networks)
+            network.cut = frozenset(ways)
+            time.sleep(length)
+            network.cut = frozenset()
+        elif kind == "delay":
+            network = draw.choice(self.relays + self.networks)
+            network.delay = draw.uniform(0.01, 0.1)
+            time.sleep(length)
+            network.delay = 0.0
         elif kind == "drain":
             worker.draining = True
             time.sleep(length)
@@ -235,11 +257,13 @@
     parser.add_argument("--build", type=pathlib.Path, default="build")
     parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 31))
     parser.add_argument("--seconds", type=float, default=20.0, help="length of the faults")
+    parser.add_argument("--slot", type=int, default=0,
+                        help="0 to 255; runs at the same time need different ones")
     parser.add_argument("--broken", action="store_true",
                         help="backend servers ignore stops; succeeds when that is caught")
     options = parser.parse_args()
     folder = pathlib.Path(tempfile.mkdtemp(prefix="coltsfoottide-soak-"))
-    soak = Soak(options.build.resolve(), folder, options.seed)
+    soak = Soak(options.build.resolve(), folder, options.seed, options.slot)
     for it in soak.workers:
         it.ignores_stops = options.broken
     counts = soak.run(options.seconds, options.seed)
