Let the last runs of nearly done jobs go first

When a third or less of a job is left, its entry tells the agents of the runs that wait, and these start first.

The priority, which travelled to agents without deciding anything, is now only logged.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -269,6 +269,9 @@
   for (const direct_wire::RunId& it : frame.withdrawals()) {
     executor_->OnWithdraw(link.owner, ReadRunId(it), now);
   }
+  for (const direct_wire::RunId& it : frame.expedites()) {
+    executor_->OnExpedite(ReadRunId(it), now);
+  }
   const bool work = frame.orders_size() + frame.stops_size() + frame.withdrawals_size() > 0;
   state_changed_ = state_changed_ || work;
 }
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -205,6 +205,7 @@
                                 {"route", route.name},
                                 {"tasks", std::to_string(accepted.steps.front().count)},
                                 {"steps", std::to_string(accepted.steps.size())},
+                                {"priority", std::to_string(accepted.priority)},
                                 {"in_time_ms", std::to_string(ToMs(accepted.objective - now))},
                                 {"deadline_ms", std::to_string(ToMs(accepted.deadline - now))},
                                 {"agents", std::to_string(agents_.size())},
@@ -310,6 +311,10 @@
                        {"agent", agent}});
 }
 
+void DirectEntryRuntime::SendExpedite(const std::string& agent, const direct::RunId& id) {
+  if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_expedites());
+}
+
 void DirectEntryRuntime::SendClaim(const std::string& agent, const direct::RunId& id) {
   if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_claims());
 }
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -64,6 +64,7 @@
                 core::TimePoint now) override;
   void SendStop(const std::string& agent, const direct::RunId& id) override;
   void SendWithdraw(const std::string& agent, const direct::RunId& id) override;
+  void SendExpedite(const std::string& agent, const direct::RunId& id) override;
   void SendClaim(const std::string& agent, const direct::RunId& id) override;
 
   std::optional<RuntimeError> OpenServers();
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -21,7 +21,9 @@
 void AddOrder(const direct::RunOrder& order, core::TimePoint now, direct_wire::Frame& frame) {
   direct_wire::OrderGroup* group = nullptr;
   for (direct_wire::OrderGroup& it : *frame.mutable_orders()) {
-    if (it.job() == order.id.task.job && it.step() == order.id.task.step) group = &it;
+    const bool same = it.job() == order.id.task.job && it.step() == order.id.task.step &&
+                      it.expedited() == order.expedited;
+    if (same) group = &it;
   }
   if (group == nullptr) {
     group = frame.add_orders();
@@ -32,7 +34,7 @@
     group->set_estimate_us(static_cast<std::uint32_t>(order.estimate.count()));
     group->set_objective_in_us((order.objective - now).count());
     group->set_useful_for_us((order.useful_until - now).count());
-    group->set_priority(order.priority);
+    group->set_expedited(order.expedited);
   }
   direct_wire::OrderGroup::Task* task = group->add_tasks();
   task->set_index(order.id.task.index);
@@ -48,7 +50,7 @@
   order.estimate = core::Duration(group.estimate_us());
   order.objective = now + core::Duration(group.objective_in_us());
   order.useful_until = now + core::Duration(group.useful_for_us());
-  order.priority = group.priority();
+  order.expedited = group.expedited();
   return order;
 }
 
--- a/packages/direct/include/coltsfoottide/direct/entry_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/entry_sink.h
@@ -25,6 +25,8 @@
   virtual void SendStop(const std::string& agent, const RunId& id) = 0;
   // Takes a run out of the agent's queue unless it has started.
   virtual void SendWithdraw(const std::string& agent, const RunId& id) = 0;
+  // Little work besides the run completes its job.
+  virtual void SendExpedite(const std::string& agent, const RunId& id) = 0;
   // Tells an agent with a new process that the run is this entry's.
   virtual void SendClaim(const std::string& agent, const RunId& id) = 0;
 };
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -96,6 +96,8 @@
   Task* FindRun(const std::string& agent, const RunId& id, Job** job);
   void OnRunOver(Job& job, Task& task, bool may_have_run, core::TimePoint now);
   void OnDone(Job& job, Task& task, core::TimePoint now);
+  // Tells agents of runs that wait and of which few are left.
+  void ExpediteRest(Job& job);
   void OnFailed(Job& job, Task& task, core::TimePoint now);
   void MoveIfSlow(Job& job, std::uint32_t step, Task& task, const RunId& id,
                   core::Duration remaining, core::TimePoint now);
--- a/packages/direct/include/coltsfoottide/direct/job_request.h
+++ b/packages/direct/include/coltsfoottide/direct/job_request.h
@@ -20,7 +20,8 @@
   // Passed to each task.
   std::string payload;
   std::vector<StepRequest> steps;
-  // 0 is the most urgent.
+  // As the operator set it, 0 the most urgent; for logs. Nothing is decided by
+  // it, see docs/platform.md.
   std::uint32_t priority = 0;
   // A task that has failed so often fails the job.
   std::uint32_t max_attempts = 1;
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -51,6 +51,8 @@
   void OnOrder(const std::string& owner, RunOrder order, core::TimePoint now);
   void OnStop(const RunId& id, core::TimePoint now);
   void OnWithdraw(const std::string& owner, const RunId& id, core::TimePoint now);
+  // Little work besides the run completes its job.
+  void OnExpedite(const RunId& id, core::TimePoint now);
   // A run of an earlier agent process belongs to the entry.
   void OnClaim(const std::string& owner, const RunId& id);
 
--- a/packages/direct/include/coltsfoottide/direct/run_order.h
+++ b/packages/direct/include/coltsfoottide/direct/run_order.h
@@ -19,8 +19,8 @@
   core::TimePoint objective;
   // A later end is of no use.
   core::TimePoint useful_until;
-  // 0 is the most urgent.
-  std::uint32_t priority = 0;
+  // Most of its job is done, so that little work completes it.
+  bool expedited = false;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/run_queue.h
+++ b/packages/direct/include/coltsfoottide/direct/run_queue.h
@@ -15,6 +15,8 @@
 // Runs that wait for room at an agent. In a burst those that can still end in
 // time go first, by their latest start; those that are late already fill what
 // room is left, so that one overload does not make every later run late too.
+// Before both go the last runs of jobs that are nearly done: of a wide job in
+// an overload one run that stays behind would waste the work of all others.
 class RunQueue {
  public:
   struct Item {
@@ -29,6 +31,9 @@
   // Removes and returns the run to start next in the free room.
   std::optional<Item> TakeNext(const Resources& free, core::TimePoint now);
 
+  // Lets the run, if it is here, go before those of other jobs.
+  void Expedite(const RunId& id);
+
   // Removes the run; returns whether it was there.
   bool Remove(const RunId& id);
 
--- a/packages/direct/src/job.h
+++ b/packages/direct/src/job.h
@@ -21,6 +21,8 @@
   core::TimePoint submitted;
   // Whether a task has started, or it is not certain that none has.
   bool MayHaveRun() const;
+  // Whether so little is left that its runs go before those of other jobs.
+  bool NearlyDone() const;
   // Being given up: answered as not run once all orders are withdrawn.
   bool withdrawing = false;
   std::string give_up_reason;
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -151,6 +151,7 @@
   task.state = Task::State::kOrdered;
   task.queued = false;
   task.ordered_at = now;
+  task.expedited = job.NearlyDone();
   ++task.run_number;
   ++runs_at_[choice->agent];
   fleet_.Get(choice->agent).OnOrder(request.each, request.estimate);
@@ -158,7 +159,7 @@
   placed.push_back(PlacedTask{id, *choice});
   sink_.SendOrder(choice->agent,
                   RunOrder{id, job.request.payload, request.each, request.estimate,
-                           job.request.objective, job.request.useful_until, job.request.priority});
+                           job.request.objective, job.request.useful_until, task.expedited});
   return true;
 }
 
@@ -265,9 +266,19 @@
                            [](const Task& it) { return it.state == Task::State::kDone; });
       });
   if (complete) return Finish(job, JobOutcome{JobOutcome::Kind::kCompleted, "completed", {}}, now);
+  ExpediteRest(job);
   PlaceReady(job, now);
 }
 
+void JobDispatcher::ExpediteRest(Job& job) {
+  if (!job.NearlyDone()) return;
+  ForEachTask(job, [this](Task& task, const RunId& id) {
+    if (task.state != Task::State::kOrdered || task.expedited) return;
+    task.expedited = true;
+    sink_.SendExpedite(task.agent, id);
+  });
+}
+
 void JobDispatcher::OnFailed(Job& job, Task& task, core::TimePoint now) {
   ++task.failures;
   task.avoided.insert(task.agent);
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -158,6 +158,14 @@
   OnStop(id, now);
 }
 
+void RunExecutor::OnExpedite(const RunId& id, core::TimePoint now) {
+  queue_.Expedite(id);
+  for (WaitingOrder& it : waiting_) {
+    if (it.order.id == id) it.order.expedited = true;
+  }
+  StartQueued(now);
+}
+
 void RunExecutor::OnClaim(const std::string& owner, const RunId& id) {
   const auto it = runs_.find(id);
   if (it != runs_.end() && it->second.owner.empty()) it->second.owner = owner;
--- a/packages/direct/src/run_queue.cc
+++ b/packages/direct/src/run_queue.cc
@@ -26,6 +26,7 @@
 
 // Whether `a` goes before `b`.
 bool Precedes(const RunQueue::Item& a, const RunQueue::Item& b, core::TimePoint now) {
+  if (a.order.expedited != b.order.expedited) return a.order.expedited;
   const core::TimePoint latest_a = LatestStart(a.order);
   const core::TimePoint latest_b = LatestStart(b.order);
   const bool late_a = latest_a < now;
@@ -72,6 +73,12 @@
   return taken;
 }
 
+void RunQueue::Expedite(const RunId& id) {
+  for (Item& it : items_) {
+    if (it.order.id == id) it.order.expedited = true;
+  }
+}
+
 bool RunQueue::Remove(const RunId& id) {
   return !TakeIf([&id](const Item& it) { return it.order.id == id; }).empty();
 }
@@ -97,7 +104,8 @@
 std::uint64_t RunQueue::Work(bool late, core::TimePoint now) const {
   std::uint64_t work = 0;
   for (const Item& it : items_) {
-    if ((LatestStart(it.order) < now) != late) continue;
+    const bool is_late = !it.order.expedited && LatestStart(it.order) < now;
+    if (is_late != late) continue;
     const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(it.order.estimate);
     work += it.order.need.cpu_millicores * static_cast<std::uint64_t>(length.count());
   }
--- a/packages/direct/src/task.h
+++ b/packages/direct/src/task.h
@@ -42,6 +42,8 @@
   bool queued = false;
   // A run that is over may have begun.
   bool ran = false;
+  // The agent knows that little work besides it completes the job.
+  bool expedited = false;
   std::uint32_t moves = 0;
   core::TimePoint ordered_at;
   core::TimePoint over_at;
--- a/packages/direct/test/job_dispatcher_test.cc
+++ b/packages/direct/test/job_dispatcher_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(SlowRunMovesOnlyWhereThatPays);
   CPPUNIT_TEST(NothingGoesToAnEvacuatedDataCentre);
   CPPUNIT_TEST(LaterStepsWaitForEarlierOnes);
+  CPPUNIT_TEST(LastWaitingRunsOfAJobAreExpeditedOnce);
   CPPUNIT_TEST(PlacementsAreToldWithWhatDecidedThem);
   CPPUNIT_TEST_SUITE_END();
 
@@ -307,6 +308,21 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, sink_.orders.at(1).id.task.step);
   }
 
+  // Guards against a job that fails for one run in a queue, and against a
+  // message for each end.
+  void LastWaitingRunsOfAJobAreExpeditedOnce() {
+    dispatcher_->Submit(SampleJob("j", 6), kStart);
+    for (std::size_t i = 0; i < 3; ++i) Report(i, RunReport::Kind::kDone);
+    CPPUNIT_ASSERT(sink_.expedites.empty());
+    Report(4, RunReport::Kind::kStarted);
+    Report(5, RunReport::Kind::kQueued);
+    Report(3, RunReport::Kind::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.expedites.size());
+    CPPUNIT_ASSERT(sink_.expedites[0].id == sink_.orders[5].id);
+    Report(4, RunReport::Kind::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.expedites.size());
+  }
+
   // Guards against a failure that nobody can explain afterwards.
   void PlacementsAreToldWithWhatDecidedThem() {
     dispatcher_->OnWorkerState("agent-1", IdleWorker(), 0, kStart + Ms(7));
--- a/packages/direct/test/recording_entry_sink.h
+++ b/packages/direct/test/recording_entry_sink.h
@@ -32,6 +32,9 @@
   void SendWithdraw(const std::string& agent, const RunId& id) override {
     withdrawals.push_back({agent, id});
   }
+  void SendExpedite(const std::string& agent, const RunId& id) override {
+    expedites.push_back({agent, id});
+  }
   void SendClaim(const std::string& agent, const RunId& id) override {
     claims.push_back({agent, id});
   }
@@ -41,6 +44,7 @@
   std::vector<PlacedTask> placed;
   std::vector<Sent> stops;
   std::vector<Sent> withdrawals;
+  std::vector<Sent> expedites;
   std::vector<Sent> claims;
 };
 
--- a/packages/direct/test/run_queue_test.cc
+++ b/packages/direct/test/run_queue_test.cc
@@ -61,6 +61,7 @@
   CPPUNIT_TEST_SUITE(RunQueueTest);
   CPPUNIT_TEST(BurstLeavesMostRunsInTime);
   CPPUNIT_TEST(LateRunsGoBehindThoseInTime);
+  CPPUNIT_TEST(ExpeditedRunsGoFirst);
   CPPUNIT_TEST(SmallRunsPassALargeOneOnlySoOften);
   CPPUNIT_TEST(RunsOfNoUseAreHandedBack);
   CPPUNIT_TEST(WorkIsCountedByWhetherItIsLate);
@@ -103,6 +104,20 @@
                          queue.TakeNext({64000, 1024, 0}, kStart)->order.id.task.job);
   }
 
+  // Guards against a nearly done job that waits behind others, and against
+  // entries that count on the room that its runs take.
+  void ExpeditedRunsGoFirst() {
+    RunQueue queue;
+    queue.Add(SampleOrder("fresh", 0), "entry");
+    RunOrder late = SampleOrder("late", 0);
+    late.objective = kStart + Ms(10);
+    queue.Add(late, "entry");
+    queue.Expedite(late.id);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{720000}, queue.OnTimeWork(kStart));
+    CPPUNIT_ASSERT_EQUAL(std::string("late"),
+                         queue.TakeNext({64000, 1024, 0}, kStart)->order.id.task.job);
+  }
+
   // Guards against large tasks that never find room.
   void SmallRunsPassALargeOneOnlySoOften() {
     RunQueue queue;
