Split the connections of a direct entry from its runtime

The connections are now EntryLinks with a listener interface; both direct runtimes end by one GracefulStop in place of two loops of the same shape. Ends other than completed are counted by reason, and the histogram counts completed jobs only.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -34,8 +34,6 @@
 // agent sends whatever their number.
 constexpr core::Duration kStateInterval = std::chrono::milliseconds(5);
 constexpr core::Duration kStateLogInterval = std::chrono::seconds(1);
-// Left of the time for a graceful stop, for the exit itself.
-constexpr std::chrono::milliseconds kStopReserve{400};
 
 std::string Address(const std::string& url) {
   constexpr std::string_view kScheme = "http://";
@@ -421,25 +419,20 @@
 void DirectAgentRuntime::BeginStop(std::function<void()> stopped) {
   if (stopping_) return;
   stopping_ = true;
-  stopped_ = std::move(stopped);
   executor_->BeginDrain(BootNow());
   state_changed_ = true;
   logger_.Info("agent stopping", {});
-  EndStop();
-}
-
-void DirectAgentRuntime::EndStop() {
-  constexpr std::chrono::milliseconds kPoll{20};
-  stop_waited_ += kPoll;
-  const bool over = stop_waited_ + kStopReserve >= settings_.drain_limit;
   // Orders on their way when the drain began are answered first.
   constexpr std::chrono::milliseconds kLeast{100};
-  if ((!executor_->idle() && !over) || stop_waited_ < kLeast) {
-    QTimer::singleShot(kPoll, &tick_, [this] { EndStop(); });
-    return;
-  }
-  logger_.Info("agent stopped", {{"idle", executor_->idle() ? "yes" : "no"}});
-  stopped_();
+  GracefulStop::Plan plan;
+  plan.least = kLeast;
+  plan.limit = settings_.drain_limit;
+  plan.idle = [this] { return executor_->idle(); };
+  plan.on_end = [this, stopped = std::move(stopped)] {
+    logger_.Info("agent stopped", {{"idle", executor_->idle() ? "yes" : "no"}});
+    stopped();
+  };
+  stop_.Begin(std::move(plan));
 }
 
 }  // namespace coltsfoottide::daemon
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -15,6 +15,7 @@
 #include "coltsfoottide/direct/run_executor.h"
 #include "coltsfoottide/http/server.h"
 #include "frame_connection.h"
+#include "graceful_stop.h"
 #include "metrics_server.h"
 
 namespace coltsfoottide::platform {
@@ -72,7 +73,6 @@
   void LogState(core::TimePoint now);
   void FindEntries(core::TimePoint now);
   void Tick();
-  void EndStop();
 
   Settings settings_;
   Logger& logger_;
@@ -93,8 +93,7 @@
   core::TimePoint store_read_due_;
   core::TimePoint log_due_;
   QTimer tick_;
-  std::function<void()> stopped_;
-  std::chrono::milliseconds stop_waited_{0};
+  GracefulStop stop_;
   // Something that entries should learn has changed.
   bool state_changed_ = false;
   bool stopping_ = false;
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -27,16 +27,11 @@
 
 // The balancer takes an entry out after two misses, one a second.
 constexpr std::chrono::milliseconds kLeaveBalancer{2500};
-// Left of the time for a graceful stop, for the exit itself.
-constexpr std::chrono::milliseconds kStopReserve{400};
 // A route that is unknown is denied only by a view that its source has
 // confirmed lately: a change has to be in force within 2 s.
 constexpr core::Duration kViewAge = std::chrono::seconds(3);
 constexpr core::Duration kComeBack = std::chrono::seconds(1);
 constexpr core::Duration kGaugeInterval = std::chrono::seconds(1);
-// Pause between attempts to reach another entry.
-constexpr core::Duration kDialInterval = std::chrono::milliseconds(500);
-
 std::int64_t ToMs(core::Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
@@ -77,16 +72,15 @@
       logger_(logger),
       metrics_(metrics),
       metrics_server_(metrics),
-      incarnation_(static_cast<std::uint64_t>(BootNow().time_since_epoch().count())),
       dispatcher_(MakeTuning(settings), settings.data_centre, settings.far_factor, *this),
-      listener_([this](qintptr descriptor) { Accept(descriptor); }) {}
+      links_(static_cast<std::uint64_t>(BootNow().time_since_epoch().count()), *this, logger) {}
 
 DirectEntryRuntime::~DirectEntryRuntime() = default;
 
 std::optional<RuntimeError> DirectEntryRuntime::Start() {
   if (auto error = OpenServers()) return error;
   if (auto error = metrics_server_.Open(settings_.metrics_listen)) return error;
-  for (const std::string& it : settings_.entries) LearnEntry(ParseEndpoint(it)->address);
+  for (const std::string& it : settings_.entries) links_.LearnEntry(ParseEndpoint(it)->address);
   FollowStore();
   QObject::connect(&tick_, &QTimer::timeout, &tick_, [this] { Tick(); });
   tick_.start(kTick);
@@ -96,13 +90,10 @@
 }
 
 std::optional<RuntimeError> DirectEntryRuntime::OpenServers() {
-  const Endpoint links = *ParseEndpoint(settings_.listen);
-  const Endpoint reached =
-      settings_.advertise.empty() ? links : *ParseEndpoint(settings_.advertise);
-  name_ = reached.address;
-  link_port_ = reached.port;
-  if (!listener_.listen(QHostAddress(QString::fromStdString(links.address)), links.port)) {
-    return RuntimeError{settings_.listen + ": " + listener_.errorString().toStdString()};
+  const Endpoint listen = *ParseEndpoint(settings_.listen);
+  const bool same = settings_.advertise.empty();
+  if (auto error = links_.Open(listen, same ? listen : *ParseEndpoint(settings_.advertise))) {
+    return error;
   }
   const auto open = [](const std::string& address, http::ServerCallbacks callbacks) {
     const Endpoint endpoint = *ParseEndpoint(address);
@@ -121,7 +112,7 @@
 }
 
 bool DirectEntryRuntime::ready() const {
-  return !stopping_ && view_.configuration() != nullptr && !agents_.empty();
+  return !stopping_ && view_.configuration() != nullptr && links_.connected_agents() > 0;
 }
 
 void DirectEntryRuntime::OnProbe(const http::Request& request) {
@@ -208,7 +199,7 @@
                                 {"priority", std::to_string(accepted.priority)},
                                 {"in_time_ms", std::to_string(ToMs(accepted.objective - now))},
                                 {"deadline_ms", std::to_string(ToMs(accepted.deadline - now))},
-                                {"agents", std::to_string(agents_.size())},
+                                {"agents", std::to_string(links_.connected_agents())},
                                 {"config_version", ConfigurationVersion()}});
   Submission& submission = submissions_[job];
   submission.requests.push_back(request.id);
@@ -241,10 +232,15 @@
     jobs_by_request_.erase(request);
   }
   const core::Duration elapsed = BootNow() - it->second.submitted;
-  metrics_.Add(std::string("jobs_") + KindName(outcome.kind), 1);
-  metrics_.Observe(it->second.route, api::URGENT, elapsed);
-  // Failures have a budget of their own, so that successes do not crowd them out.
+  const std::string counter = std::string("jobs_") + KindName(outcome.kind);
+  metrics_.Add(counter, 1);
   const bool served = outcome.kind == direct::JobOutcome::Kind::kCompleted;
+  if (served) {
+    metrics_.Observe(it->second.route, api::URGENT, elapsed);
+  } else {
+    metrics_.Add(counter + "_by_" + outcome.reason, 1);
+  }
+  // Failures have a budget of their own, so that successes do not crowd them out.
   const auto log = served ? &Logger::Info : &Logger::Warn;
   (logger_.*log)("job ended", {{"job", job},
                                {"route", it->second.route},
@@ -259,13 +255,8 @@
   submissions_.erase(it);
 }
 
-DirectEntryRuntime::Link* DirectEntryRuntime::FindAgent(const std::string& agent) {
-  const auto it = agents_.find(agent);
-  return it == agents_.end() ? nullptr : &links_.at(it->second);
-}
-
 void DirectEntryRuntime::SendOrder(const std::string& agent, const direct::RunOrder& order) {
-  if (Link* link = FindAgent(agent)) AddOrder(order, BootNow(), link->connection->outbox());
+  if (auto* frame = links_.FrameTo(agent)) AddOrder(order, BootNow(), *frame);
 }
 
 void DirectEntryRuntime::OnPlaced(const std::string& job,
@@ -295,12 +286,12 @@
 
 void DirectEntryRuntime::SendStop(const std::string& agent, const direct::RunId& id) {
   LogRecall("run stopped", agent, id);
-  if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_stops());
+  if (auto* frame = links_.FrameTo(agent)) WriteRunId(id, *frame->add_stops());
 }
 
 void DirectEntryRuntime::SendWithdraw(const std::string& agent, const direct::RunId& id) {
   LogRecall("run withdrawn", agent, id);
-  if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_withdrawals());
+  if (auto* frame = links_.FrameTo(agent)) WriteRunId(id, *frame->add_withdrawals());
 }
 
 void DirectEntryRuntime::LogRecall(std::string_view event, const std::string& agent,
@@ -312,94 +303,19 @@
 }
 
 void DirectEntryRuntime::SendExpedite(const std::string& agent, const direct::RunId& id) {
-  if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_expedites());
+  if (auto* frame = links_.FrameTo(agent)) WriteRunId(id, *frame->add_expedites());
 }
 
 void DirectEntryRuntime::SendClaim(const std::string& agent, const direct::RunId& id) {
-  if (Link* link = FindAgent(agent)) WriteRunId(id, *link->connection->outbox().add_claims());
-}
-
-DirectEntryRuntime::Link& DirectEntryRuntime::AddLink(std::uint64_t id) {
-  Link& link = links_[id];
-  link.last_heard = BootNow();
-  return link;
-}
-
-FrameConnection::Events DirectEntryRuntime::LinkEvents(std::uint64_t id) {
-  return {[this, id] { SendHello(links_.at(id)); },
-          [this, id](const direct_wire::Frame& frame) { OnFrame(id, frame); },
-          [this, id] { OnLinkClosed(id, "closed"); }};
-}
-
-void DirectEntryRuntime::Accept(qintptr descriptor) {
-  const std::uint64_t id = ++last_link_;
-  Link& link = AddLink(id);
-  link.connection = std::make_unique<FrameConnection>(descriptor, LinkEvents(id));
-  SendHello(link);
+  if (auto* frame = links_.FrameTo(agent)) WriteRunId(id, *frame->add_claims());
 }
 
-// Entries call those with a lower address; agents call all.
-void DirectEntryRuntime::DialPeers() {
-  const core::TimePoint now = BootNow();
-  for (const std::string& peer : entries_) {
-    if (peer >= name_ || now < dial_due_[peer]) continue;
-    const bool linked = std::any_of(links_.begin(), links_.end(),
-                                    [&peer](const auto& it) { return it.second.name == peer; });
-    if (linked) continue;
-    dial_due_[peer] = now + kDialInterval;
-    const std::uint64_t id = ++last_link_;
-    Link& link = AddLink(id);
-    link.name = peer;
-    link.dialed = true;
-    link.connection =
-        std::make_unique<FrameConnection>(QString::fromStdString(peer), link_port_, LinkEvents(id));
-  }
-}
-
-void DirectEntryRuntime::SendHello(Link& link) {
-  direct_wire::Hello& hello = *link.connection->outbox().mutable_hello();
-  hello.set_sender(direct_wire::Hello::ENTRY);
-  hello.set_name(name_);
-  hello.set_incarnation(incarnation_);
-  TellEntries(link);
-  if (link.dialed) TellConfiguration(link);
-}
-
-void DirectEntryRuntime::TellEntries(Link& link) {
-  direct_wire::Frame& frame = link.connection->outbox();
-  frame.clear_entries();
-  for (const std::string& it : entries_) frame.add_entries(it);
-}
-
-void DirectEntryRuntime::TellConfiguration(Link& link) {
-  const auto configuration = view_.configuration();
-  if (!configuration) return;
-  direct_wire::Configuration& message = *link.connection->outbox().mutable_configuration();
-  message.set_version(configuration->version);
-  message.set_text(configuration->text);
-  message.clear_evacuated();
-  for (const std::string& it : view_.evacuated()) message.add_evacuated(it);
-  message.set_position(view_.end());
+void DirectEntryRuntime::OnAgentConnected(const direct::AgentHello& hello, core::TimePoint now) {
+  dispatcher_.OnAgentHello(hello, now);
 }
 
-void DirectEntryRuntime::OnFrame(std::uint64_t id, const direct_wire::Frame& frame) {
-  const core::TimePoint now = BootNow();
-  Link& link = links_.at(id);
-  link.last_heard = now;
-  if (frame.stamp_us() != 0) link.connection->outbox().set_echo_us(frame.stamp_us());
-  for (const std::string& it : frame.entries()) LearnEntry(it);
-  if (frame.has_configuration()) {
-    const direct_wire::Configuration& message = frame.configuration();
-    const auto configuration = platform::DecodeConfiguration(message.text());
-    const std::set<std::string> evacuated(message.evacuated().begin(), message.evacuated().end());
-    if (configuration && view_.OnPeerView(*configuration, evacuated, message.position(), now)) {
-      OnViewChanged("entry " + link.name);
-    }
-  }
-  if (frame.has_hello()) OnHello(id, frame.hello());
-  const auto it = links_.find(id);
-  if (it == links_.end() || !it->second.is_agent) return;
-  const std::string agent = it->second.name;
+void DirectEntryRuntime::OnAgentFrame(const std::string& agent, const direct_wire::Frame& frame,
+                                      core::TimePoint now) {
   if (frame.has_description()) {
     dispatcher_.OnWorkerDescription(agent, ReadDescription(frame.description()));
   }
@@ -411,52 +327,18 @@
   }
 }
 
-void DirectEntryRuntime::OnHello(std::uint64_t id, const direct_wire::Hello& hello) {
-  Link& link = links_.at(id);
-  link.name = hello.name();
-  if (hello.sender() == direct_wire::Hello::ENTRY) {
-    LearnEntry(hello.name());
-    if (!link.dialed) TellConfiguration(link);
-    return;
-  }
-  if (const auto old = agents_.find(hello.name()); old != agents_.end() && old->second != id) {
-    OnLinkClosed(old->second, "replaced");
-  }
-  link.is_agent = true;
-  agents_[hello.name()] = id;
-  direct::AgentHello decoded;
-  decoded.agent = hello.name();
-  decoded.incarnation = hello.incarnation();
-  decoded.runs_known = hello.runs_known();
-  for (const direct_wire::RunReport& it : hello.runs()) decoded.runs.push_back(ReadReport(it));
-  logger_.Info("agent connected", {{"agent", decoded.agent},
-                                   {"incarnation", std::to_string(decoded.incarnation)},
-                                   {"runs", std::to_string(decoded.runs.size())}});
-  dispatcher_.OnAgentHello(decoded, BootNow());
-}
-
-void DirectEntryRuntime::OnLinkClosed(std::uint64_t id, const std::string& reason) {
-  const auto it = links_.find(id);
-  if (it == links_.end()) return;
-  Link link = std::move(it->second);
-  links_.erase(it);
-  link.connection->Close();
-  const auto agent = agents_.find(link.name);
-  if (link.is_agent && agent != agents_.end() && agent->second == id) {
-    agents_.erase(agent);
-    logger_.Warn("agent lost", {{"agent", link.name},
-                                {"reason", reason},
-                                {"silent_ms", std::to_string(ToMs(BootNow() - link.last_heard))}});
-    dispatcher_.OnAgentLost(link.name, link.last_heard);
-  }
-  // The connection may be what reports its end, so it lives on for a tick.
-  closed_.push_back(std::move(link.connection));
+void DirectEntryRuntime::OnAgentLost(const std::string& agent, core::TimePoint last_heard) {
+  dispatcher_.OnAgentLost(agent, last_heard);
 }
 
-void DirectEntryRuntime::LearnEntry(const std::string& name) {
-  if (name.empty() || !entries_.insert(name).second) return;
-  logger_.Info("entry known", {{"entry", name}});
-  for (auto& [id, link] : links_) TellEntries(link);
+void DirectEntryRuntime::OnPeerConfiguration(const std::string& entry,
+                                             const direct_wire::Configuration& message,
+                                             core::TimePoint now) {
+  const auto configuration = platform::DecodeConfiguration(message.text());
+  const std::set<std::string> evacuated(message.evacuated().begin(), message.evacuated().end());
+  if (configuration && view_.OnPeerView(*configuration, evacuated, message.position(), now)) {
+    OnViewChanged("entry " + entry);
+  }
 }
 
 std::string DirectEntryRuntime::ConfigurationVersion() const {
@@ -470,9 +352,18 @@
   for (const std::string& it : view_.evacuated()) evacuated += (evacuated.empty() ? "" : ",") + it;
   logger_.Info("configuration in force",
                {{"version", ConfigurationVersion()}, {"evacuated", evacuated}, {"source", source}});
-  for (auto& [id, link] : links_) {
-    if (!link.is_agent && !link.name.empty()) TellConfiguration(link);
-  }
+  TellPeers();
+}
+
+void DirectEntryRuntime::TellPeers() {
+  const auto configuration = view_.configuration();
+  if (!configuration) return;
+  direct_wire::Configuration message;
+  message.set_version(configuration->version);
+  message.set_text(configuration->text);
+  for (const std::string& it : view_.evacuated()) message.add_evacuated(it);
+  message.set_position(view_.end());
+  links_.TellConfiguration(message);
 }
 
 void DirectEntryRuntime::FollowStore() {
@@ -497,7 +388,7 @@
   operator_topic_->Begin();
   TopicFollower::Events entry_events;
   entry_events.on_snapshot = [this](const platform::StoreClient::Batch& batch) {
-    for (const platform::KeyedRecord& it : batch.records) LearnEntry(it.key);
+    for (const platform::KeyedRecord& it : batch.records) links_.LearnEntry(it.key);
   };
   entry_events.on_records = entry_events.on_snapshot;
   entry_events.on_reachable = [](bool) {};
@@ -508,7 +399,7 @@
 // Makes this entry known to those that no seed leads to.
 void DirectEntryRuntime::Announce() {
   announced_ = true;
-  store_->Append(platform::kEntryTopic, name_, "1", [this](bool done) {
+  store_->Append(platform::kEntryTopic, links_.name(), "1", [this](bool done) {
     announced_ = done;
     if (!done) logger_.Warn("announcement failed", {});
   });
@@ -516,22 +407,7 @@
 
 void DirectEntryRuntime::Tick() {
   const core::TimePoint now = BootNow();
-  closed_.clear();
-  std::vector<std::uint64_t> silent;
-  for (const auto& [id, link] : links_) {
-    const bool busy = link.is_agent && dispatcher_.HasRunsAt(link.name);
-    const bool opening = link.dialed && !link.connection->open();
-    const core::Duration limit = opening ? kOpenLimit : busy ? kBusySilence : kIdleSilence;
-    if (now - link.last_heard > limit) silent.push_back(id);
-  }
-  for (const std::uint64_t id : silent) OnLinkClosed(id, "silent");
-  for (auto& [id, link] : links_) {
-    if (link.is_agent || link.name.empty() || now < link.next_stamp) continue;
-    link.next_stamp = now + kIdleInterval;
-    link.connection->outbox().set_stamp_us(
-        static_cast<std::uint64_t>(now.time_since_epoch().count()));
-  }
-  DialPeers();
+  links_.Advance([this](const std::string& agent) { return dispatcher_.HasRunsAt(agent); }, now);
   if (!announced_ && operator_topic_->reachable()) Announce();
   dispatcher_.Advance(now);
   SetGauges(now);
@@ -543,38 +419,32 @@
   gauges_due_ = now + kGaugeInterval;
   const auto configuration = view_.configuration();
   metrics_.Set("jobs_in_progress", dispatcher_.size());
-  metrics_.Set("agents_connected", agents_.size());
-  metrics_.Set("entries_known", entries_.size());
+  metrics_.Set("agents_connected", links_.connected_agents());
+  metrics_.Set("entries_known", links_.known_entries());
   metrics_.Set("config_version", configuration ? configuration->version : 0);
   metrics_.Set("config_age_ms", static_cast<std::uint64_t>(ToMs(now - view_.confirmed())));
   metrics_.Set("store_reachable", operator_topic_->reachable() ? 1 : 0);
 }
 
 void DirectEntryRuntime::Reload(const Settings& settings) {
-  for (const std::string& it : settings.entries) LearnEntry(ParseEndpoint(it)->address);
+  for (const std::string& it : settings.entries) links_.LearnEntry(ParseEndpoint(it)->address);
 }
 
 void DirectEntryRuntime::BeginStop(std::function<void()> stopped) {
   if (stopping_) return;
   stopping_ = true;
-  stopped_ = std::move(stopped);
   logger_.Info("entry stopping", {{"jobs", std::to_string(dispatcher_.size())}});
-  QTimer::singleShot(kLeaveBalancer, &tick_, [this] {
+  QTimer::singleShot(kLeaveBalancer, &tick_, [this, stopped = std::move(stopped)] {
     callers_->BeginStop();
-    EndStop();
+    GracefulStop::Plan plan;
+    plan.limit = settings_.drain_limit - kLeaveBalancer;
+    plan.idle = [this] { return callers_->pending() == 0; };
+    plan.on_end = [this, stopped] {
+      logger_.Info("entry stopped", {{"unanswered", std::to_string(callers_->pending())}});
+      stopped();
+    };
+    stop_.Begin(std::move(plan));
   });
 }
 
-void DirectEntryRuntime::EndStop() {
-  constexpr std::chrono::milliseconds kPoll{20};
-  stop_waited_ += kPoll;
-  const bool over = stop_waited_ + kLeaveBalancer + kStopReserve >= settings_.drain_limit;
-  if (callers_->pending() > 0 && !over) {
-    QTimer::singleShot(kPoll, &tick_, [this] { EndStop(); });
-    return;
-  }
-  logger_.Info("entry stopped", {{"unanswered", std::to_string(callers_->pending())}});
-  stopped_();
-}
-
 }  // namespace coltsfoottide::daemon
