--- a/packages/console/include/coltsfoottide/console/log_record.h
+++ b/packages/console/include/coltsfoottide/console/log_record.h
@@ -16,7 +16,7 @@
   // All fields of the line, with the ones above.
   QJsonObject fields;
 
-  // A field's text; empty without it.
+  // A field's value as text; empty without it.
   std::string Field(const char* name) const;
 };
 
--- a/packages/console/src/explain_command.cc
+++ b/packages/console/src/explain_command.cc
@@ -1,6 +1,7 @@
 #include "coltsfoottide/console/explain_command.h"
 
 #include <QJsonDocument>
+#include <QVariant>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -21,7 +22,8 @@
   out << record.time << "  " << record.process << "  " << record.event;
   for (auto it = record.fields.begin(); it != record.fields.end(); ++it) {
     if (!IsHeading(it.key())) {
-      out << ' ' << it.key().toStdString() << '=' << it.value().toString().toStdString();
+      out << ' ' << it.key().toStdString() << '='
+          << it.value().toVariant().toString().toStdString();
     }
   }
   out << '\n';
--- a/packages/console/src/log_record.cc
+++ b/packages/console/src/log_record.cc
@@ -1,11 +1,12 @@
 #include "coltsfoottide/console/log_record.h"
 
 #include <QJsonDocument>
+#include <QVariant>
 
 namespace coltsfoottide::console {
 
 std::string LogRecord::Field(const char* name) const {
-  return fields.value(QLatin1String(name)).toString().toStdString();
+  return fields.value(QLatin1String(name)).toVariant().toString().toStdString();
 }
 
 std::optional<LogRecord> ParseLogLine(const std::string& line) {
--- a/packages/console/test/job_trace_test.cc
+++ b/packages/console/test/job_trace_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(ShowsTheJobAndWhatItsProcessesBelieved);
   CPPUNIT_TEST(SaysThatNoAnswerIsLogged);
   CPPUNIT_TEST(ReadsLinesWithAPrefixAndSkipsOthers);
+  CPPUNIT_TEST(NumbersAreReadAsText);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a line of the way that is left out, and against lines of
@@ -80,6 +81,13 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, trace.Read(log));
     CPPUNIT_ASSERT(trace.found());
   }
+
+  // Guards against numbers that are shown as nothing.
+  void NumbersAreReadAsText() {
+    const auto record =
+        ParseLogLine(Line("20.000", "entry e:1", "lines left out", R"("lines":56)"));
+    CPPUNIT_ASSERT_EQUAL(std::string("56"), record->Field("lines"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobTraceTest);
