Do not take a run for over that was ordered while a hello was read

Cause: an agent that connects again lists its runs, and what it does not list is over. The entry compared all runs at the agent after it had processed the list, also those that it had ordered meanwhile in place of ended ones.

Ruled out: the clocks. The two placements come within 1 ms of one process, whose decisions use the boot clock only, and the listed lost runs are true.

The test fails on the code before.

--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -93,6 +93,8 @@
   bool Place(Job& job, std::uint32_t step, std::uint32_t index, std::vector<PlacedTask>& placed,
              core::TimePoint now);
   void UnlockSteps(Job& job);
+  // Runs that are queued or running at the agent, as far as is known.
+  std::vector<RunId> RunsAt(const std::string& agent) const;
   Task* FindRun(const std::string& agent, const RunId& id, Job** job);
   void OnRunOver(Job& job, Task& task, bool may_have_run, core::TimePoint now);
   void OnDone(Job& job, Task& task, core::TimePoint now);
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -28,11 +28,11 @@
 }
 
 // Calls `visit(Task&, const RunId&)` with each task and its latest run.
-template <typename Visit>
-void ForEachTask(Job& job, Visit visit) {
+template <typename JobType, typename Visit>
+void ForEachTask(JobType& job, Visit visit) {
   for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
     for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
-      Task& task = job.steps[step][index];
+      auto& task = job.steps[step][index];
       visit(task, RunId{TaskId{job.request.id, step, index}, task.run_number});
     }
   }
@@ -320,6 +320,8 @@
   const bool same_process = known == hello.incarnation;
   fleet_.Get(hello.agent).OnConnected();
   known = hello.incarnation;
+  // Reports below may place further runs there, which it cannot list yet.
+  const std::vector<RunId> before = RunsAt(hello.agent);
   std::set<RunId> listed;
   for (const RunReport& it : hello.runs) {
     listed.insert(it.id);
@@ -334,19 +336,23 @@
     }
   }
   if (!same_process && !hello.runs_known) return;
-  std::vector<std::string> ids;
-  for (auto& [id, job] : jobs_) {
-    for (std::uint32_t step = 0; step < job->steps.size(); ++step) {
-      for (std::uint32_t index = 0; index < job->steps[step].size(); ++index) {
-        Task& task = job->steps[step][index];
-        if (!task.HasRun() || task.agent != hello.agent) continue;
-        if (listed.contains(RunId{TaskId{id, step, index}, task.run_number})) continue;
-        OnRunOver(*job, task, true, now);
-      }
-    }
-    ids.push_back(id);
+  for (const RunId& it : before) {
+    Job* job = nullptr;
+    Task* task = listed.contains(it) ? nullptr : FindRun(hello.agent, it, &job);
+    if (task == nullptr) continue;
+    OnRunOver(*job, *task, true, now);
+    RemoveIfOver(it.task.job, now);
+  }
+}
+
+std::vector<RunId> JobDispatcher::RunsAt(const std::string& agent) const {
+  std::vector<RunId> runs;
+  for (const auto& [name, job] : jobs_) {
+    ForEachTask(*job, [&](const Task& task, const RunId& id) {
+      if (task.HasRun() && task.agent == agent) runs.push_back(id);
+    });
   }
-  for (const std::string& id : ids) RemoveIfOver(id, now);
+  return runs;
 }
 
 void JobDispatcher::OnAgentLost(const std::string& agent, core::TimePoint last_heard) {
--- a/packages/direct/test/job_dispatcher_test.cc
+++ b/packages/direct/test/job_dispatcher_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(SilentAgentKeepsItsRunsForTheBound);
   CPPUNIT_TEST(RestartedAgentKeepsItsRuns);
   CPPUNIT_TEST(AgentThatKnowsItsRunsFreesTheOthers);
+  CPPUNIT_TEST(RunOrderedWhileAHelloIsReadIsNotTakenForOver);
   CPPUNIT_TEST(FailsAfterTheAllowedAttempts);
   CPPUNIT_TEST(RefusesAtOnceWhatTheBacklogMakesUseless);
   CPPUNIT_TEST(NotRunIsSaidOnlyAfterAllOrdersAreWithdrawn);
@@ -125,6 +126,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sink_.orders.size());
   }
 
+  // A frozen entry wakes, its agents connect again and tell that its runs are
+  // over. Guards against taking the run that is ordered in their place for
+  // over too, as the hello cannot list it, and against a second one beside it.
+  void RunOrderedWhileAHelloIsReadIsNotTakenForOver() {
+    Connect("agent-2", 1);
+    dispatcher_->Submit(SampleJob("j", 2), kStart);
+    Report(0, RunReport::Kind::kStarted);
+    Report(1, RunReport::Kind::kStarted);
+    const std::string agent = sink_.orders[0].agent;
+    AgentHello hello{agent, 1, true, {}};
+    for (const RecordingEntrySink::Sent& it : sink_.orders) {
+      if (it.agent == agent) hello.runs.push_back({it.id, RunReport::Kind::kLost, {}});
+    }
+    const std::size_t over = hello.runs.size();
+    dispatcher_->OnAgentHello(hello, kStart + Ms(50));
+    CPPUNIT_ASSERT_EQUAL(2 + over, sink_.orders.size());
+  }
+
   // Guards against a task that fails for ever, and against blaming lost runs.
   void FailsAfterTheAllowedAttempts() {
     dispatcher_->Submit(SampleJob("j", 1), kStart);
