--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -9,6 +9,7 @@
 #include "coltsfoottide/daemon/endpoint.h"
 #include "coltsfoottide/daemon/logging.h"
 #include "coltsfoottide/daemon/metrics.h"
+#include "coltsfoottide/direct/state_pace.h"
 #include "coltsfoottide/platform/operator_records.h"
 #include "coltsfoottide/platform/store_client.h"
 #include "coltsfoottide/platform/worker_client.h"
@@ -30,9 +31,6 @@
 constexpr core::Duration kRunsKnownLimit = std::chrono::milliseconds(500);
 // The store is asked for entries only while none is connected.
 constexpr core::Duration kFindInterval = std::chrono::milliseconds(1500);
-// Least time between two states to an entry, for each entry: bounds what an
-// agent sends whatever their number.
-constexpr core::Duration kStateInterval = std::chrono::milliseconds(5);
 constexpr core::Duration kStateLogInterval = std::chrono::seconds(1);
 
 std::string Address(const std::string& url) {
@@ -342,7 +340,7 @@
   const auto connected = std::count_if(links_.begin(), links_.end(), [](const auto& it) {
     return it.second.connection && !it.second.owner.empty();
   });
-  const core::Duration pause = kStateInterval * std::max<std::int64_t>(connected, 1);
+  const core::Duration pause = direct::StatePause(static_cast<std::size_t>(connected));
   bool all_told = true;
   for (auto& [name, link] : links_) {
     if (!link.connection || link.owner.empty()) continue;
