--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -45,13 +45,13 @@
   std::vector<Candidate> candidates;
   core::Duration best = core::Duration::max();
   for (const auto& [agent, view] : workers_) {
-    if (!view.Eligible(service, step) || evacuated_.contains(view.description().data_centre))
-      continue;
+    const std::string& data_centre = view.description().data_centre;
+    if (!view.Eligible(service, step) || evacuated_.contains(data_centre)) continue;
     if (excluded.contains(agent) || full(agent)) continue;
     const core::Duration delay = view.StartDelay(step.each);
     const core::Duration run_time = view.RunTime(step, far_factor_);
     core::Duration cost = delay + run_time + view.FailurePenalty(run_time);
-    if (view.description().data_centre != data_centre_) cost += kOtherDataCentreDelay;
+    if (data_centre != data_centre_) cost += kOtherDataCentreDelay;
     best = std::min(best, cost);
     // A full one is drawn rarely among those that are as full.
     const double free = static_cast<double>(view.UnclaimedCpu()) + 1.0;
--- a/packages/direct/src/worker_view.cc
+++ b/packages/direct/src/worker_view.cc
@@ -41,8 +41,8 @@
 }
 
 bool WorkerView::Eligible(const std::string& service, const StepRequest& step) const {
-  if (!connected_ || !state_.ready || state_.draining || description_.service != service)
-    return false;
+  const bool usable = connected_ && state_.ready && !state_.draining;
+  if (!usable || description_.service != service) return false;
   if (!description_.total.Fits(step.each)) return false;
   return step.required_label.empty() ||
          std::find(description_.labels.begin(), description_.labels.end(), step.required_label) !=
