--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include <cerrno>
+#include <cstring>
 #include <utility>
 
 #include "response_text.h"
@@ -50,7 +52,10 @@
 void Connection::BeginRequest(std::uint64_t id) {
   request_id_ = id;
   state_ = State::kInProgress;
-  if (head_.takes_interim) half_open_ = std::make_unique<HalfOpenPeer>(socket_.socketDescriptor());
+  if (!head_.takes_interim) return;
+  half_open_ = std::make_unique<HalfOpenPeer>(socket_.socketDescriptor());
+  // Without a free descriptor a caller that ends its input counts as gone.
+  if (!half_open_->valid()) qWarning("descriptor not duplicated: %s", std::strerror(errno));
 }
 
 bool Connection::Respond(const Response& response) {
