Stop a run that a restarted backend server may have begun

The agent had ordered a start, the backend server restarted, its new life took the order, and the agent took all runs for over when it learned of the new life. The entry ordered the task again while the first run went on, until the next hold listed it and it was stopped.

A new life ends only the runs that the life before it has listed. Those that no hold has listed yet are stopped, and are over when the stop is answered and the run is not listed, like any other stop.

Ruled out: load. The agent's log has the restart between the start at 18.818 and the loss at 18.835 of the same run.

The new test fails on the code before. NewLifeEndsAllRuns first lists the run now: without that its end is not proved, as the trace shows.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -99,6 +99,8 @@
     // Holds whose answer should have listed the run and did not.
     int missed = 0;
     bool stop_answered = false;
+    // The present life of the backend server has listed it as running.
+    bool listed = false;
     // Orders to start that got no answer.
     int unanswered_starts = 0;
     // Answers to earlier holds may not list the run yet.
@@ -127,6 +129,9 @@
   void StopRun(Run& run, core::TimePoint now);
   void EndRun(const RunId& id, RunReport::Kind kind, core::TimePoint now);
   void LoseAllRuns(core::TimePoint now);
+  // Ends what only the earlier life of the backend server can have; stops what
+  // the new one may have begun.
+  void LeaveLife(core::TimePoint now);
   void ReportFinal(const std::string& owner, const RunReport& report, core::TimePoint now);
   void HandBack(const std::vector<RunQueue::Item>& items, core::TimePoint now);
   void MaybeHold(core::TimePoint now);
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -101,7 +101,7 @@
   const bool restarted = life_ != 0;
   life_ = life;
   if (!restarted) return;
-  LoseAllRuns(now);
+  LeaveLife(now);
   health_.Reset();
   ended_seen_ = 0;
   acknowledged_ = 0;
@@ -323,6 +323,21 @@
   HandBack(queue_.TakeAll(), now);
 }
 
+void RunExecutor::LeaveLife(core::TimePoint now) {
+  std::vector<RunId> over;
+  for (auto& [id, run] : runs_) {
+    if (run.listed) {
+      over.push_back(id);
+      continue;
+    }
+    run.state = RunState::kRunning;
+    run.visible_from_hold = hold_round_ + 1;
+    StopRun(run, now);
+  }
+  for (const RunId& id : over) EndRun(id, RunReport::Kind::kLost, now);
+  HandBack(queue_.TakeAll(), now);
+}
+
 void RunExecutor::HandBack(const std::vector<RunQueue::Item>& items, core::TimePoint now) {
   for (const RunQueue::Item& it : items) {
     ReportFinal(it.owner, RunReport{it.order.id, RunReport::Kind::kNotRun, {}}, now);
@@ -425,6 +440,7 @@
   if (running.percent > run.percent) run.progressed = now;
   run.percent = running.percent;
   run.missed = 0;
+  run.listed = true;
   if (run.state == RunState::kRunning) ReportLaggard(run, now);
 }
 
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(SilentWorkerHandsItsQueueBack);
   CPPUNIT_TEST(SilentOwnersRunsAreStopped);
   CPPUNIT_TEST(NewLifeEndsAllRuns);
+  CPPUNIT_TEST(StartThatTheNewLifeMayHaveTakenIsStopped);
   CPPUNIT_TEST(OldReportChangesNothing);
   CPPUNIT_TEST(DrainingWorkerTakesNothing);
   CPPUNIT_TEST(RunsOfAnEarlierProcessAreAdoptedOrStopped);
@@ -158,6 +159,7 @@
   void NewLifeEndsAllRuns() {
     const RunId id = Order(0);
     executor_->OnStartResult(id, StartResult::kStarted, kStart + Ms(1));
+    AnswerHold({{id, 10}}, {}, kStart + Ms(50));
     WorkerReport report = SampleReport(1);
     report.life = 2000;
     CPPUNIT_ASSERT(executor_->OnWorkerReport(report, kStart + Ms(100)));
@@ -165,6 +167,23 @@
     CPPUNIT_ASSERT(executor_->State(kStart).ready);
   }
 
+  // A backend server restarts while an order is on its way. Guards against two
+  // runs at a time: the new life may have begun the run, so it is not over
+  // because of the restart.
+  void StartThatTheNewLifeMayHaveTakenIsStopped() {
+    const RunId id = Order(0);
+    executor_->OnStartResult(id, StartResult::kStarted, kStart + Ms(1));
+    WorkerReport report = SampleReport(1);
+    report.life = 2000;
+    executor_->OnWorkerReport(report, kStart + Ms(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, reports_.Count(RunReport::Kind::kLost));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port_.stops.size());
+    executor_->OnStopResult(id, true, kStart + Ms(22));
+    executor_->Advance(kStart + Ms(100));
+    executor_->OnHold(port_.holds.back().round, HoldResult{2000, {}, {}}, false, kStart + Ms(101));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kLost));
+  }
+
   // Guards against a delayed report of an earlier life or an earlier moment.
   void OldReportChangesNothing() {
     WorkerReport late = SampleReport(1);
