State bounds that entries and agents share once

Cause, found in a read of the whole change: the percentage of a slow clock stood in the agent's executor and in the entry's settings of its bound, the least part of an estimate in the queue and in the dispatcher, and the product of cores and time in three files; each pair had to agree for its decision to hold. They are LongestLease, LeastRunTime and CpuWork now. Whether a backend server takes work of a service was asked by two conditions of the same parts; WorkerView::Serves serves the choice and the sums.

Removed, written and never read or not called: Task::agent_incarnation, Job::submitted, Resources::Return, RunQueue::size, WorkerFleet::Find.

No behaviour changes; all tests keep their assertions.

--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -10,6 +10,7 @@
 #include "coltsfoottide/daemon/endpoint.h"
 #include "coltsfoottide/daemon/logging.h"
 #include "coltsfoottide/daemon/metrics.h"
+#include "coltsfoottide/direct/time_bounds.h"
 #include "coltsfoottide/platform/job_calls.h"
 #include "coltsfoottide/platform/operator_records.h"
 #include "direct_messages.h"
@@ -32,10 +33,6 @@
 constexpr core::Duration kViewAge = std::chrono::seconds(3);
 constexpr core::Duration kComeBack = std::chrono::seconds(1);
 constexpr core::Duration kGaugeInterval = std::chrono::seconds(1);
-std::int64_t ToMs(core::Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 std::string WithoutPort(const std::string& host) { return host.substr(0, host.find(':')); }
 
 const char* KindName(direct::JobOutcome::Kind kind) {
@@ -56,11 +53,9 @@
 }
 
 direct::JobDispatcher::Tuning MakeTuning(const Settings& settings) {
-  // The backend server's clock may be 2% slow.
-  constexpr int kLeasePercent = 103;
   direct::JobDispatcher::Tuning tuning;
   tuning.silent_agent_bound =
-      kOwnerLease + settings.lease * kLeasePercent / 100 + settings.stop_time;
+      kOwnerLease + direct::LongestLease(settings.lease) + settings.stop_time;
   tuning.seed = std::hash<std::string>()(settings.listen);
   return tuning;
 }
--- a/packages/daemon/src/direct_timing.h
+++ b/packages/daemon/src/direct_timing.h
@@ -1,12 +1,17 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 #include "coltsfoottide/core/time.h"
 
-// Times on which entries and agents have to agree.
+// Times on which entries and agents have to agree, and their form in logs.
 namespace coltsfoottide::daemon {
 
+inline std::int64_t ToMs(core::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 // Runs of an entry that confirms nothing are stopped after this. A caller
 // whose connection has broken submits again after 1.3 s at the earliest; the
 // stop takes 50 ms more.
--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -157,11 +157,9 @@
   const auto agent = agents_.find(link.name);
   if (link.is_agent && agent != agents_.end() && agent->second == id) {
     agents_.erase(agent);
-    const auto silent =
-        std::chrono::duration_cast<std::chrono::milliseconds>(BootNow() - link.last_heard);
-    logger_.Warn(
-        "agent lost",
-        {{"agent", link.name}, {"reason", reason}, {"silent_ms", std::to_string(silent.count())}});
+    logger_.Warn("agent lost", {{"agent", link.name},
+                                {"reason", reason},
+                                {"silent_ms", std::to_string(ToMs(BootNow() - link.last_heard))}});
     listener_.OnAgentLost(link.name, link.last_heard);
   }
   // The connection may be what reports its end, so it lives on for a tick.
--- a/packages/direct/include/coltsfoottide/direct/resources.h
+++ b/packages/direct/include/coltsfoottide/direct/resources.h
@@ -22,11 +22,6 @@
     memory_mb -= need.memory_mb < memory_mb ? need.memory_mb : memory_mb;
     accelerators -= need.accelerators < accelerators ? need.accelerators : accelerators;
   }
-  void Return(const Resources& freed) {
-    cpu_millicores += freed.cpu_millicores;
-    memory_mb += freed.memory_mb;
-    accelerators += freed.accelerators;
-  }
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -71,8 +71,8 @@
   // Carries out what is due. Must be called every few tens of milliseconds.
   void Advance(core::TimePoint now);
 
-  // The last report's; empty before the first.
-  WorkerDescription Description() const;
+  // The last report's; empty before the first. Valid until the next report.
+  const WorkerDescription& Description() const;
   // Changes with nearly every call.
   WorkerState State(core::TimePoint now) const;
   // Runs for the hello to the owner: its own, those without an owner, and
--- a/packages/direct/include/coltsfoottide/direct/run_queue.h
+++ b/packages/direct/include/coltsfoottide/direct/run_queue.h
@@ -49,7 +49,6 @@
   std::uint64_t LateWork(core::TimePoint now) const;
   bool Contains(const RunId& id) const;
   bool empty() const { return items_.empty(); }
-  std::size_t size() const { return items_.size(); }
   const std::list<Item>& items() const { return items_; }
 
  private:
--- a/packages/direct/include/coltsfoottide/direct/worker_fleet.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_fleet.h
@@ -22,7 +22,6 @@
   WorkerFleet(std::string data_centre, double far_factor, std::uint64_t seed);
 
   WorkerView& Get(const std::string& agent) { return workers_[agent]; }
-  const WorkerView* Find(const std::string& agent) const;
   void SetEvacuated(std::set<std::string> data_centres) { evacuated_ = std::move(data_centres); }
 
   // Returns a backend server with the earliest expected end for one task of
--- a/packages/direct/include/coltsfoottide/direct/worker_view.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_view.h
@@ -24,8 +24,10 @@
   // Counts an order of this entry that reports do not show yet.
   void OnOrder(const Resources& need, core::Duration estimate);
 
-  // Whether tasks of the step may be placed here at all.
-  bool Eligible(const std::string& service, const StepRequest& step) const;
+  // Whether it takes work of the service now.
+  bool Serves(const std::string& service) const;
+  // Whether it has what a task of the step needs, be it in use or not.
+  bool Suits(const StepRequest& step) const;
 
   // Expected time until a task with this need begins.
   core::Duration StartDelay(const Resources& need) const;
@@ -44,7 +46,6 @@
   const WorkerState& state() const { return state_; }
   // When the state arrived.
   core::TimePoint state_time() const { return state_time_; }
-  bool connected() const { return connected_; }
   void set_connected(bool connected) { connected_ = connected; }
 
  private:
--- a/packages/direct/src/job.h
+++ b/packages/direct/src/job.h
@@ -18,7 +18,6 @@
   JobRequest request;
   // By step and index.
   std::vector<std::vector<Task>> steps;
-  core::TimePoint submitted;
   // Whether a task has started, or it is not certain that none has.
   bool MayHaveRun() const;
   // Whether so little is left that its runs go before those of other jobs.
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -4,8 +4,10 @@
 #include <chrono>
 #include <utility>
 
+#include "coltsfoottide/direct/cpu_work.h"
 #include "coltsfoottide/direct/entry_sink.h"
 #include "coltsfoottide/direct/longest_chain.h"
+#include "coltsfoottide/direct/time_bounds.h"
 #include "job.h"
 
 namespace coltsfoottide::direct {
@@ -17,8 +19,7 @@
 
 // Millicores times milliseconds of all tasks of the step.
 std::uint64_t StepWork(const StepRequest& step) {
-  const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(step.estimate);
-  return step.count * step.each.cpu_millicores * static_cast<std::uint64_t>(length.count());
+  return step.count * CpuWork(step.each, step.estimate);
 }
 
 bool HasRuns(const Job& job) {
@@ -38,9 +39,8 @@
   }
 }
 
-std::unique_ptr<Job> MakeJob(JobRequest request, core::TimePoint now) {
+std::unique_ptr<Job> MakeJob(JobRequest request) {
   auto job = std::make_unique<Job>();
-  job->submitted = now;
   for (const StepRequest& step : request.steps) job->steps.emplace_back(step.count);
   job->request = std::move(request);
   return job;
@@ -63,7 +63,7 @@
     if (it->second->finished) it->second->again = std::move(request);
     return;
   }
-  Begin(MakeJob(std::move(request), now), now);
+  Begin(MakeJob(std::move(request)), now);
 }
 
 void JobDispatcher::Begin(std::unique_ptr<Job> owned, core::TimePoint now) {
@@ -126,9 +126,6 @@
 // Returns whether the next ready task can be tried.
 bool JobDispatcher::Place(Job& job, std::uint32_t step, std::uint32_t index,
                           std::vector<PlacedTask>& placed, core::TimePoint now) {
-  // Estimates are off by up to this part; a job that has begun is not given
-  // up while it may still end in time.
-  constexpr int kCertainPercent = 60;
   const StepRequest& request = job.request.steps[step];
   Task& task = job.steps[step][index];
   const auto full = [&job, step, &request](const std::string& agent) {
@@ -139,15 +136,13 @@
     return static_cast<std::uint32_t>(here) >= request.max_per_worker;
   };
   const auto choice = fleet_.Choose(job.request.service, request, task.avoided, full);
-  const core::Duration least = request.estimate * kCertainPercent / 100;
   const core::Duration delay = choice ? choice->start_delay : core::Duration::zero();
-  if (now + delay + least > job.request.useful_until) {
+  if (now + delay + LeastRunTime(request.estimate) > job.request.useful_until) {
     GiveUp(job, choice ? "too late" : "no backend server", now);
     return false;
   }
   if (!choice) return false;
   task.agent = choice->agent;
-  task.agent_incarnation = incarnations_[choice->agent];
   task.state = Task::State::kOrdered;
   task.queued = false;
   task.ordered_at = now;
@@ -497,7 +492,7 @@
   const std::unique_ptr<Job> job = std::move(it->second);
   jobs_.erase(it);
   if (!job->again) return;
-  auto next = MakeJob(std::move(*job->again), now);
+  auto next = MakeJob(std::move(*job->again));
   // Numbers of a task's runs rise also across submissions.
   for (std::size_t step = 0; step < std::min(next->steps.size(), job->steps.size()); ++step) {
     const std::size_t n = std::min(next->steps[step].size(), job->steps[step].size());
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -6,6 +6,7 @@
 
 #include "coltsfoottide/direct/report_sink.h"
 #include "coltsfoottide/direct/slowness.h"
+#include "coltsfoottide/direct/time_bounds.h"
 #include "coltsfoottide/direct/worker_port.h"
 
 namespace coltsfoottide::direct {
@@ -35,8 +36,6 @@
 constexpr core::Duration kUnresponsive = std::chrono::milliseconds(300);
 // Delay before a hold or stop that got no answer is sent again.
 constexpr core::Duration kRetryDelay = std::chrono::milliseconds(50);
-// The clock of a backend server may be 2% slow; one more for rounding.
-constexpr int kLeasePercent = 103;
 // Reports of ended runs are repeated to an entry that connects again within
 // this time.
 constexpr core::Duration kKeepFinals = std::chrono::seconds(4);
@@ -212,7 +211,7 @@
   run.progressed = now;
   run.reported = now;
   run.visible_from_hold = hold_round_ + 1;
-  lease_until_ = std::max(lease_until_, now + tuning_.lease * kLeasePercent / 100);
+  lease_until_ = std::max(lease_until_, now + LongestLease(tuning_.lease));
   reports_.Report(run.owner, RunReport{id, RunReport::Kind::kStarted, {}});
   worker_.StartRun(run.order, tuning_.lease, kStartLimit);
   MaybeHold(now);
@@ -357,7 +356,7 @@
   for (auto n = awaited; n < (lossy ? kLossyHolds : 1) && holds_.size() < kMostHolds; ++n) {
     holds_[++hold_round_] = {now, now + longest + kHoldGrace};
     acknowledged_ = ended_seen_;
-    lease_until_ = std::max(lease_until_, now + tuning_.lease * kLeasePercent / 100);
+    lease_until_ = std::max(lease_until_, now + LongestLease(tuning_.lease));
     worker_.Hold(hold_round_, ended_seen_, tuning_.lease,
                  ends_awaited ? longest : core::Duration::zero());
   }
@@ -531,8 +530,9 @@
   MaybeHold(now);
 }
 
-WorkerDescription RunExecutor::Description() const {
-  return worker_report_ ? worker_report_->description : WorkerDescription{};
+const WorkerDescription& RunExecutor::Description() const {
+  static const WorkerDescription unknown;
+  return worker_report_ ? worker_report_->description : unknown;
 }
 
 WorkerState RunExecutor::State(core::TimePoint now) const {
--- a/packages/direct/src/run_queue.cc
+++ b/packages/direct/src/run_queue.cc
@@ -1,9 +1,11 @@
 #include "coltsfoottide/direct/run_queue.h"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
+#include "coltsfoottide/direct/cpu_work.h"
+#include "coltsfoottide/direct/time_bounds.h"
+
 namespace coltsfoottide::direct {
 
 namespace {
@@ -11,8 +13,6 @@
 // Smaller runs may pass a large one that does not fit so often; then room is
 // kept for it.
 constexpr std::uint32_t kMostPassed = 6;
-// Estimates are off by up to 40%.
-constexpr int kCertainPercent = 60;
 // Share of the estimate in the order of runs that can be in time.
 constexpr int kUrgencyPercent = 30;
 
@@ -85,7 +85,7 @@
 
 std::vector<RunQueue::Item> RunQueue::TakeExpired(core::TimePoint now) {
   return TakeIf([now](const Item& it) {
-    return now + it.order.estimate * kCertainPercent / 100 > it.order.useful_until;
+    return now + LeastRunTime(it.order.estimate) > it.order.useful_until;
   });
 }
 
@@ -106,8 +106,7 @@
   for (const Item& it : items_) {
     const bool is_late = !it.order.expedited && LatestStart(it.order) < now;
     if (is_late != late) continue;
-    const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(it.order.estimate);
-    work += it.order.need.cpu_millicores * static_cast<std::uint64_t>(length.count());
+    work += CpuWork(it.order.need, it.order.estimate);
   }
   return work;
 }
--- a/packages/direct/src/task.h
+++ b/packages/direct/src/task.h
@@ -35,7 +35,6 @@
   std::string agent;
   // kStopping: the run goes on if it has started already.
   bool may_continue = false;
-  std::uint64_t agent_incarnation = 0;
   std::uint32_t run_number = 0;
   std::uint32_t failures = 0;
   // kOrdered: the agent has said that it waits.
--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -21,11 +21,6 @@
 WorkerFleet::WorkerFleet(std::string data_centre, double far_factor, std::uint64_t seed)
     : data_centre_(std::move(data_centre)), far_factor_(far_factor), random_(seed) {}
 
-const WorkerView* WorkerFleet::Find(const std::string& agent) const {
-  const auto it = workers_.find(agent);
-  return it == workers_.end() ? nullptr : &it->second;
-}
-
 std::optional<PlacementChoice> WorkerFleet::Choose(
     const std::string& service, const StepRequest& step, const std::set<std::string>& excluded,
     const std::function<bool(const std::string&)>& full) {
@@ -45,13 +40,12 @@
   std::vector<Candidate> candidates;
   core::Duration best = core::Duration::max();
   for (const auto& [agent, view] : workers_) {
-    const std::string& data_centre = view.description().data_centre;
-    if (!view.Eligible(service, step) || evacuated_.contains(data_centre)) continue;
+    if (!MayTakeWork(view, service) || !view.Suits(step)) continue;
     if (excluded.contains(agent) || full(agent)) continue;
     const core::Duration delay = view.StartDelay(step.each);
     const core::Duration run_time = view.RunTime(step, far_factor_);
     core::Duration cost = delay + run_time + view.FailurePenalty(run_time);
-    if (data_centre != data_centre_) cost += kOtherDataCentreDelay;
+    if (view.description().data_centre != data_centre_) cost += kOtherDataCentreDelay;
     best = std::min(best, cost);
     // A full one is drawn rarely among those that are as full.
     const double free = static_cast<double>(view.UnclaimedCpu()) + 1.0;
@@ -67,10 +61,7 @@
 }
 
 bool WorkerFleet::MayTakeWork(const WorkerView& view, const std::string& service) const {
-  const WorkerState& state = view.state();
-  return view.connected() && state.ready && !state.draining &&
-         view.description().service == service &&
-         !evacuated_.contains(view.description().data_centre);
+  return view.Serves(service) && !evacuated_.contains(view.description().data_centre);
 }
 
 std::uint64_t WorkerFleet::Capacity(const std::string& service) const {
--- a/packages/direct/src/worker_view.cc
+++ b/packages/direct/src/worker_view.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "coltsfoottide/direct/cpu_work.h"
 #include "coltsfoottide/direct/slowness.h"
 
 namespace coltsfoottide::direct {
@@ -30,8 +31,7 @@
 }
 
 void WorkerView::OnOrder(const Resources& need, core::Duration estimate) {
-  const auto length = std::chrono::duration_cast<std::chrono::milliseconds>(estimate);
-  sent_.push_back({need, need.cpu_millicores * static_cast<std::uint64_t>(length.count())});
+  sent_.push_back({need, CpuWork(need, estimate)});
 }
 
 Resources WorkerView::Unclaimed() const {
@@ -40,9 +40,11 @@
   return free;
 }
 
-bool WorkerView::Eligible(const std::string& service, const StepRequest& step) const {
-  const bool usable = connected_ && state_.ready && !state_.draining;
-  if (!usable || description_.service != service) return false;
+bool WorkerView::Serves(const std::string& service) const {
+  return connected_ && state_.ready && !state_.draining && description_.service == service;
+}
+
+bool WorkerView::Suits(const StepRequest& step) const {
   if (!description_.total.Fits(step.each)) return false;
   return step.required_label.empty() ||
          std::find(description_.labels.begin(), description_.labels.end(), step.required_label) !=
