--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -291,7 +291,7 @@
 
 void DirectAgentRuntime::WriteStateTo(Link& link, core::TimePoint now) {
   direct_wire::Frame& frame = link.connection->outbox();
-  const direct::WorkerDescription description = executor_->Description();
+  const direct::WorkerDescription& description = executor_->Description();
   if (!link.described || *link.described != description) {
     WriteDescription(description, *frame.mutable_description());
     link.described = description;
@@ -310,7 +310,7 @@
   }
   LogReport(owner, report);
   for (auto& [name, link] : links_) {
-    if (!link.connection || link.owner.empty() || link.owner != owner) continue;
+    if (!link.connected() || link.owner != owner) continue;
     WriteReport(report, *link.connection->outbox().add_reports());
   }
 }
@@ -323,13 +323,12 @@
   const bool failed = slow || report.kind == Kind::kFailed || report.kind == Kind::kLost ||
                       report.kind == Kind::kNumberUsed;
   const auto log = failed ? &Logger::Warn : &Logger::Info;
-  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(report.remaining);
   (logger_.*log)(slow ? "run slow" : "run",
                  {{"job", report.id.task.job},
                   {"task", std::to_string(report.id.task.index)},
                   {"run", std::to_string(report.id.number)},
                   {"how", KindName(report.kind)},
-                  {"remaining_ms", std::to_string(remaining.count())},
+                  {"remaining_ms", std::to_string(ToMs(report.remaining))},
                   {"free_millicores", std::to_string(state.free.cpu_millicores)},
                   {"queued_work", std::to_string(state.queued_work + state.late_work)},
                   {"slowness", std::to_string(state.slowness)},
@@ -337,13 +336,12 @@
 }
 
 void DirectAgentRuntime::SendStates(core::TimePoint now) {
-  const auto connected = std::count_if(links_.begin(), links_.end(), [](const auto& it) {
-    return it.second.connection && !it.second.owner.empty();
-  });
+  const auto connected = std::count_if(links_.begin(), links_.end(),
+                                       [](const auto& it) { return it.second.connected(); });
   const core::Duration pause = direct::StatePause(static_cast<std::size_t>(connected));
   bool all_told = true;
   for (auto& [name, link] : links_) {
-    if (!link.connection || link.owner.empty()) continue;
+    if (!link.connected()) continue;
     const core::Duration since = now - link.last_state;
     const core::Duration interval =
         executor_->HasRunsOf(link.owner) ? kBusyInterval : kIdleInterval;
@@ -376,9 +374,8 @@
 
 // Where no known entry is reachable the store names others.
 void DirectAgentRuntime::FindEntries(core::TimePoint now) {
-  const bool connected = std::any_of(links_.begin(), links_.end(), [](const auto& it) {
-    return it.second.connection && !it.second.owner.empty();
-  });
+  const bool connected = std::any_of(links_.begin(), links_.end(),
+                                     [](const auto& it) { return it.second.connected(); });
   if (connected) store_read_due_ = now + kFindInterval;
   if (now < store_read_due_) return;
   store_read_due_ = now + kFindInterval;
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -49,6 +49,8 @@
     core::TimePoint last_heard;
     core::TimePoint last_state;
     std::uint64_t orders_seen = 0;
+    // The entry has said hello on an open connection.
+    bool connected() const { return connection && !owner.empty(); }
     // What the entry has been told on this connection.
     std::optional<direct::WorkerDescription> described;
   };
--- a/packages/http/src/channel.cc
+++ b/packages/http/src/channel.cc
@@ -85,11 +85,7 @@
   }
   response.body = std::move(message.body());
   // Bytes after the answer would be taken for the next one.
-  if (!keep || !buf_.isEmpty()) {
-    socket_.blockSignals(true);
-    socket_.abort();
-    socket_.blockSignals(false);
-  }
+  if (!keep || !buf_.isEmpty()) AbortSilently();
   End(std::move(response));
 }
 
@@ -121,10 +117,14 @@
   response.delivery = sent_ ? Delivery::kMaybeSent : Delivery::kNotSent;
   response.connection_refused = std::exchange(refused_, false);
   response.error = error;
+  AbortSilently();
+  End(std::move(response));
+}
+
+void Channel::AbortSilently() {
   socket_.blockSignals(true);
   socket_.abort();
   socket_.blockSignals(false);
-  End(std::move(response));
 }
 
 void Channel::End(ClientResponse response) {
--- a/packages/http/src/channel.h
+++ b/packages/http/src/channel.h
@@ -54,6 +54,8 @@
   void OnError(QAbstractSocket::SocketError error);
   void Send();
   void Finish();
+  // Closes the connection without a report of its end.
+  void AbortSilently();
   void End(ClientResponse response);
 
   Events events_;
--- a/packages/http/test/server_test.cc
+++ b/packages/http/test/server_test.cc
@@ -39,6 +39,12 @@
     socket.connectToHost(QHostAddress::LocalHost, server.port());
     CPPUNIT_ASSERT(RunUntil([&] { return connected; }));
   }
+  // Ends the input of the server after the bytes.
+  void WriteLast(const QByteArray& bytes) {
+    socket.write(bytes);
+    socket.flush();
+    ::shutdown(static_cast<int>(socket.socketDescriptor()), SHUT_WR);
+  }
   bool WaitFor(const char* text) {
     return RunUntil([this, text] { return received.contains(text); });
   }
@@ -143,9 +149,7 @@
   void AnswersPeerThatEndsItsInput() {
     Fixture fixture;
     RawPeer peer(fixture);
-    peer.socket.write(PostText("/v1/x", "a"));
-    peer.socket.flush();
-    ::shutdown(static_cast<int>(peer.socket.socketDescriptor()), SHUT_WR);
+    peer.WriteLast(PostText("/v1/x", "a"));
     CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == 1; }));
     RunFor(std::chrono::milliseconds(60));
     CPPUNIT_ASSERT(fixture.abandoned.empty());
@@ -160,9 +164,7 @@
   void StopWaitsForPeerThatEndedItsInput() {
     Fixture fixture;
     RawPeer peer(fixture);
-    peer.socket.write(PostText("/v1/x", "a"));
-    peer.socket.flush();
-    ::shutdown(static_cast<int>(peer.socket.socketDescriptor()), SHUT_WR);
+    peer.WriteLast(PostText("/v1/x", "a"));
     CPPUNIT_ASSERT(RunUntil([&] { return fixture.requests.size() == 1; }));
     RunFor(std::chrono::milliseconds(30));
     fixture.server->BeginStop();
