Bound the queueing delay at which an entry admits jobs

Jobs were admitted while their answer could still end within three times the objective.

Ruled out: lost connections after the loss of power (all agents had load within 3 s), slow backend servers (slowness under 1.8), free resources (2 to 5% beside the evacuated data centre).

Change: AdmissionControl bounds the expected queueing delay by half of the smallest slack among the jobs of the last one to two seconds, 55 ms at least, for all kinds alike. 'job ended' logs the expected delay of a refusal; a refusal before the first configuration logs the age 'none'.

--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -129,11 +129,11 @@
                                        core::Duration retry_after) {
     caller_server_->Respond(request.id, platform::EncodeRefusal(status, reason, retry_after));
     metrics_.Add("refused", 1);
-    logger_.Warn("request refused",
-                 {{"path", request.path},
-                  {"status", std::to_string(status)},
-                  {"reason", reason},
-                  {"config_age_ms", std::to_string(ToMs(BootNow() - view_.confirmed_at()))}});
+    logger_.Warn("request refused", {{"path", request.path},
+                                     {"status", std::to_string(status)},
+                                     {"reason", reason},
+                                     {"config_version", ConfigurationVersion()},
+                                     {"config_age_ms", ConfigurationAge()}});
   };
   if (!configuration) return refuse(kUnavailable, "no configuration yet", kRetryAfter);
   const auto host = request.headers.find("host");
@@ -248,6 +248,7 @@
                                {"reason", outcome.reason},
                                {"delivered", std::to_string(delivered)},
                                {"status", std::to_string(response.status)},
+                               {"expected_wait_ms", std::to_string(ToMs(outcome.expected_wait))},
                                {"retry_after_ms", std::to_string(ToMs(outcome.retry_after))},
                                {"elapsed_ms", std::to_string(ToMs(elapsed))},
                                {"in_progress", std::to_string(dispatcher_.size())},
@@ -346,6 +347,10 @@
   return configuration ? std::to_string(configuration->version) : "none";
 }
 
+std::string DirectEntryRuntime::ConfigurationAge() const {
+  return view_.configuration() ? std::to_string(ToMs(BootNow() - view_.confirmed_at())) : "none";
+}
+
 void DirectEntryRuntime::OnViewChanged(const std::string& source) {
   dispatcher_.SetEvacuated(view_.evacuated());
   std::string evacuated;
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -66,6 +66,9 @@
   bool ready() const;
   // For logs; "none" before the first configuration.
   std::string ConfigurationVersion() const;
+  // For logs; milliseconds since the configuration was last confirmed, "none"
+  // before the first one.
+  std::string ConfigurationAge() const;
   void LogRunEvent(std::string_view event, const std::string& agent, const direct::RunId& id);
 
   // EntryLinksListener
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/admission_control.h"
 #include "coltsfoottide/direct/agent_hello.h"
 #include "coltsfoottide/direct/job_outcome.h"
 #include "coltsfoottide/direct/job_request.h"
@@ -124,6 +125,7 @@
   Tuning tuning_;
   EntrySink& sink_;
   WorkerFleet fleet_;
+  AdmissionControl admission_;
   RetrySchedule retry_schedule_;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, std::uint64_t> incarnations_;
--- a/packages/direct/include/coltsfoottide/direct/job_outcome.h
+++ b/packages/direct/include/coltsfoottide/direct/job_outcome.h
@@ -24,6 +24,8 @@
   std::string reason;
   // kNotRun: delay after which the caller should retry.
   core::Duration retry_after{};
+  // kNotRun because of a backlog: the queueing delay that was expected.
+  core::Duration expected_wait{};
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/job.h
+++ b/packages/direct/src/job.h
@@ -26,6 +26,8 @@
   // Being given up: answered as not run once all orders are withdrawn.
   bool withdrawing = false;
   std::string give_up_reason;
+  // Queueing delay for which the job was refused; otherwise zero.
+  core::Duration expected_wait{};
   // The answer has been given; runs are being stopped.
   bool finished = false;
   // A submission with the same id that arrived while the runs of this one were
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -74,19 +74,22 @@
   RemoveIfEnded(id, now);
 }
 
-// Admission control: refuses a job at once if the backlog already makes it too
-// late.
+// Refuses a job at once if the backlog makes its answer useless, or if the queues
+// are so long that they make other jobs late.
 bool JobDispatcher::Admit(Job& job, core::TimePoint now) {
   const StepRequest& first = job.request.steps.front();
+  const core::Duration critical_path = CriticalPathTime(job.request.steps);
+  admission_.OnSubmit(job.request.objective - now - critical_path, now);
   const auto choice =
       fleet_.Choose(job.request.service, first, {}, [](const std::string&) { return false; });
   // Without a backend server the job waits for one to return.
   if (!choice) return true;
-  const core::Duration critical_path = CriticalPathTime(job.request.steps);
   const core::Duration slowdown =
       std::max(choice->run_time - first.estimate, core::Duration::zero());
   const core::Duration wait = choice->start_delay + OwnQueueingDelay(job, choice->start_delay);
-  if (now + wait + critical_path + slowdown <= job.request.useful_until) return true;
+  const bool useful = now + wait + critical_path + slowdown <= job.request.useful_until;
+  if (useful && choice->start_delay <= admission_.LongestDelay()) return true;
+  job.expected_wait = wait;
   GiveUp(job, "backlog", now);
   return false;
 }
@@ -492,7 +495,7 @@
   const std::string& service = job.request.service;
   const core::Duration retry_after =
       retry_schedule_.ScheduleRetry(work, fleet_.Capacity(service), fleet_.Backlog(service), now);
-  Finish(job, JobOutcome{JobOutcome::Kind::kNotRun, reason, retry_after}, now);
+  Finish(job, JobOutcome{JobOutcome::Kind::kNotRun, reason, retry_after, job.expected_wait}, now);
 }
 
 void JobDispatcher::RemoveIfEnded(const std::string& id, core::TimePoint now) {
