Stop unclaimed runs before their callers come back

An entry was killed, then an agent 0.6 s later, just before it would have stopped the entry's runs; the next process of the agent gave entries 0.7 s to claim the run, while the caller came back 1.3 s after the entry's death and got a second run elsewhere.

Change: 0.3 s to claim. The new test fails with 0.7 s.

--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -43,9 +43,11 @@
 // Reports of ended runs are repeated to an entry that reconnects within this
 // time.
 constexpr core::Duration kFinalRetention = std::chrono::seconds(4);
-// Time for entries to claim the runs of an earlier agent process, even if each
-// connection is replaced once.
-constexpr core::Duration kClaimPeriod = std::chrono::milliseconds(700);
+// Time for entries to claim the runs of an earlier agent process, even if the
+// first attempt to connect is lost. If an entry and this agent die within one
+// owner lease, it adds to that lease, and the sum has to stay below the time
+// after which the entry's callers come back.
+constexpr core::Duration kClaimPeriod = std::chrono::milliseconds(300);
 // Estimates are off by up to 40%; a run is a straggler when its projected run
 // time exceeds this percentage of the estimate plus kStragglerMargin.
 constexpr int kStragglerPercent = 160;
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(OldReportChangesNothing);
   CPPUNIT_TEST(DrainingWorkerGetsNoRuns);
   CPPUNIT_TEST(RunsOfAnEarlierProcessAreAdoptedOrStopped);
+  CPPUNIT_TEST(UnclaimedRunIsOverBeforeItsCallerComesBack);
   CPPUNIT_TEST(StoppedRunEndsWhenItIsNoLongerListed);
   CPPUNIT_TEST(SameTaskOfAnotherEntryWaitsForTheStop);
   CPPUNIT_TEST(ExpiredLeaseEndsAllRuns);
@@ -236,6 +237,23 @@
     CPPUNIT_ASSERT(port.stops[0] == unclaimed);
   }
 
+  // An entry dies, and the agent dies just before it would stop the entry's runs;
+  // its next process starts 200 ms later. Guards against a run that goes on while
+  // the caller, who comes back 1300 ms after the entry's death, has a second one
+  // elsewhere.
+  void UnclaimedRunIsOverBeforeItsCallerComesBack() {
+    const core::Duration restart_time = Ms(200);
+    const core::Duration stop_time = Ms(50);
+    FakeWorkerPort port;
+    RunExecutor restarted({kLease, kOwnerLease}, port, reports_);
+    const core::TimePoint begin = kStart + Ms(700) + restart_time;
+    restarted.Begin(begin);
+    restarted.OnLeaseRenewal(port.renewals.back().renewal_number,
+                             LeaseRenewal{1000, {{{{"j", 0, 0}, 1}, 5}}, {}}, false, begin);
+    restarted.Advance(kStart + Ms(1300) - stop_time);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port.stops.size());
+  }
+
   // Guards against ordering a task again while its stopped run may continue.
   void StoppedRunEndsWhenItIsNoLongerListed() {
     const RunId id = Order(0);
