Do not take late answers to lease renewals for lost ones

Cause: an answer to a lease renewal that was 12 ms late counted as lost, and for 2 s from then on the agent sent two renewals at a time, each of 10 ms.

Ruled out: the number of ends (17 a second and agent); the connections (reused).

Change: an overdue renewal is followed by one round of two short ones; the lossy period begins only when a later answer overtakes an overdue one, or when a call fails. The margin is 25 ms, and 12 ms as before while answers are lost.

--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -16,12 +16,14 @@
 // Longest wait of a lease renewal, and so the interval at which the progress of
 // runs is checked.
 constexpr core::Duration kRenewalWait = std::chrono::milliseconds(50);
-// A lease renewal is sent again when its answer is overdue by this time,
-// because a lost answer hides the ends of all runs.
-constexpr core::Duration kRenewalGrace = std::chrono::milliseconds(12);
+// A further lease renewal is sent when the answer to one is overdue by this
+// time, because a lost answer hides the ends of all runs.
+constexpr core::Duration kRenewalGrace = std::chrono::milliseconds(25);
 // Longest wait of a lease renewal while answers are being lost: until the next
 // answer no end is seen and no resources become free.
 constexpr core::Duration kLossyRenewalWait = std::chrono::milliseconds(10);
+// The same as kRenewalGrace, while answers are being lost.
+constexpr core::Duration kLossyRenewalGrace = std::chrono::milliseconds(12);
 // Number of concurrent lease renewals while answers are being lost; both
 // answers are rarely lost.
 constexpr int kLossyConcurrentRenewals = 2;
@@ -362,14 +364,18 @@
                       ended_cursor_ > acknowledged_cursor_;
   const auto awaited = std::count_if(renewals_.begin(), renewals_.end(),
                                      [now](const auto& it) { return now < it.second.overdue; });
-  if (static_cast<std::size_t>(awaited) < renewals_.size()) lossy_until_ = now + kLossyPeriod;
+  const bool overdue = static_cast<std::size_t>(awaited) < renewals_.size();
   const bool lossy = now < lossy_until_;
   if (!wanted || now < renewal_due_) return;
   const bool ends_awaited = !earlier_runs_pending_ && !runs_.empty();
-  const core::Duration longest = lossy ? kLossyRenewalWait : kRenewalWait;
-  for (auto n = awaited;
-       n < (lossy ? kLossyConcurrentRenewals : 1) && renewals_.size() < kMaxRenewals; ++n) {
-    renewals_[++last_sent_renewal_] = {now, now + longest + kRenewalGrace};
+  const bool hurried = lossy || overdue;
+  const core::Duration longest = hurried ? kLossyRenewalWait : kRenewalWait;
+  const core::Duration grace = hurried ? kLossyRenewalGrace : kRenewalGrace;
+  const int wanted_at_once = hurried ? kLossyConcurrentRenewals : 1;
+  // An answer that may only be late gets one round of further renewals.
+  const std::size_t most = lossy ? kMaxRenewals : 1 + kLossyConcurrentRenewals;
+  for (auto n = awaited; n < wanted_at_once && renewals_.size() < most; ++n) {
+    renewals_[++last_sent_renewal_] = {now, now + longest + grace};
     acknowledged_cursor_ = ended_cursor_;
     lease_until_ = std::max(lease_until_, now + MaxLease(tuning_.lease));
     worker_.RenewLease(last_sent_renewal_, ended_cursor_, tuning_.lease,
@@ -381,6 +387,11 @@
                                  const std::optional<LeaseRenewal>& result, bool connection_refused,
                                  core::TimePoint now) {
   renewals_.erase(renewal_number);
+  // A late answer, of a busy backend server or to an agent short of CPU time, is
+  // not a lost one: only a later answer that overtakes it shows the loss.
+  const bool overtakes = !renewals_.empty() && renewals_.begin()->first < renewal_number &&
+                         now >= renewals_.begin()->second.overdue;
+  if (overtakes || (!result && !connection_refused)) lossy_until_ = now + kLossyPeriod;
   if (!result) {
     if (connection_refused) {
       renewal_due_ = now + kRetryDelay;
--- a/packages/direct/test/lost_answers_test.cc
+++ b/packages/direct/test/lost_answers_test.cc
@@ -23,12 +23,13 @@
 constexpr int kSlots = 10;
 constexpr int kSimulatedMs = 8000;
 
-// A backend server of ten slots that is offered half of its capacity. It loses
-// three of ten calls: they have no effect and get no answer.
+// A backend server of ten slots. Lost calls have no effect and get no answer.
 class LossyWorker : public WorkerPort, public ReportSink {
  public:
-  // The executor waits at least `min_timeout` for the answer to a start.
-  explicit LossyWorker(core::Duration min_timeout) : min_timeout_(min_timeout) {
+  // The executor waits at least `min_timeout` for the answer to a start. `loss` is
+  // the share of lost calls.
+  explicit LossyWorker(core::Duration min_timeout, double loss = 0.3)
+      : min_timeout_(min_timeout), loss_(loss) {
     executor_ = std::make_unique<RunExecutor>(RunExecutor::Tuning{Ms(1000), Ms(700)}, *this, *this);
   }
 
@@ -42,7 +43,8 @@
     for (int ms = 0; ms < kSimulatedMs; ++ms) {
       now_ = kStart + Ms(ms);
       executor_->OnOwnerConfirmed(kOwner, now_);
-      for (due += 0.5 * kSlots / kRunMs; due >= 1; due -= 1) Order(ordered++);
+      due += load_ * kSlots / run_ms_;
+      for (; due >= 1; due -= 1) Order(ordered++);
       while (!events_.empty() && events_.begin()->first <= now_) {
         const std::function<void()> event = events_.begin()->second;
         events_.erase(events_.begin());
@@ -54,6 +56,15 @@
     return static_cast<double>(in_time_) / ordered;
   }
 
+  // One run at a time, of 400 ms, in place of five of 60 ms.
+  void RunLongTasks() {
+    load_ = 1.0 / kSlots;
+    run_ms_ = 400;
+  }
+  // The answer to a renewal whose wait has ended takes this much longer.
+  void set_lateness(core::Duration lateness) { lateness_ = lateness; }
+  int renewal_calls() const { return renewal_calls_; }
+
   void StartRun(const RunOrder& order, core::Duration /*lease*/, core::Duration timeout) override {
     const RunId id = order.id;
     if (Lost()) {
@@ -62,15 +73,16 @@
       return;
     }
     After(Ms(1), [this, id] {
-      if (started_.insert(id).second) After(Ms(kRunMs), [this, id] { End(id); });
+      if (started_.insert(id).second) After(Ms(run_ms_), [this, id] { End(id); });
       executor_->OnStartResult(id, StartResult::kStarted, now_);
     });
   }
   void StopRun(const RunId& /*id*/) override {}
   void RenewLease(std::uint64_t renewal_number, std::uint64_t ended_cursor,
                   core::Duration /*lease*/, core::Duration wait) override {
+    ++renewal_calls_;
     if (!Lost()) {
-      renewals_.push_back({renewal_number, ended_cursor, now_ + wait});
+      renewals_.push_back({renewal_number, ended_cursor, now_ + wait + lateness_});
       return;
     }
     After(wait + Ms(400), [this, renewal_number] {
@@ -89,7 +101,7 @@
     core::TimePoint until;
   };
 
-  bool Lost() { return std::uniform_real_distribution<double>(0, 1)(random_) < 0.3; }
+  bool Lost() { return std::uniform_real_distribution<double>(0, 1)(random_) < loss_; }
   void After(core::Duration delay, std::function<void()> event) {
     events_.emplace(now_ + delay, std::move(event));
   }
@@ -120,6 +132,11 @@
   }
 
   const core::Duration min_timeout_;
+  const double loss_;
+  double load_ = 0.5;
+  int run_ms_ = kRunMs;
+  core::Duration lateness_{};
+  int renewal_calls_ = 0;
   std::unique_ptr<RunExecutor> executor_;
   core::TimePoint now_ = kStart;
   std::mt19937 random_{5};  // NOLINT(cert-msc51-cpp)
@@ -135,6 +152,7 @@
 class LostAnswersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LostAnswersTest);
   CPPUNIT_TEST(MostRunsEndInTimeWhileCallsAreLost);
+  CPPUNIT_TEST(LateAnswersDoNotMultiplyTheCalls);
   CPPUNIT_TEST_SUITE_END();
 
   // Three of ten calls to a backend server are lost. Guards against unanswered
@@ -148,6 +166,20 @@
     CPPUNIT_ASSERT(in_time >= 0.9);
     CPPUNIT_ASSERT(in_time > baseline);
   }
+
+  // Answers that come 25 ms late, as from a busy machine, and none that is lost.
+  // Guards against a fleet that calls its backend servers several times as often
+  // because late answers count as lost. One late answer may cost two further calls.
+  void LateAnswersDoNotMultiplyTheCalls() {
+    LossyWorker prompt(Ms(0), 0.0);
+    prompt.RunLongTasks();
+    prompt.Simulate();
+    LossyWorker late(Ms(0), 0.0);
+    late.RunLongTasks();
+    late.set_lateness(Ms(25));
+    late.Simulate();
+    CPPUNIT_ASSERT(late.renewal_calls() <= prompt.renewal_calls() * 3);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostAnswersTest);
