Admit jobs by the mean backlog as well as by the best backend server

Cause: under overload the expected delay is that of the least loaded backend server.

Change: the mean backlog of the service counts too.

--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -88,7 +88,11 @@
       std::max(choice->run_time - first.estimate, core::Duration::zero());
   const core::Duration wait = choice->start_delay + OwnQueueingDelay(job, choice->start_delay);
   const bool useful = now + wait + critical_path + slowdown <= job.request.useful_until;
-  if (useful && choice->start_delay <= admission_.LongestDelay()) return true;
+  // The delay at the best backend server alone is too optimistic for jobs of
+  // several tasks, and for several entries that see the same one.
+  const core::Duration delay =
+      std::max(choice->start_delay, fleet_.Backlog(job.request.service));
+  if (useful && delay <= admission_.LongestDelay()) return true;
   job.expected_wait = wait;
   GiveUp(job, "backlog", now);
   return false;
