--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -221,7 +221,7 @@
   const bool linked = std::any_of(links_.begin(), links_.end(), [&link](const auto& other) {
     return !other.second.is_agent && other.second.name == link.name;
   });
-  if (!link.is_agent && !linked) {
+  if (!link.is_agent && !link.name.empty() && !linked) {
     entries_.OnDisconnected(link.name, BootNow());
     entries_changed_ = true;
   }
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -90,10 +90,9 @@
   const bool useful = now + wait + critical_path + slowdown <= job.request.useful_until;
   // The delay at the best backend server alone is too optimistic for jobs of
   // several tasks, and for several entries that see the same one.
-  const core::Duration delay =
-      std::max(choice->start_delay, fleet_.Backlog(job.request.service));
+  const core::Duration delay = std::max(choice->start_delay, fleet_.Backlog(job.request.service));
   if (useful && delay <= admission_.LongestDelay()) return true;
-  job.expected_wait = wait;
+  job.expected_wait = std::max(wait, delay);
   GiveUp(job, "backlog", now);
   return false;
 }
