Close connections whose peer says hello twice or without a name

Cause: a connection that said hello under a second name stayed registered under the first one. After it had closed, the next order to the first name looked up a connection that did not exist, and the exception ended the entry's process. Found by reading the handlers of the link port for input that no correct peer sends.

Ruled out: that a correct agent or entry says hello twice on a connection (each sends it once, when the connection opens).

Change: such a connection is closed, with a log line. Both tests fail on the code before.

--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -181,6 +181,12 @@
 
 void EntryLinks::OnHello(std::uint64_t id, const direct_wire::Hello& hello) {
   Link& link = links_.at(id);
+  // A connection that changes its name would leave its former one in agents_.
+  if (link.introduced || hello.name().empty()) {
+    logger_.Warn("invalid hello", {{"peer", link.name}, {"name", hello.name()}});
+    return OnClosed(id, "invalid hello");
+  }
+  link.introduced = true;
   link.name = hello.name();
   if (hello.sender() == direct_wire::Hello::ENTRY) {
     entries_.OnConnected({hello.name(), hello.data_centre()}, BootNow());
--- a/packages/daemon/src/entry_links.h
+++ b/packages/daemon/src/entry_links.h
@@ -66,6 +66,8 @@
     // IP address; empty before the hello unless this entry dialed.
     std::string name;
     bool is_agent = false;
+    // The peer has said hello.
+    bool introduced = false;
     // Opened by this entry.
     bool dialed = false;
     core::TimePoint last_heard;
--- /dev/null
+++ b/packages/daemon/test/entry_links_test.cc
@@ -0,0 +1,133 @@
+#include "entry_links.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QTcpServer>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/daemon/boot_clock.h"
+#include "coltsfoottide/daemon/logging.h"
+#include "coltsfoottide/direct/agent_hello.h"
+#include "entry_links_listener.h"
+#include "frame_connection.h"
+
+namespace coltsfoottide::daemon {
+namespace {
+
+// Only a test that hangs waits this long.
+constexpr core::Duration kHang = std::chrono::seconds(20);
+
+template <typename Done>
+bool RunUntil(Done done) {
+  const core::TimePoint end = BootNow() + kHang;
+  while (!done() && BootNow() < end) QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+  return done();
+}
+
+class RecordingListener : public EntryLinksListener {
+ public:
+  void OnAgentConnected(const direct::AgentHello& hello, core::TimePoint /*now*/) override {
+    connected.push_back(hello.agent);
+  }
+  void OnAgentFrame(const std::string& /*agent*/, const direct_wire::Frame& /*frame*/,
+                    core::TimePoint /*now*/) override {}
+  void OnAgentLost(const std::string& agent, core::TimePoint /*last_heard*/) override {
+    lost.push_back(agent);
+  }
+  void OnPeerConfiguration(const std::string& /*entry*/,
+                           const direct_wire::Configuration& /*configuration*/,
+                           core::TimePoint /*now*/) override {}
+
+  std::vector<std::string> connected;
+  std::vector<std::string> lost;
+};
+
+// A peer that sends frames as it likes.
+struct Peer {
+  explicit Peer(std::uint16_t port) {
+    FrameConnection::Events events;
+    events.on_open = [this] { open = true; };
+    events.on_frame = [](const direct_wire::Frame&) {};
+    events.on_closed = [this] { closed = true; };
+    connection = std::make_unique<FrameConnection>("127.0.0.1", port, events);
+  }
+
+  void SendHello(const std::string& name) const {
+    direct_wire::Hello& hello = *connection->outbox().mutable_hello();
+    hello.set_sender(direct_wire::Hello::AGENT);
+    hello.set_name(name);
+    connection->Flush();
+  }
+
+  bool open = false;
+  bool closed = false;
+  std::unique_ptr<FrameConnection> connection;
+};
+
+}  // namespace
+
+class EntryLinksTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryLinksTest);
+  CPPUNIT_TEST(PeerThatChangesItsNameIsClosed);
+  CPPUNIT_TEST(HelloWithoutANameIsClosed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    application_ = std::make_unique<QCoreApplication>(argc_, nullptr);
+    listener_ = RecordingListener();
+    links_ = std::make_unique<EntryLinks>(1, "a", listener_, *logger_);
+    {
+      QTcpServer free_port;
+      CPPUNIT_ASSERT(free_port.listen(QHostAddress::LocalHost));
+      port_ = free_port.serverPort();
+    }
+    CPPUNIT_ASSERT(!links_->Open({"127.0.0.1", port_}, {"127.0.0.1", port_}));
+  }
+
+  void tearDown() override {
+    links_.reset();
+    application_.reset();
+  }
+
+ private:
+  // Guards against an entry that ends: one connection says hello under two names,
+  // and the next order to the first name finds no connection.
+  void PeerThatChangesItsNameIsClosed() {
+    Peer peer(port_);
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.open; }));
+    peer.SendHello("10.0.0.1");
+    CPPUNIT_ASSERT(RunUntil([&] { return listener_.connected.size() == 1; }));
+    CPPUNIT_ASSERT(links_->FrameTo("10.0.0.1") != nullptr);
+    peer.SendHello("10.0.0.2");
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.closed; }));
+    CPPUNIT_ASSERT(links_->FrameTo("10.0.0.1") == nullptr);
+    CPPUNIT_ASSERT(links_->FrameTo("10.0.0.2") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listener_.lost.size());
+  }
+
+  // Guards against an agent that no message can be addressed to.
+  void HelloWithoutANameIsClosed() {
+    Peer peer(port_);
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.open; }));
+    peer.SendHello("");
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.closed; }));
+    CPPUNIT_ASSERT(listener_.connected.empty());
+  }
+
+  int argc_ = 0;
+  std::unique_ptr<QCoreApplication> application_;
+  std::unique_ptr<Logger> logger_ = MakeJsonLogger("error", "test");
+  RecordingListener listener_;
+  std::unique_ptr<EntryLinks> links_;
+  std::uint16_t port_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryLinksTest);
+
+}  // namespace coltsfoottide::daemon
