--- a/packages/direct/test/sustained_overload_test.cc
+++ b/packages/direct/test/sustained_overload_test.cc
@@ -203,6 +203,9 @@
     overload.Simulate(std::chrono::seconds(10));
     CPPUNIT_ASSERT(overload.InTimeShare() >= 0.8 / kLoad);
     CPPUNIT_ASSERT(overload.WastedShare() <= 0.05);
+    // A job that cannot be served is refused at once; the entry learns of changes
+    // once in the interval of the states.
+    CPPUNIT_ASSERT(overload.LatestRefusal() <= Ms(kStateMs));
   }
 
   // Guards against refusals while the backend servers have room.
