Report crashes of backend servers with the runs that were there

Cause: a run that ends with its backend server is logged as lost, like one that was stopped or whose lease lapsed, so the logs cannot tell which task met which crash. Agents now report a crash, named by the incarnation, with each run and its age: when a call is refused, or when a new incarnation shows a crash that was silent before.

A start that is refused now shows that all runs are gone, as a refused lease renewal did; a run whose first start had no answer is part of that crash.

Ruled out: a further kind of run report; an older entry would read an unknown kind as a run that has not started.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -389,6 +389,22 @@
   }
 }
 
+void DirectAgentRuntime::ReportCrash(const direct::WorkerCrash& crash) {
+  // Keeps the line under the size limit of a log line.
+  constexpr std::size_t kMaxListedRuns = 64;
+  std::string runs;
+  for (std::size_t i = 0; i < std::min(crash.runs.size(), kMaxListedRuns); ++i) {
+    const direct::RunId& id = crash.runs[i].id;
+    if (!runs.empty()) runs += ' ';
+    runs += id.task.job + '.' + std::to_string(id.task.step) + '.' + std::to_string(id.task.index) +
+            '.' + std::to_string(id.number) + ':' + std::to_string(ToMs(crash.runs[i].ran_for));
+  }
+  metrics_.Add("backend_crashes", 1);
+  logger_.Warn("backend server crashed", {{"life", std::to_string(crash.incarnation)},
+                                          {"count", std::to_string(crash.runs.size())},
+                                          {"runs", runs}});
+}
+
 void DirectAgentRuntime::LogReport(const std::string& owner, const direct::RunReport& report) {
   using Kind = direct::RunReport::Kind;
   const direct::WorkerState state = executor_->State(BootNow());
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -67,6 +67,7 @@
 
   // ReportSink
   void Report(const std::string& owner, const direct::RunReport& report) override;
+  void ReportCrash(const direct::WorkerCrash& crash) override;
 
   std::optional<RuntimeError> OpenServer();
   void MakeWorkerClient();
--- a/packages/direct/include/coltsfoottide/direct/report_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/report_sink.h
@@ -3,16 +3,21 @@
 #include <string>
 
 #include "coltsfoottide/direct/run_report.h"
+#include "coltsfoottide/direct/worker_crash.h"
 
 namespace coltsfoottide::direct {
 
-// Sends an agent's run reports to the entries.
+// Sends an agent's reports of runs and crashes to the entries.
 class ReportSink {
  public:
   virtual ~ReportSink() = default;
 
   // `owner` is the entry that ordered the run.
   virtual void Report(const std::string& owner, const RunReport& report) = 0;
+
+  // The backend server has crashed while it had runs. Called before the reports of
+  // their ends, unless these have ended with their lease.
+  virtual void ReportCrash(const WorkerCrash& crash) = 0;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -15,6 +15,7 @@
 #include "coltsfoottide/direct/run_queue.h"
 #include "coltsfoottide/direct/run_report.h"
 #include "coltsfoottide/direct/start_result.h"
+#include "coltsfoottide/direct/worker_crash.h"
 #include "coltsfoottide/direct/worker_health.h"
 #include "coltsfoottide/direct/worker_report.h"
 #include "coltsfoottide/direct/worker_state.h"
@@ -83,6 +84,8 @@
   // Runs to list in the hello to the owner: its own, those without an owner,
   // and those that ended recently.
   std::vector<RunReport> RunsFor(const std::string& owner) const;
+  // Crashes of the last seconds with the runs of all owners, for the hello.
+  const std::deque<WorkerCrash>& recent_crashes() const { return crashes_; }
   bool HasRunsOf(const std::string& owner) const;
   // Whether no run is queued, deferred or on the backend server.
   bool idle() const { return runs_.empty() && queue_.empty() && deferred_.empty(); }
@@ -138,6 +141,11 @@
   void StopRun(Run& run, core::TimePoint now);
   void EndRun(const RunId& id, RunReport::Kind kind, core::TimePoint now);
   void MarkAllRunsLost(core::TimePoint now);
+  // No process listens at the backend server.
+  void OnWorkerGone(core::TimePoint now);
+  // Reports that the incarnation has crashed, if it had runs.
+  void RecordCrash(std::int64_t incarnation, core::TimePoint now);
+  std::vector<RunAtCrash> PresentRuns(core::TimePoint now) const;
   // Ends runs that only the earlier incarnation of the backend server can have;
   // stops those that the new one may have started.
   void AbandonIncarnation(core::TimePoint now);
@@ -166,6 +174,10 @@
   std::vector<DeferredOrder> deferred_;
   std::map<std::string, core::TimePoint> owner_lease_until_;
   std::deque<FinalReport> finals_;
+  std::deque<WorkerCrash> crashes_;
+  // Runs that ended with the lease of a silent backend server. It may turn out to
+  // have crashed.
+  std::vector<RunAtCrash> lapsed_runs_;
   std::int64_t worker_incarnation_ = 0;
   // Number of the last ended run that was listed, and of the last that a lease
   // renewal has acknowledged.
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -45,6 +45,9 @@
 // Reports of ended runs are repeated to an entry that reconnects within this
 // time.
 constexpr core::Duration kFinalRetention = std::chrono::seconds(4);
+// Crashes are repeated to an entry that connects within this time. Longer than
+// any job, whose caller may come back with it through another entry.
+constexpr core::Duration kCrashRetention = std::chrono::seconds(30);
 // Time for entries to claim the runs of an earlier agent process, even if the
 // first attempt to connect is lost. If an entry and this agent die within one
 // owner lease, it adds to that lease, and the sum has to stay below the time
@@ -70,10 +73,6 @@
 // earlier.
 constexpr core::Duration kNoResourcesDelay = std::chrono::milliseconds(30);
 
-RunReport::Kind KindOfRefusedStart(int unanswered_starts) {
-  return unanswered_starts > 0 ? RunReport::Kind::kLost : RunReport::Kind::kNotRun;
-}
-
 }  // namespace
 
 RunExecutor::RunExecutor(const Tuning& tuning, WorkerPort& worker, ReportSink& reports)
@@ -111,9 +110,9 @@
 // one has listed.
 void RunExecutor::OnWorkerIncarnation(std::int64_t incarnation, core::TimePoint now) {
   if (incarnation == worker_incarnation_ || incarnation == 0) return;
-  const bool restarted = worker_incarnation_ != 0;
-  worker_incarnation_ = incarnation;
-  if (!restarted) return;
+  const std::int64_t earlier = std::exchange(worker_incarnation_, incarnation);
+  if (earlier == 0) return;
+  RecordCrash(earlier, now);
   AbandonIncarnation(now);
   health_.Reset();
   ended_cursor_ = 0;
@@ -262,8 +261,10 @@
       return EndRun(id, RunReport::Kind::kNumberUsed, now);
     case StartResult::kConnectionRefused:
       worker_ready_ = false;
-      EndRun(id, KindOfRefusedStart(run.unanswered_starts), now);
-      return ReportNotRun(queue_.TakeAll(), now);
+      // After an unanswered start the run may be what has crashed the backend
+      // server.
+      if (run.unanswered_starts == 0) EndRun(id, RunReport::Kind::kNotRun, now);
+      return OnWorkerGone(now);
     case StartResult::kLeaseExpired:
     case StartResult::kUnhealthy:
     case StartResult::kFenced:
@@ -337,6 +338,28 @@
   ReportNotRun(queue_.TakeAll(), now);
 }
 
+void RunExecutor::OnWorkerGone(core::TimePoint now) {
+  RecordCrash(worker_incarnation_, now);
+  MarkAllRunsLost(now);
+}
+
+std::vector<RunAtCrash> RunExecutor::PresentRuns(core::TimePoint now) const {
+  std::vector<RunAtCrash> runs;
+  for (const auto& [id, run] : runs_) runs.push_back({id, now - run.started_at});
+  return runs;
+}
+
+void RunExecutor::RecordCrash(std::int64_t incarnation, core::TimePoint now) {
+  std::vector<RunAtCrash> runs = PresentRuns(now);
+  runs.insert(runs.end(), lapsed_runs_.begin(), lapsed_runs_.end());
+  lapsed_runs_.clear();
+  // A backend server that was about to leave has left.
+  const bool leaving = worker_shut_down_ || (worker_report_ && worker_report_->draining);
+  if (runs.empty() || leaving) return;
+  crashes_.push_back({incarnation, now, std::move(runs)});
+  reports_.ReportCrash(crashes_.back());
+}
+
 void RunExecutor::AbandonIncarnation(core::TimePoint now) {
   std::vector<RunId> ended;
   for (auto& [id, run] : runs_) {
@@ -397,7 +420,7 @@
       renewal_due_ = now + kRetryDelay;
       earlier_runs_pending_ = false;
       runs_known_ = true;
-      MarkAllRunsLost(now);
+      OnWorkerGone(now);
     }
     return;
   }
@@ -407,6 +430,7 @@
   const bool first = earlier_runs_pending_;
   earlier_runs_pending_ = false;
   OnWorkerIncarnation(result->incarnation, now);
+  lapsed_runs_.clear();
   worker_ready_ = worker_report_ && !worker_shut_down_;
   std::set<RunId> listed;
   for (const EndedRun& it : result->ended) {
@@ -537,7 +561,11 @@
   health_.Advance(now);
   ReportNotRun(queue_.TakeExpired(now), now);
   while (!finals_.empty() && now - finals_.front().time > kFinalRetention) finals_.pop_front();
-  if (!runs_.empty() && now > lease_until_) MarkAllRunsLost(now);
+  while (!crashes_.empty() && now - crashes_.front().time > kCrashRetention) crashes_.pop_front();
+  if (!runs_.empty() && now > lease_until_) {
+    lapsed_runs_ = PresentRuns(now);
+    MarkAllRunsLost(now);
+  }
   CheckWorkerResponsive(now);
   for (auto& [id, run] : runs_) {
     const auto owner = owner_lease_until_.find(run.owner);
--- a/packages/direct/test/lost_answers_test.cc
+++ b/packages/direct/test/lost_answers_test.cc
@@ -93,6 +93,7 @@
     if (report.kind != RunReport::Kind::kDone) return;
     if (now_ - ordered_at_.at(report.id) <= Ms(150)) ++in_time_;
   }
+  void ReportCrash(const WorkerCrash& /*crash*/) override {}
 
  private:
   struct RenewalCall {
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -20,11 +20,13 @@
   void Report(const std::string& owner, const RunReport& report) override {
     reports.emplace_back(owner, report);
   }
+  void ReportCrash(const WorkerCrash& crash) override { crashes.push_back(crash); }
   std::size_t Count(RunReport::Kind kind) const {
     return static_cast<std::size_t>(std::count_if(
         reports.begin(), reports.end(), [kind](const auto& it) { return it.second.kind == kind; }));
   }
   std::vector<std::pair<std::string, RunReport>> reports;
+  std::vector<WorkerCrash> crashes;
 };
 
 class RunExecutorTest : public CppUnit::TestFixture {
@@ -45,6 +47,11 @@
   CPPUNIT_TEST(StoppedRunEndsWhenItIsNoLongerListed);
   CPPUNIT_TEST(SameTaskOfAnotherEntryWaitsForTheStop);
   CPPUNIT_TEST(ExpiredLeaseEndsAllRuns);
+  CPPUNIT_TEST(CrashIsReportedWithTheRunsThatWereThere);
+  CPPUNIT_TEST(StartThatMayHaveCrashedTheWorkerIsPartOfTheCrash);
+  CPPUNIT_TEST(SilentCrashIsReportedWhenTheWorkerIsBack);
+  CPPUNIT_TEST(PlannedLeaveIsNoCrash);
+  CPPUNIT_TEST(SilenceIsNoCrash);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -63,6 +70,9 @@
     executor_->OnLeaseRenewal(port_.renewals.back().renewal_number,
                               LeaseRenewal{1000, running, ended}, false, now);
   }
+  void RefuseRenewal(core::TimePoint now) {
+    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt, true, now);
+  }
   RunId Order(std::uint32_t index, core::TimePoint now = kStart) {
     executor_->OnOrder(kOwner, SampleOrder("j", index), now);
     return SampleOrder("j", index).id;
@@ -291,6 +301,79 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kLost));
   }
 
+  // Guards against a crash that cannot be told from a stop or a lapsed lease.
+  void CrashIsReportedWithTheRunsThatWereThere() {
+    const RunId first = Order(0);
+    const RunId second = Order(1, kStart + Ms(30));
+    executor_->OnStartResult(first, StartResult::kStarted, kStart + Ms(31));
+    executor_->OnStartResult(second, StartResult::kStarted, kStart + Ms(31));
+    RefuseRenewal(kStart + Ms(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.crashes.size());
+    const WorkerCrash& crash = reports_.crashes.front();
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1000}, crash.incarnation);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, crash.runs.size());
+    CPPUNIT_ASSERT(crash.runs[0].id == first && crash.runs[0].ran_for == Ms(50));
+    CPPUNIT_ASSERT(crash.runs[1].id == second && crash.runs[1].ran_for == Ms(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reports_.Count(RunReport::Kind::kLost));
+    // The next incarnation is no second crash.
+    WorkerReport next = SampleReport(1);
+    next.incarnation = 2000;
+    executor_->OnWorkerReport(next, kStart + Ms(3000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, executor_->recent_crashes().size());
+    executor_->Advance(kStart + std::chrono::seconds(31));
+    CPPUNIT_ASSERT(executor_->recent_crashes().empty());
+  }
+
+  // A backend server crashes before it answers the start. Guards against overlooking
+  // the run that crashed it, which is reported as lost and not as not run.
+  void StartThatMayHaveCrashedTheWorkerIsPartOfTheCrash() {
+    const RunId id = Order(0);
+    executor_->OnStartResult(id, StartResult::kUnknown, kStart + Ms(20));
+    executor_->OnStartResult(id, StartResult::kConnectionRefused, kStart + Ms(21));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.crashes.size());
+    CPPUNIT_ASSERT(reports_.crashes.front().runs.front().id == id);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kLost));
+  }
+
+  // Guards against overlooking a crash that shows itself only by silence, and by a
+  // new incarnation after the lease has lapsed.
+  void SilentCrashIsReportedWhenTheWorkerIsBack() {
+    const RunId id = Order(0);
+    executor_->OnStartResult(id, StartResult::kStarted, kStart + Ms(1));
+    executor_->Advance(kStart + Ms(1031));
+    CPPUNIT_ASSERT(reports_.crashes.empty());
+    WorkerReport next = SampleReport(1);
+    next.incarnation = 2000;
+    executor_->OnWorkerReport(next, kStart + Ms(3000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.crashes.size());
+    CPPUNIT_ASSERT(reports_.crashes.front().runs.front().id == id);
+  }
+
+  // Guards against blaming tasks for a backend server that leaves as announced.
+  void PlannedLeaveIsNoCrash() {
+    const RunId id = Order(0);
+    executor_->OnStartResult(id, StartResult::kStarted, kStart + Ms(1));
+    WorkerReport draining = SampleReport(2);
+    draining.draining = true;
+    executor_->OnWorkerReport(draining, kStart + Ms(10));
+    RefuseRenewal(kStart + Ms(50));
+    CPPUNIT_ASSERT(reports_.crashes.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kLost));
+  }
+
+  // Guards against blaming tasks for a backend server that was only silent until
+  // its lease lapsed.
+  void SilenceIsNoCrash() {
+    const RunId id = Order(0);
+    executor_->OnStartResult(id, StartResult::kStarted, kStart + Ms(1));
+    executor_->Advance(kStart + Ms(1031));
+    AnswerRenewal({}, {}, kStart + Ms(1500));
+    WorkerReport next = SampleReport(1);
+    next.incarnation = 2000;
+    executor_->OnWorkerReport(next, kStart + Ms(3000));
+    CPPUNIT_ASSERT(reports_.crashes.empty());
+  }
+
   FakeWorkerPort port_;
   RecordingReports reports_;
   std::unique_ptr<RunExecutor> executor_;
