Give up tasks that crash their backend servers

What callers saw: one task that crashes the backend server which starts it took nine of eleven down within half a second, and most jobs of all kinds failed for seconds.

Cause: a run that ends with its backend server was placed again for as long as its deadline allowed. Only ends that count as failed were counted; nothing tied crashes to a task. The class of the fault: work whose failure destroys the resource is retried like work that fails by itself.

Change: agents send each crash, with the runs that were there, to all entries, with the hello too, for 30 s. CrashHistory attributes crashes to tasks: two prompt crashes under a task that certainly ran, or three of any kind, that no other task explains make it the cause of all of them and clear the tasks beside it. Its job fails, also when it comes back through another entry or after the death of one. A task that met four crashes is not started again whatever explains them; without two certain crashes its job is answered as one that may have run.

Why it works: the crash that shows the cause is the one that would have led to a third start. A count alone cannot be used: a task without fault had nine crashes.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -354,6 +354,9 @@
   for (const direct::RunReport& it : executor_->RunsFor(link.owner)) {
     WriteReport(it, *own.add_runs());
   }
+  for (const direct::WorkerCrash& it : executor_->recent_crashes()) {
+    WriteCrash(it, now, *own.add_crashes());
+  }
   executor_->OnOwnerConfirmed(link.owner, now);
   WriteStateTo(link, now);
 }
@@ -398,11 +401,17 @@
     if (!runs.empty()) runs += ' ';
     runs += id.task.job + '.' + std::to_string(id.task.step) + '.' + std::to_string(id.task.index) +
             '.' + std::to_string(id.number) + ':' + std::to_string(ToMs(crash.runs[i].ran_for));
+    if (!crash.runs[i].confirmed) runs += '?';
   }
   metrics_.Add("backend_crashes", 1);
   logger_.Warn("backend server crashed", {{"life", std::to_string(crash.incarnation)},
                                           {"count", std::to_string(crash.runs.size())},
                                           {"runs", runs}});
+  // To all entries: the caller of a lost task may come back through another one.
+  const core::TimePoint now = BootNow();
+  for (auto& [name, link] : links_) {
+    if (link.connected()) WriteCrash(crash, now, *link.connection->outbox().add_crashes());
+  }
 }
 
 void DirectAgentRuntime::LogReport(const std::string& owner, const direct::RunReport& report) {
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -310,6 +310,16 @@
   if (auto* frame = links_.FrameTo(agent)) WriteRunId(id, *frame->add_expedites());
 }
 
+void DirectEntryRuntime::OnCrashVerdict(const direct::CrashVerdict& verdict, std::size_t crashes) {
+  const direct::TaskId& task = verdict.task;
+  metrics_.Add("crashing_tasks", 1);
+  logger_.Warn("task crashes backend servers", {{"job", task.job},
+                                                {"step", std::to_string(task.step)},
+                                                {"task", std::to_string(task.index)},
+                                                {"crashes", std::to_string(crashes)},
+                                                {"proven", verdict.proven ? "yes" : "no"}});
+}
+
 void DirectEntryRuntime::SendClaim(const std::string& agent, const direct::RunId& id) {
   if (auto* frame = links_.FrameTo(agent)) WriteRunId(id, *frame->add_claims());
 }
@@ -326,6 +336,9 @@
   if (frame.has_worker()) {
     dispatcher_.OnWorkerState(agent, ReadState(frame.worker()), frame.orders_seen(), now);
   }
+  for (const direct_wire::WorkerCrash& it : frame.crashes()) {
+    dispatcher_.OnWorkerCrash(agent, ReadCrash(it, now), now);
+  }
   for (const direct_wire::RunReport& report : frame.reports()) {
     dispatcher_.OnReport(agent, ReadReport(report), now);
   }
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -55,6 +55,7 @@
   void SendStop(const std::string& agent, const direct::RunId& id) override;
   void SendWithdraw(const std::string& agent, const direct::RunId& id) override;
   void SendExpedite(const std::string& agent, const direct::RunId& id) override;
+  void OnCrashVerdict(const direct::CrashVerdict& verdict, std::size_t crashes) override;
   void SendClaim(const std::string& agent, const direct::RunId& id) override;
 
   std::optional<RuntimeError> OpenServers();
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -1,6 +1,7 @@
 #include "direct_messages.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace coltsfoottide::daemon {
 
@@ -16,6 +17,18 @@
   return {message.cpu_millicores(), message.memory_mb(), message.accelerators()};
 }
 
+// Longest duration in a message; longer ones are cut, so that sums do not overflow.
+constexpr core::Duration kMaxDuration = std::chrono::hours(24);
+
+std::uint64_t WriteDuration(core::Duration duration) {
+  return static_cast<std::uint64_t>(std::max(duration, core::Duration::zero()).count());
+}
+
+core::Duration ReadDuration(std::uint64_t us) {
+  const auto max = static_cast<std::uint64_t>(kMaxDuration.count());
+  return core::Duration(static_cast<std::int64_t>(std::min(us, max)));
+}
+
 }  // namespace
 
 void AddOrder(const direct::RunOrder& order, core::TimePoint now, direct_wire::Frame& frame) {
@@ -78,6 +91,28 @@
           core::Duration(static_cast<std::int64_t>(message.remaining_us()))};
 }
 
+void WriteCrash(const direct::WorkerCrash& crash, core::TimePoint now,
+                direct_wire::WorkerCrash& message) {
+  message.set_incarnation(crash.incarnation);
+  message.set_age_us(WriteDuration(now - crash.time));
+  for (const direct::RunAtCrash& it : crash.runs) {
+    direct_wire::WorkerCrash::Run& run = *message.add_runs();
+    WriteRunId(it.id, *run.mutable_id());
+    run.set_ran_for_us(WriteDuration(it.ran_for));
+    run.set_confirmed(it.confirmed);
+  }
+}
+
+direct::WorkerCrash ReadCrash(const direct_wire::WorkerCrash& message, core::TimePoint now) {
+  direct::WorkerCrash crash;
+  crash.incarnation = message.incarnation();
+  crash.time = now - ReadDuration(message.age_us());
+  for (const direct_wire::WorkerCrash::Run& it : message.runs()) {
+    crash.runs.push_back({ReadRunId(it.id()), ReadDuration(it.ran_for_us()), it.confirmed()});
+  }
+  return crash;
+}
+
 void WriteDescription(const direct::WorkerDescription& description,
                       direct_wire::WorkerDescription& message) {
   message.Clear();
--- a/packages/daemon/src/direct_messages.h
+++ b/packages/daemon/src/direct_messages.h
@@ -3,6 +3,7 @@
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/run_order.h"
 #include "coltsfoottide/direct/run_report.h"
+#include "coltsfoottide/direct/worker_crash.h"
 #include "coltsfoottide/direct/worker_description.h"
 #include "coltsfoottide/direct/worker_state.h"
 #include "coltsfoottide/schema/direct.pb.h"
@@ -21,6 +22,10 @@
 void WriteReport(const direct::RunReport& report, direct_wire::RunReport& message);
 direct::RunReport ReadReport(const direct_wire::RunReport& message);
 
+void WriteCrash(const direct::WorkerCrash& crash, core::TimePoint now,
+                direct_wire::WorkerCrash& message);
+direct::WorkerCrash ReadCrash(const direct_wire::WorkerCrash& message, core::TimePoint now);
+
 void WriteDescription(const direct::WorkerDescription& description,
                       direct_wire::WorkerDescription& message);
 direct::WorkerDescription ReadDescription(const direct_wire::WorkerDescription& message);
--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -204,6 +204,9 @@
   decoded.incarnation = hello.incarnation();
   decoded.runs_known = hello.runs_known();
   for (const direct_wire::RunReport& it : hello.runs()) decoded.runs.push_back(ReadReport(it));
+  for (const direct_wire::WorkerCrash& it : hello.crashes()) {
+    decoded.crashes.push_back(ReadCrash(it, BootNow()));
+  }
   logger_.Info("agent connected", {{"agent", decoded.agent},
                                    {"incarnation", std::to_string(decoded.incarnation)},
                                    {"runs", std::to_string(decoded.runs.size())}});
--- a/packages/direct/include/coltsfoottide/direct/agent_hello.h
+++ b/packages/direct/include/coltsfoottide/direct/agent_hello.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "coltsfoottide/direct/run_report.h"
+#include "coltsfoottide/direct/worker_crash.h"
 
 namespace coltsfoottide::direct {
 
@@ -19,6 +20,8 @@
   bool runs_known = false;
   // Runs of this entry, runs whose entry is unknown, and recently ended runs.
   std::vector<RunReport> runs;
+  // Recent crashes of the backend server, with the runs of all entries.
+  std::vector<WorkerCrash> crashes{};
 };
 
 }  // namespace coltsfoottide::direct
--- /dev/null
+++ b/packages/direct/include/coltsfoottide/direct/crash_history.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/crash_verdict.h"
+#include "coltsfoottide/direct/task_id.h"
+#include "coltsfoottide/direct/worker_crash.h"
+
+namespace coltsfoottide::direct {
+
+// Attributes crashes of backend servers to tasks. A crash says that one of the runs
+// which were there may be its cause; a task that has met several crashes which no
+// other task explains is taken for the cause of all of them, and the tasks beside it
+// are cleared. Counts are kept by task, not by submission, so a job that comes back
+// through another entry is known there.
+class CrashHistory {
+ public:
+  // Records a crash of the agent's backend server. A crash that is already known
+  // changes nothing. Returns the tasks that must not be started again from now on.
+  std::vector<CrashVerdict> OnCrash(const std::string& agent, const WorkerCrash& crash);
+
+  // The verdict on a task of the job, if there is one.
+  std::optional<CrashVerdict> VerdictOn(const std::string& job) const;
+  // Number of crashes under the task, explained or not.
+  std::size_t CountCrashes(const TaskId& task) const;
+
+  // Forgets crashes that are too old for a job to come back.
+  void Forget(core::TimePoint now);
+
+ private:
+  struct Crash {
+    std::string agent;
+    WorkerCrash crash;
+    // The task that has caused it, once known.
+    std::optional<TaskId> cause;
+  };
+  // A crash under a task.
+  struct Evidence {
+    Crash* crash = nullptr;
+    core::Duration ran_for{};
+    bool confirmed = false;
+  };
+  // The unexplained crashes under a task.
+  struct Summary {
+    std::size_t crashes = 0;
+    std::size_t confirmed = 0;
+    // Longest time that the task had run, among the confirmed ones.
+    core::Duration longest{};
+  };
+
+  Summary Unexplained(const TaskId& task) const;
+  // The task that is the most likely cause of the crash and of earlier ones.
+  std::optional<TaskId> FindCause(const Crash& crash) const;
+
+  // Oldest first.
+  std::list<Crash> crashes_;
+  std::map<TaskId, std::vector<Evidence>> tasks_;
+  // Tasks that are not started again; whether that is proven.
+  std::map<TaskId, bool> given_up_;
+};
+
+}  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/entry_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/entry_sink.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "coltsfoottide/direct/crash_verdict.h"
 #include "coltsfoottide/direct/job_outcome.h"
 #include "coltsfoottide/direct/placed_task.h"
 #include "coltsfoottide/direct/run_id.h"
@@ -28,6 +29,8 @@
   virtual void SendWithdraw(const std::string& agent, const RunId& id) = 0;
   // Raises the priority of a queued run whose job is nearly done.
   virtual void SendExpedite(const std::string& agent, const RunId& id) = 0;
+  // The task is not started again after this many crashes, for logs.
+  virtual void OnCrashVerdict(const CrashVerdict& verdict, std::size_t crashes) = 0;
   // Claims the run for this entry at an agent that may have restarted.
   virtual void SendClaim(const std::string& agent, const RunId& id) = 0;
 };
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -11,6 +11,7 @@
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/admission_control.h"
 #include "coltsfoottide/direct/agent_hello.h"
+#include "coltsfoottide/direct/crash_history.h"
 #include "coltsfoottide/direct/job_outcome.h"
 #include "coltsfoottide/direct/job_request.h"
 #include "coltsfoottide/direct/retry_schedule.h"
@@ -60,6 +61,10 @@
                      core::TimePoint now);
   void OnReport(const std::string& agent, const RunReport& report, core::TimePoint now);
 
+  // The agent's backend server has crashed. Must be called before the reports of the
+  // ends of its runs.
+  void OnWorkerCrash(const std::string& agent, const WorkerCrash& crash, core::TimePoint now);
+
   // A connection to the agent has opened. Runs that the agent does not list and
   // can no longer have are treated as ended.
   void OnAgentHello(const AgentHello& hello, core::TimePoint now);
@@ -126,6 +131,7 @@
   EntrySink& sink_;
   WorkerFleet fleet_;
   AdmissionControl admission_;
+  CrashHistory crash_history_;
   RetrySchedule retry_schedule_;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, std::uint64_t> incarnations_;
--- a/packages/direct/include/coltsfoottide/direct/run_at_crash.h
+++ b/packages/direct/include/coltsfoottide/direct/run_at_crash.h
@@ -10,6 +10,9 @@
   RunId id;
   // Time from the start of the run until the crash was noticed.
   core::Duration ran_for{};
+  // Whether the backend server had answered the start or listed the run. Otherwise
+  // the start may not have reached it.
+  bool confirmed = false;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -112,6 +112,8 @@
     // Whether the present incarnation of the backend server has listed the run
     // as running.
     bool listed = false;
+    // Whether the start was answered, or an earlier agent process started the run.
+    bool confirmed = false;
     // Number of start calls that got no answer.
     int unanswered_starts = 0;
     // First lease renewal whose answer must list the run; earlier ones may lack
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -39,6 +39,11 @@
   }
 }
 
+JobOutcome CrashOutcome(const CrashVerdict& verdict) {
+  const auto kind = verdict.proven ? JobOutcome::Kind::kFailed : JobOutcome::Kind::kMayHaveRun;
+  return {kind, "crashes backend servers", {}, {}};
+}
+
 std::unique_ptr<Job> MakeJob(JobRequest request) {
   auto job = std::make_unique<Job>();
   for (const StepRequest& step : request.steps) job->steps.emplace_back(step.count);
@@ -70,7 +75,11 @@
   const std::string id = owned->request.id;
   Job& job = *jobs_.emplace(id, std::move(owned)).first->second;
   UnlockSteps(job);
-  if (Admit(job, now)) PlaceReady(job, now);
+  if (const auto verdict = crash_history_.VerdictOn(id)) {
+    Finish(job, CrashOutcome(*verdict), now);
+  } else if (Admit(job, now)) {
+    PlaceReady(job, now);
+  }
   RemoveIfEnded(id, now);
 }
 
@@ -248,6 +257,17 @@
   RemoveIfEnded(report.id.task.job, now);
 }
 
+void JobDispatcher::OnWorkerCrash(const std::string& agent, const WorkerCrash& crash,
+                                  core::TimePoint now) {
+  for (const CrashVerdict& verdict : crash_history_.OnCrash(agent, crash)) {
+    sink_.OnCrashVerdict(verdict, crash_history_.CountCrashes(verdict.task));
+    const auto it = jobs_.find(verdict.task.job);
+    if (it == jobs_.end()) continue;
+    if (!it->second->finished) Finish(*it->second, CrashOutcome(verdict), now);
+    RemoveIfEnded(verdict.task.job, now);
+  }
+}
+
 void JobDispatcher::OnRunEnded(Job& job, Task& task, bool may_have_run, core::TimePoint now) {
   --runs_at_[task.agent];
   task.state = Task::State::kReady;
@@ -323,6 +343,7 @@
 void JobDispatcher::OnAgentHello(const AgentHello& hello, core::TimePoint now) {
   std::uint64_t& last_incarnation = incarnations_[hello.agent];
   const bool same_process = last_incarnation == hello.incarnation;
+  for (const WorkerCrash& it : hello.crashes) OnWorkerCrash(hello.agent, it, now);
   fleet_.Get(hello.agent).OnConnected();
   last_incarnation = hello.incarnation;
   // The reports below may place new runs at this agent, which its hello cannot
@@ -386,6 +407,7 @@
   // milliseconds.
   constexpr int kWithdrawalsPerCall = 8;
   withdrawals_left_ = kWithdrawalsPerCall;
+  crash_history_.Forget(now);
   std::vector<std::string> ids;
   ids.reserve(jobs_.size());
   for (const auto& [id, job] : jobs_) ids.push_back(id);
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -237,6 +237,7 @@
   switch (result) {
     case StartResult::kStarted:
       last_answer_ = now;
+      run.confirmed = true;
       if (run.state == RunState::kStarting) run.state = RunState::kRunning;
       run.visible_from_renewal = last_sent_renewal_ + 1;
       return;
@@ -345,7 +346,9 @@
 
 std::vector<RunAtCrash> RunExecutor::PresentRuns(core::TimePoint now) const {
   std::vector<RunAtCrash> runs;
-  for (const auto& [id, run] : runs_) runs.push_back({id, now - run.started_at});
+  for (const auto& [id, run] : runs_) {
+    runs.push_back({id, now - run.started_at, run.confirmed || run.listed});
+  }
   return runs;
 }
 
@@ -443,6 +446,7 @@
       Run& run = runs_[it.id];
       run.order.id = it.id;
       run.state = RunState::kRunning;
+      run.confirmed = true;
       run.started_at = now;
       run.progressed_at = now;
     }
--- /dev/null
+++ b/packages/direct/test/dispatcher_crash_test.cc
@@ -0,0 +1,97 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+
+#include "coltsfoottide/direct/job_dispatcher.h"
+#include "direct_samples.h"
+#include "recording_entry_sink.h"
+
+namespace coltsfoottide::direct {
+namespace {
+
+// What an entry does about crashes of backend servers.
+class DispatcherCrashTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DispatcherCrashTest);
+  CPPUNIT_TEST(JobFailsWhenItsTaskIsTheCause);
+  CPPUNIT_TEST(JobThatComesBackFailsWithoutAStart);
+  CPPUNIT_TEST(HelloTellsANewEntryOfEarlierCrashes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    sink_ = RecordingEntrySink();
+    dispatcher_ =
+        std::make_unique<JobDispatcher>(JobDispatcher::Tuning{Ms(1800), 1}, "a", 1.5, sink_);
+    for (const char* it : {"agent-1", "agent-2", "agent-3", "agent-4"}) Connect(it, {});
+  }
+
+ private:
+  void Connect(const std::string& agent, const std::vector<WorkerCrash>& crashes) {
+    dispatcher_->OnAgentHello({agent, 1, true, {}, crashes}, kStart);
+    dispatcher_->OnWorkerDescription(agent, SampleWorker());
+    dispatcher_->OnWorkerState(agent, IdleWorker(), 0, kStart);
+  }
+
+  // The backend server of the agent crashes 20 ms after it has started the runs that the
+  // dispatcher has ordered there since the order with this number.
+  void Crash(const std::string& agent, std::size_t first_order) {
+    WorkerCrash crash;
+    crash.incarnation = 1;
+    crash.time = kStart + Ms(20);
+    const std::vector<RecordingEntrySink::Sent> orders = sink_.orders;
+    for (std::size_t i = first_order; i < orders.size(); ++i) {
+      if (orders[i].agent == agent) crash.runs.push_back({orders[i].id, Ms(20), true});
+    }
+    WorkerState down = IdleWorker();
+    down.ready = false;
+    dispatcher_->OnWorkerState(agent, down, 0, crash.time);
+    dispatcher_->OnWorkerCrash(agent, crash, crash.time);
+    for (const RunAtCrash& it : crash.runs) {
+      dispatcher_->OnReport(agent, {it.id, RunReport::Kind::kLost, {}}, crash.time);
+    }
+  }
+
+  // Guards against starting the task for as long as its deadline allows (issue 24).
+  void JobFailsWhenItsTaskIsTheCause() {
+    dispatcher_->Submit(SampleJob("j", 1), kStart);
+    Crash(sink_.orders[0].agent, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sink_.orders.size());
+    CPPUNIT_ASSERT(sink_.answers.empty());
+    Crash(sink_.orders[1].agent, 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sink_.orders.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.answers.size());
+    CPPUNIT_ASSERT(sink_.answers[0].second.kind == JobOutcome::Kind::kFailed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.crash_verdicts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, dispatcher_->size());
+  }
+
+  // A late copy of the submission arrives after the answer has been forgotten. Guards
+  // against another round of crashes.
+  void JobThatComesBackFailsWithoutAStart() {
+    JobFailsWhenItsTaskIsTheCause();
+    dispatcher_->Submit(SampleJob("j", 1), kStart + Ms(15'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sink_.orders.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sink_.answers.size());
+    CPPUNIT_ASSERT(sink_.answers[1].second.kind == JobOutcome::Kind::kFailed);
+  }
+
+  // Guards against an entry that begins to count anew after its restart.
+  void HelloTellsANewEntryOfEarlierCrashes() {
+    const RunAtCrash run{{{"j", 0, 0}, 1}, Ms(20), true};
+    Connect("agent-5", {WorkerCrash{1, kStart - Ms(500), {run}}});
+    Connect("agent-6", {WorkerCrash{1, kStart - Ms(300), {run}}});
+    dispatcher_->Submit(SampleJob("j", 1), kStart);
+    CPPUNIT_ASSERT(sink_.orders.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.answers.size());
+    CPPUNIT_ASSERT(sink_.answers[0].second.kind == JobOutcome::Kind::kFailed);
+  }
+
+  RecordingEntrySink sink_;
+  std::unique_ptr<JobDispatcher> dispatcher_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherCrashTest);
+
+}  // namespace
+}  // namespace coltsfoottide::direct
--- a/packages/direct/test/recording_entry_sink.h
+++ b/packages/direct/test/recording_entry_sink.h
@@ -35,6 +35,9 @@
   void SendExpedite(const std::string& agent, const RunId& id) override {
     expedites.push_back({agent, id});
   }
+  void OnCrashVerdict(const CrashVerdict& verdict, std::size_t /*crashes*/) override {
+    crash_verdicts.push_back(verdict);
+  }
   void SendClaim(const std::string& agent, const RunId& id) override {
     claims.push_back({agent, id});
   }
@@ -46,6 +49,7 @@
   std::vector<Sent> withdrawals;
   std::vector<Sent> expedites;
   std::vector<Sent> claims;
+  std::vector<CrashVerdict> crash_verdicts;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -314,6 +314,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, crash.runs.size());
     CPPUNIT_ASSERT(crash.runs[0].id == first && crash.runs[0].ran_for == Ms(50));
     CPPUNIT_ASSERT(crash.runs[1].id == second && crash.runs[1].ran_for == Ms(20));
+    CPPUNIT_ASSERT(crash.runs[0].confirmed && crash.runs[1].confirmed);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reports_.Count(RunReport::Kind::kLost));
     // The next incarnation is no second crash.
     WorkerReport next = SampleReport(1);
@@ -332,6 +333,7 @@
     executor_->OnStartResult(id, StartResult::kConnectionRefused, kStart + Ms(21));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.crashes.size());
     CPPUNIT_ASSERT(reports_.crashes.front().runs.front().id == id);
+    CPPUNIT_ASSERT(!reports_.crashes.front().runs.front().confirmed);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kLost));
   }
 
--- a/packages/direct/test/simulated_fleet.h
+++ b/packages/direct/test/simulated_fleet.h
@@ -188,6 +188,7 @@
         it.OnExpedite(id, now);
       });
     }
+    void OnCrashVerdict(const CrashVerdict& /*verdict*/, std::size_t /*crashes*/) override {}
     void SendClaim(const std::string& agent, const RunId& id) override {
       fleet.ToAgent(*this, agent, [id](RunExecutor& it, const std::string& from, auto /*now*/) {
         it.OnClaim(from, id);
@@ -219,7 +220,14 @@
         it.dispatcher.OnReport(agent, report, now);
       });
     };
-    callbacks.on_crash_reported = [](const WorkerCrash& /*crash*/) {};
+    callbacks.on_crash_reported = [this, agent](const WorkerCrash& crash) {
+      for (const auto& it : entries_) {
+        if (!it) continue;
+        ToEntry(agent, it->name, [agent, crash](Entry& entry, core::TimePoint now) {
+          entry.dispatcher.OnWorkerCrash(agent, crash, now);
+        });
+      }
+    };
     callbacks.on_start = [this](const TaskId& task, core::TimePoint now) {
       tasks_[task].starts.push_back(now);
     };
@@ -235,7 +243,10 @@
     Entry& entry = *entries_[number];
     for (auto& [agent, server] : servers_) {
       server->executor().OnOwnerConfirmed(entry.name, events_.now());
-      AgentHello hello{agent, 1, true, server->executor().RunsFor(entry.name)};
+      const RunExecutor& executor = server->executor();
+      const auto& crashes = executor.recent_crashes();
+      AgentHello hello{
+          agent, 1, true, executor.RunsFor(entry.name), {crashes.begin(), crashes.end()}};
       entry.dispatcher.OnAgentHello(hello, events_.now());
       entry.dispatcher.OnWorkerDescription(agent, SampleWorker());
       entry.dispatcher.OnWorkerState(agent, server->executor().State(events_.now()), 0,
--- a/packages/direct/test/sustained_overload_test.cc
+++ b/packages/direct/test/sustained_overload_test.cc
@@ -167,6 +167,7 @@
   void SendExpedite(const std::string& agent, const RunId& id) override {
     servers_.at(agent).queue.Expedite(id);
   }
+  void OnCrashVerdict(const CrashVerdict& /*verdict*/, std::size_t /*crashes*/) override {}
   void SendClaim(const std::string& /*agent*/, const RunId& /*id*/) override {}
 
   // Runs that have started are left to end: their work is spent.
--- a/scripts/lib/crashes.py
+++ b/scripts/lib/crashes.py
@@ -1,7 +1,7 @@
 """Counts crashes of backend servers and starts of tasks from the logs of agents.
 
-A task is JOB.STEP.INDEX in the tables. The events `run` do not name the step, so starts
-are counted for JOB and INDEX.
+Runs whose start may not have arrived are left out. The events `run` do not name the
+step, so starts are counted for the job and the index of the task.
 """
 
 import collections
@@ -34,6 +34,8 @@
             servers += 1
             for run in event["runs"].split():
                 name, ran_for = run.split(":")
+                if ran_for.endswith("?"):
+                    continue
                 job, _, index, _ = name.split(".")
                 crashes[job, index].append((event["time"], int(ran_for)))
         elif event["event"] == "run" and event["how"] == "started":
