Move rendezvous hashing into a file of its own

The subset of entries used it; the isolation of routes will choose backend servers by the same function.

--- a/packages/direct/src/entry_subset.cc
+++ b/packages/direct/src/entry_subset.cc
@@ -1,11 +1,9 @@
 #include "coltsfoottide/direct/entry_subset.h"
 
-#include <algorithm>
-#include <cstdint>
 #include <map>
 #include <utility>
 
-#include "coltsfoottide/core/stable_hash.h"
+#include "coltsfoottide/direct/rendezvous_hash.h"
 
 namespace coltsfoottide::direct {
 
@@ -16,24 +14,6 @@
 constexpr std::size_t kOwnDataCentreEntries = 8;
 constexpr std::size_t kOtherDataCentres = 4;
 
-// Rendezvous hashing: the names with the highest weights for this agent.
-std::vector<std::string> HighestRanked(const std::string& agent, std::vector<std::string> names,
-                                       std::size_t limit) {
-  const std::uint64_t seed = core::StableHash(agent);
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
-  ranked.reserve(names.size());
-  for (std::string& it : names) {
-    const std::uint64_t weight = core::StableHash(it, seed);
-    ranked.emplace_back(weight, std::move(it));
-  }
-  std::sort(ranked.rbegin(), ranked.rend());
-  ranked.resize(std::min(limit, ranked.size()));
-  std::vector<std::string> chosen;
-  chosen.reserve(ranked.size());
-  for (auto& [weight, name] : ranked) chosen.push_back(std::move(name));
-  return chosen;
-}
-
 }  // namespace
 
 std::set<std::string> ChooseEntries(const std::string& agent, const std::string& data_centre,
