Count the resources of runs that an earlier agent process started

Cause: the list of runs that a new agent process reads from its backend server does not say what they need, and the agent counted them as needing nothing. A backend server that starts whatever it is told was filled with as much again.

Claims of entries of earlier versions lack it.

A backend server that reports less than before gets no start until its runs fit again, also while they are being stopped: this held, and has a test now.

Before and after: AdoptedRunsKeepTheirResources failed and passes.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -310,8 +310,8 @@
     const core::TimePoint sent{core::Duration(static_cast<std::int64_t>(frame.echo_us()))};
     executor_->OnOwnerConfirmed(link.owner, sent);
   }
-  for (const direct_wire::RunId& it : frame.claims()) {
-    executor_->OnClaim(link.owner, ReadRunId(it));
+  for (int i = 0; i < frame.claims_size(); ++i) {
+    executor_->OnClaim(link.owner, ReadRunId(frame.claims(i)), ReadClaimNeed(frame, i));
   }
   for (const direct_wire::OrderGroup& group : frame.orders()) {
     for (const direct_wire::OrderGroup::Task& task : group.tasks()) {
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -334,8 +334,9 @@
                {{"route", route}, {"agents", names}});
 }
 
-void DirectEntryRuntime::SendClaim(const std::string& agent, const direct::RunId& id) {
-  if (auto* frame = links_.FrameTo(agent)) WriteRunId(id, *frame->add_claims());
+void DirectEntryRuntime::SendClaim(const std::string& agent, const direct::RunId& id,
+                                   const direct::Resources& need) {
+  if (auto* frame = links_.FrameTo(agent)) WriteClaim(id, need, *frame);
 }
 
 void DirectEntryRuntime::OnAgentConnected(const direct::AgentHello& hello, core::TimePoint now) {
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -58,7 +58,8 @@
   void OnCrashVerdict(const direct::CrashVerdict& verdict, std::size_t crashes) override;
   void OnCrashingRoute(const std::string& route, core::Duration ran_for) override;
   void OnIsolationChanged(const std::string& route, const std::set<std::string>& agents) override;
-  void SendClaim(const std::string& agent, const direct::RunId& id) override;
+  void SendClaim(const std::string& agent, const direct::RunId& id,
+                 const direct::Resources& need) override;
 
   std::optional<RuntimeError> OpenServers();
   void OnRequest(const http::Request& request);
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -91,6 +91,16 @@
           core::Duration(static_cast<std::int64_t>(message.remaining_us()))};
 }
 
+void WriteClaim(const direct::RunId& id, const direct::Resources& need, direct_wire::Frame& frame) {
+  WriteRunId(id, *frame.add_claims());
+  WriteResources(need, *frame.add_claim_needs());
+}
+
+std::optional<direct::Resources> ReadClaimNeed(const direct_wire::Frame& frame, int position) {
+  if (frame.claim_needs_size() != frame.claims_size()) return std::nullopt;
+  return ReadResources(frame.claim_needs(position));
+}
+
 void WriteCrash(const direct::WorkerCrash& crash, core::TimePoint now,
                 direct_wire::WorkerCrash& message) {
   message.set_incarnation(crash.incarnation);
--- a/packages/daemon/src/direct_messages.h
+++ b/packages/daemon/src/direct_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "coltsfoottide/core/time.h"
@@ -25,6 +26,10 @@
 void WriteReport(const direct::RunReport& report, direct_wire::RunReport& message);
 direct::RunReport ReadReport(const direct_wire::RunReport& message);
 
+void WriteClaim(const direct::RunId& id, const direct::Resources& need, direct_wire::Frame& frame);
+// What the claimed run with this position needs, if the sender has said it.
+std::optional<direct::Resources> ReadClaimNeed(const direct_wire::Frame& frame, int position);
+
 void WriteCrash(const direct::WorkerCrash& crash, core::TimePoint now,
                 direct_wire::WorkerCrash& message);
 direct::WorkerCrash ReadCrash(const direct_wire::WorkerCrash& message, core::TimePoint now);
--- a/packages/daemon/test/direct_messages_test.cc
+++ b/packages/daemon/test/direct_messages_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST_SUITE(DirectMessagesTest);
   CPPUNIT_TEST(CrashSurvivesTheWire);
   CPPUNIT_TEST(DurationsOfACrashAreBounded);
+  CPPUNIT_TEST(ClaimWithoutItsNeedSaysNothing);
   CPPUNIT_TEST_SUITE_END();
 
   void CrashSurvivesTheWire() {
@@ -42,6 +43,16 @@
     CPPUNIT_ASSERT(read.time < kNow && read.time > core::TimePoint());
     CPPUNIT_ASSERT(read.runs[0].ran_for > core::Duration::zero());
   }
+
+  // An entry of an earlier version claims runs without what they need. Guards against
+  // taking that for a run that needs nothing.
+  void ClaimWithoutItsNeedSaysNothing() {
+    direct_wire::Frame frame;
+    WriteClaim({{"job", 0, 1}, 2}, {6000, 64, 0}, frame);
+    CPPUNIT_ASSERT(ReadClaimNeed(frame, 0) == (direct::Resources{6000, 64, 0}));
+    frame.clear_claim_needs();
+    CPPUNIT_ASSERT(!ReadClaimNeed(frame, 0));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectMessagesTest);
--- a/packages/direct/include/coltsfoottide/direct/entry_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/entry_sink.h
@@ -40,7 +40,7 @@
   virtual void OnIsolationChanged(const std::string& route,
                                   const std::set<std::string>& agents) = 0;
   // Claims the run for this entry at an agent that may have restarted.
-  virtual void SendClaim(const std::string& agent, const RunId& id) = 0;
+  virtual void SendClaim(const std::string& agent, const RunId& id, const Resources& need) = 0;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -55,8 +55,9 @@
   void OnWithdraw(const std::string& owner, const RunId& id, core::TimePoint now);
   // Raises the priority of a queued run whose job is nearly done.
   void OnExpedite(const RunId& id, core::TimePoint now);
-  // The entry claims a run of an earlier agent process.
-  void OnClaim(const std::string& owner, const RunId& id);
+  // The entry claims a run of an earlier agent process, and says what it needs if it
+  // can.
+  void OnClaim(const std::string& owner, const RunId& id, const std::optional<Resources>& need);
 
   // The entry has confirmed a message that this agent sent at `sent`.
   void OnOwnerConfirmed(const std::string& owner, core::TimePoint sent);
@@ -112,6 +113,9 @@
     // Whether the present incarnation of the backend server has listed the run
     // as running.
     bool listed = false;
+    // Whether `order.need` is known; not before an entry has claimed a run of an earlier
+    // agent process.
+    bool need_known = true;
     // Whether the start was answered, or an earlier agent process started the run.
     bool confirmed = false;
     // Number of start calls that got no answer.
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -452,7 +452,9 @@
     const Task* task = FindRun(hello.agent, it.id, &job);
     const bool unfinished =
         it.kind == RunReport::Kind::kStarted || it.kind == RunReport::Kind::kQueued;
-    if (unfinished && task != nullptr) sink_.SendClaim(hello.agent, it.id);
+    if (unfinished && task != nullptr) {
+      sink_.SendClaim(hello.agent, it.id, job->request.steps[it.id.task.step].need);
+    }
     OnReport(hello.agent, it, now);
     // The job was answered while the agent was unreachable; its run must be
     // stopped.
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -189,9 +189,14 @@
   StartQueued(now);
 }
 
-void RunExecutor::OnClaim(const std::string& owner, const RunId& id) {
+void RunExecutor::OnClaim(const std::string& owner, const RunId& id,
+                          const std::optional<Resources>& need) {
   const auto it = runs_.find(id);
-  if (it != runs_.end() && it->second.owner.empty()) it->second.owner = owner;
+  if (it == runs_.end() || !it->second.owner.empty()) return;
+  it->second.owner = owner;
+  if (!need) return;
+  it->second.order.need = *need;
+  it->second.need_known = true;
 }
 
 void RunExecutor::OnOwnerConfirmed(const std::string& owner, core::TimePoint sent) {
@@ -202,7 +207,11 @@
 Resources RunExecutor::FreeResources() const {
   if (!worker_report_) return {};
   Resources free = worker_report_->description.total;
-  for (const auto& [id, run] : runs_) free.Subtract(run.order.need);
+  for (const auto& [id, run] : runs_) {
+    // Nothing is known to be free beside a run of unknown size.
+    if (!run.need_known) return {};
+    free.Subtract(run.order.need);
+  }
   return free;
 }
 
@@ -447,6 +456,7 @@
       run.order.id = it.id;
       run.state = RunState::kRunning;
       run.confirmed = true;
+      run.need_known = false;
       run.started_at = now;
       run.progressed_at = now;
     }
--- a/packages/direct/test/recording_entry_sink.h
+++ b/packages/direct/test/recording_entry_sink.h
@@ -45,7 +45,7 @@
   void OnIsolationChanged(const std::string& route, const std::set<std::string>& agents) override {
     isolations.emplace_back(route, agents);
   }
-  void SendClaim(const std::string& agent, const RunId& id) override {
+  void SendClaim(const std::string& agent, const RunId& id, const Resources& /*need*/) override {
     claims.push_back({agent, id});
   }
 
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(OldReportChangesNothing);
   CPPUNIT_TEST(DrainingWorkerGetsNoRuns);
   CPPUNIT_TEST(RunsOfAnEarlierProcessAreAdoptedOrStopped);
+  CPPUNIT_TEST(AdoptedRunsKeepTheirResources);
+  CPPUNIT_TEST(ShrunkWorkerStartsNothingUntilRunsHaveEnded);
   CPPUNIT_TEST(UnclaimedRunIsOverBeforeItsCallerComesBack);
   CPPUNIT_TEST(StoppedRunEndsWhenItIsNoLongerListed);
   CPPUNIT_TEST(SameTaskOfAnotherEntryWaitsForTheStop);
@@ -240,13 +242,53 @@
                              kStart + Ms(1));
     CPPUNIT_ASSERT(restarted.runs_known());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, restarted.RunsFor(kOwner).size());
-    restarted.OnClaim(kOwner, claimed);
+    restarted.OnClaim(kOwner, claimed, Resources{6000, 64, 0});
     restarted.OnOwnerConfirmed(kOwner, kStart + Ms(500));
     restarted.Advance(kStart + Ms(701));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port.stops.size());
     CPPUNIT_ASSERT(port.stops[0] == unclaimed);
   }
 
+  // An agent restarts while a run occupies half of a backend server that starts whatever
+  // it is told. Guards against filling it beyond what it has: the list of runs does not say
+  // what they need, only their entries know.
+  void AdoptedRunsKeepTheirResources() {
+    FakeWorkerPort port;
+    RunExecutor restarted({kLease, kOwnerLease}, port, reports_);
+    restarted.Begin(kStart);
+    const RunId adopted{{"earlier", 0, 0}, 1};
+    restarted.OnLeaseRenewal(port.renewals.back().renewal_number,
+                             LeaseRenewal{1000, {{adopted, 5}}, {}}, false, kStart + Ms(1));
+    restarted.OnWorkerReport(SampleReport(1), kStart + Ms(2));
+    restarted.OnOrder(kOwner, SampleOrder("j", 0), kStart + Ms(3));
+    restarted.OnOrder(kOwner, SampleOrder("j", 1), kStart + Ms(3));
+    CPPUNIT_ASSERT(port.starts.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, restarted.State(kStart + Ms(3)).free.cpu_millicores);
+    restarted.OnClaim(kOwner, adopted, Resources{6000, 64, 0});
+    restarted.Advance(kStart + Ms(4));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port.starts.size());
+  }
+
+  // The backend server reports that it has less than before. Guards against starts by the
+  // resources of the last report, and against counting a run that is being stopped as
+  // gone.
+  void ShrunkWorkerStartsNothingUntilRunsHaveEnded() {
+    const RunId first = Order(0);
+    const RunId second = Order(1);
+    executor_->OnStartResult(first, StartResult::kStarted, kStart + Ms(1));
+    executor_->OnStartResult(second, StartResult::kStarted, kStart + Ms(1));
+    Order(2);
+    WorkerReport shrunk = SampleReport(2);
+    shrunk.description.total = {6000, 1024, 0};
+    executor_->OnWorkerReport(shrunk, kStart + Ms(2));
+    executor_->OnStop(first, kStart + Ms(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.starts.size());
+    AnswerRenewal({{second, 90}}, {{1, first, EndedRun::Outcome::kOther}}, kStart + Ms(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.starts.size());
+    AnswerRenewal({}, {{2, second, EndedRun::Outcome::kDone}}, kStart + Ms(60));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, port_.starts.size());
+  }
+
   // An entry dies, and the agent dies just before it would stop the entry's runs;
   // its next process starts 200 ms later. Guards against a run that goes on while
   // the caller, who comes back 1300 ms after the entry's death, has a second one
--- a/packages/direct/test/simulated_fleet.h
+++ b/packages/direct/test/simulated_fleet.h
@@ -201,10 +201,11 @@
     }
     void OnIsolationChanged(const std::string& /*route*/,
                             const std::set<std::string>& /*agents*/) override {}
-    void SendClaim(const std::string& agent, const RunId& id) override {
-      fleet.ToAgent(*this, agent, [id](RunExecutor& it, const std::string& from, auto /*now*/) {
-        it.OnClaim(from, id);
-      });
+    void SendClaim(const std::string& agent, const RunId& id, const Resources& need) override {
+      fleet.ToAgent(*this, agent,
+                    [id, need](RunExecutor& it, const std::string& from, auto /*now*/) {
+                      it.OnClaim(from, id, need);
+                    });
     }
 
     SimulatedFleet& fleet;
--- a/packages/direct/test/sustained_overload_test.cc
+++ b/packages/direct/test/sustained_overload_test.cc
@@ -171,7 +171,8 @@
   void OnCrashingRoute(const std::string& /*route*/, core::Duration /*ran_for*/) override {}
   void OnIsolationChanged(const std::string& /*route*/,
                           const std::set<std::string>& /*agents*/) override {}
-  void SendClaim(const std::string& /*agent*/, const RunId& /*id*/) override {}
+  void SendClaim(const std::string& /*agent*/, const RunId& /*id*/,
+                 const Resources& /*need*/) override {}
 
   // Runs that have started are left to end: their work is spent.
   void Withdraw(const std::string& agent, const RunId& id) {
