--- a/packages/direct/include/coltsfoottide/direct/crash_suspicion.h
+++ b/packages/direct/include/coltsfoottide/direct/crash_suspicion.h
@@ -2,7 +2,6 @@
 
 #include <map>
 #include <string>
-#include <vector>
 
 #include "coltsfoottide/core/time.h"
 
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -114,8 +114,11 @@
   void UnlockSteps(Job& job);
   // Agents that the job's route may not use.
   WorkerFleet::Exclusion UnusableFor(const Job& job) const;
+  // Chooses the backend servers of isolated routes anew.
   void AssignIsolated(core::TimePoint now);
+  // Gives up the tasks that the crash shows to be its cause, or makes suspects.
   void RecordCrash(const std::string& agent, const WorkerCrash& crash, core::TimePoint now);
+  void FinishByVerdict(Job& job, const CrashVerdict& verdict, core::TimePoint now);
   // Isolates the routes under suspicion whose service has lost too much to crashes.
   void IsolateHarmfulRoutes(core::TimePoint now);
   // Ends the jobs whose tasks are presumed to have caused the crash.
--- /dev/null
+++ b/packages/direct/src/job_dispatcher_crashes.cc
@@ -0,0 +1,113 @@
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coltsfoottide/direct/entry_sink.h"
+#include "coltsfoottide/direct/job_dispatcher.h"
+#include "job.h"
+
+// What an entry does about crashes of backend servers: tasks that cause them are given
+// up, and their routes confined to a part of the fleet.
+namespace coltsfoottide::direct {
+
+namespace {
+
+// A route stays isolated for this long after the last crash.
+constexpr core::Duration kIsolationTime = std::chrono::seconds(10);
+// A route is isolated if this percentage of the backend servers of its service is down
+// after crashes when one of its tasks is found to crash them. With less, confinement
+// costs its callers more than the crashes cost others.
+constexpr std::size_t kHarmfulDownPercent = 25;
+constexpr std::size_t kWhole = 100;
+// A backend server that has crashed keeps its place in the fleet for this long.
+constexpr core::Duration kReturnTime = std::chrono::seconds(10);
+// Interval at which the backend servers of isolated routes are chosen anew.
+constexpr core::Duration kAssignInterval = std::chrono::milliseconds(100);
+
+}  // namespace
+
+void JobDispatcher::OnWorkerCrash(const std::string& agent, const WorkerCrash& crash,
+                                  core::TimePoint now) {
+  fleet_.Get(agent).OnCrash();
+  isolation_.Extend(agent, crash.time + kIsolationTime);
+  RecordCrash(agent, crash, now);
+  IsolateHarmfulRoutes(now);
+}
+
+void JobDispatcher::RecordCrash(const std::string& agent, const WorkerCrash& crash,
+                                core::TimePoint now) {
+  const std::vector<CrashVerdict> verdicts = crash_history_.OnCrash(agent, crash);
+  for (const CrashVerdict& verdict : verdicts) {
+    sink_.OnCrashVerdict(verdict, crash_history_.CountCrashes(verdict.task));
+    const auto it = jobs_.find(verdict.task.job);
+    if (it == jobs_.end()) continue;
+    if (verdict.proven) {
+      const std::string& route = it->second->request.route;
+      suspicion_.OnCause(route, verdict.ran_for, crash.time);
+      sink_.OnCrashingRoute(route, verdict.ran_for);
+    }
+    if (!it->second->finished) FinishByVerdict(*it->second, verdict, now);
+    RemoveIfEnded(verdict.task.job, now);
+  }
+  if (verdicts.empty()) GiveUpSuspects(crash, now);
+}
+
+void JobDispatcher::GiveUpSuspects(const WorkerCrash& crash, core::TimePoint now) {
+  for (const RunAtCrash& run : crash.runs) {
+    const auto it = jobs_.find(run.id.task.job);
+    if (it == jobs_.end() || it->second->finished || !run.confirmed) continue;
+    const std::string& route = it->second->request.route;
+    if (!suspicion_.IsSuspect(route, run.ran_for, now)) continue;
+    suspicion_.Extend(route, crash.time);
+    Finish(*it->second, {JobOutcome::Kind::kMayHaveRun, "may crash backend servers", {}, {}}, now);
+    RemoveIfEnded(run.id.task.job, now);
+  }
+}
+
+void JobDispatcher::OnCrashingRoute(const std::string& route, core::Duration ran_for,
+                                    core::TimePoint time, core::TimePoint now) {
+  suspicion_.OnCause(route, ran_for, time);
+  IsolateHarmfulRoutes(now);
+}
+
+void JobDispatcher::IsolateHarmfulRoutes(core::TimePoint now) {
+  const auto routes = suspicion_.Routes(now);
+  if (routes.empty()) return;
+  const std::set<std::string> crashed = crash_history_.CrashedSince(now - kReturnTime);
+  auto expected = fleet_.AgentsByService(crashed);
+  auto present = fleet_.AgentsByService({});
+  for (const auto& [route, suspicion] : routes) {
+    const std::string service = isolation_.ServiceOf(route);
+    const std::size_t all = expected[service].size();
+    const std::size_t down = all - present[service].size();
+    if (down == 0 || down * kWhole < all * kHarmfulDownPercent) continue;
+    isolation_.Isolate(route, now + kIsolationTime);
+  }
+  AssignIsolated(now);
+}
+
+void JobDispatcher::AssignIsolated(core::TimePoint now) {
+  assign_due_ = now + kAssignInterval;
+  const std::set<std::string> crashed = crash_history_.CrashedSince(now - kReturnTime);
+  isolation_.Assign(fleet_.AgentsByService(crashed), crashed, now);
+  auto isolated = isolation_.isolated();
+  for (const auto& [route, agents] : reported_isolation_) {
+    if (!isolated.contains(route)) sink_.OnIsolationChanged(route, {});
+  }
+  for (const auto& [route, agents] : isolated) {
+    const auto reported = reported_isolation_.find(route);
+    const bool same = reported != reported_isolation_.end() && reported->second == agents;
+    if (!same) sink_.OnIsolationChanged(route, agents);
+  }
+  reported_isolation_ = std::move(isolated);
+}
+
+void JobDispatcher::FinishByVerdict(Job& job, const CrashVerdict& verdict, core::TimePoint now) {
+  const auto kind = verdict.proven ? JobOutcome::Kind::kFailed : JobOutcome::Kind::kMayHaveRun;
+  Finish(job, {kind, "crashes backend servers", {}, {}}, now);
+}
+
+}  // namespace coltsfoottide::direct
