--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -13,6 +13,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 MAX_LEASE_S = 1.0
+CRASH_DELAY_S = 0.01
 
 
 class Server(ThreadingHTTPServer):
@@ -106,7 +107,8 @@
 
 
 class BackendServer:
-    """A backend server. The spec of a task is "MILLISECONDS MILLICORES"."""
+    """A backend server. The spec of a task is "MILLISECONDS MILLICORES [INDEX]"; a task with
+    this index crashes the backend server 10 ms after its start."""
 
     def __init__(self, name, address, port, report_to, seed, history):
         self.name, self.address, self.port = name, address, port
@@ -151,6 +153,12 @@
             self.running, self.ended, self.highest_run = {}, [], {}
             self.fence, self.next_end_cursor, self.lease_end, self.sequence = 0, 1, 0.0, 0
 
+    def _crash_by(self, task, incarnation):
+        if incarnation != self.incarnation or task not in self.running:
+            return
+        self.history.crash(task)
+        self.restart()
+
     def clock_ms(self):
         return int(time.monotonic() * 1000)
 
@@ -183,13 +191,15 @@
             if body["DeadlineMs"] / 1000 < time.monotonic():
                 return 409, {**reply, "Reason": "late"}
             self.extend_lease(body)
-            ms, cpu = (int(it) for it in body["Spec"].split())
+            ms, cpu, *deadly = (int(it) for it in body["Spec"].split())
             if sum(it["cpu"] for it in self.running.values()) + cpu > self.cpu:
                 return 409, {**reply, "Reason": "room"}
             self.running[task] = {"task": task, "run": run, "cpu": cpu, "ms": ms,
                                   "begun": time.monotonic(), "life": self.incarnation}
             self.highest_run[task] = run
             self.history.start(self.name, task, run)
+            if deadly and int(task.split(".")[3]) == deadly[0]:
+                threading.Timer(CRASH_DELAY_S, self._crash_by, [task, self.incarnation]).start()
             threading.Timer(ms / 1000, self._finish, [task, run, "done", self.incarnation]).start()
             return 200, reply
 
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -27,6 +27,9 @@
 # From SETTLE_S after the last fault, at least MIN_SERVED_SHARE of the calls must
 # be answered with status 200.
 SETTLE_S, MIN_SERVED_SHARE = 4.0, 0.9
+# Share of the jobs with a task that crashes its backend server. Such a task may be
+# started this many times after three backend servers have crashed under it.
+DEADLY_SHARE, MAX_LATE_STARTS = 0.03, 2
 
 
 class History:
@@ -37,6 +40,7 @@
         self.lock = threading.Lock()
         self.active_runs, self.completed_tasks, self.started = {}, {}, set()
         self.errors, self.starts, self.answers = [], 0, []
+        self.crashes, self.late_starts = {}, {}
 
     def start(self, backend, task, run):
         with self.lock:
@@ -46,6 +50,14 @@
                 self.errors.append(
                     f"{task}: run {run} at {backend} overlaps {self.active_runs[task]}")
             self.active_runs.setdefault(task, []).append((backend, run))
+            if self.crashes.get(task, 0) >= 3:
+                self.late_starts[task] = self.late_starts.get(task, 0) + 1
+                if self.late_starts[task] == MAX_LATE_STARTS + 1:
+                    self.errors.append(f"{task}: started again and again after three crashes")
+
+    def crash(self, task):
+        with self.lock:
+            self.crashes[task] = self.crashes.get(task, 0) + 1
 
     def end(self, backend, task, run, how):
         with self.lock:
@@ -54,9 +66,12 @@
             if how == "done":
                 self.completed_tasks.setdefault(task.split(".")[0], set()).add(task)
 
-    def answer(self, job, tasks, status, body, refused_only):
+    def answer(self, job, tasks, status, body, refused_only, deadly):
         with self.lock:
-            self.answers.append((time.monotonic(), status))
+            if not deadly:
+                self.answers.append((time.monotonic(), status))
+            elif status == 200 and b"completed" in body:
+                self.errors.append(f"{job}: completed with a task that crashes its server")
             if status == 200 and b"completed" in body and len(
                     self.completed_tasks.get(job, ())) < tasks:
                 self.errors.append(
@@ -117,9 +132,10 @@
         config = {"Version": version, "Routes": [route], "Services": [], "Limits": {}}
         self.store.append("keyed.op", "config", json.dumps(config).encode())
 
-    def call_once(self, host, job, tasks, ms):
+    def call_once(self, host, job, tasks, ms, deadly):
         steps = [{"Count": tasks, "Cpu": 6000, "MemMb": 64, "EstimateMs": ms}]
-        body = json.dumps({"Spec": f"{ms} 6000", "BestEffort": True, "Steps": steps})
+        spec = f"{ms} 6000" + (f" {tasks - 1}" if deadly else "")
+        body = json.dumps({"Spec": spec, "BestEffort": True, "Steps": steps})
         link = http.client.HTTPConnection(host, CALL_PORT, timeout=CALL_TIMEOUT_S)
         try:
             link.request("POST", f"/j/{job}", body, {
@@ -138,9 +154,11 @@
             count += 1
             job = f"{number:04x}{count:012x}"
             tasks, ms = rng.choice([(2, 60), (3, 120), (1, 400), (1, 1800)])
+            deadly = rng.random() < DEADLY_SHARE
             statuses = []
             for _ in range(4):
-                status, body = self.call_once(rng.choice(self.entry_hosts), job, tasks, ms)
+                status, body = self.call_once(
+                    rng.choice(self.entry_hosts), job, tasks, ms, deadly)
                 statuses.append(status)
                 if status not in (0, 502, 504) or not self.running:
                     break
@@ -149,7 +167,7 @@
             if refused_only:
                 # Waits until a start that is delivered late would be recorded.
                 time.sleep(2.2)
-            self.history.answer(job, tasks, statuses[-1], body, refused_only)
+            self.history.answer(job, tasks, statuses[-1], body, refused_only, deadly)
             time.sleep(rng.uniform(0.0, 0.15))
 
     def inject_fault(self, rng, series):
@@ -279,7 +297,7 @@
     history = soak.history
     served = sum(1 for _, status in history.answers if status == 200)
     print(f"soak: seed={options.seed} jobs={len(history.answers)} served={served} "
-          f"starts={history.starts} faults={json.dumps(counts, sort_keys=True)} "
+          f"starts={history.starts} crashes={sum(history.crashes.values())} faults={json.dumps(counts, sort_keys=True)} "
           f"errors={len(history.errors)}")
     for it in history.errors[:10]:
         print(f"  {it}")
