Never give up a task after one crash

What callers saw: on a route where a task had been found to crash backend servers, jobs without fault that shared a crashed backend server were answered as ones that may have run, after one crash.

Cause: a task of such a route was presumed guilty at its first crash if it had run for a similar time, to spare a second backend server.

Change: CrashSuspicion becomes CrashingRoutes, the routes with recent findings; it decides only which routes may be isolated. Times of runs leave the messages.

--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -320,9 +320,9 @@
                                                 {"proven", verdict.proven ? "yes" : "no"}});
 }
 
-void DirectEntryRuntime::OnCrashingRoute(const std::string& route, core::Duration ran_for) {
+void DirectEntryRuntime::OnCrashingRoute(const std::string& route) {
   direct_wire::CrashingRoute message;
-  WriteCrashingRoute(route, ran_for, core::Duration::zero(), message);
+  WriteCrashingRoute(route, core::Duration::zero(), message);
   links_.BroadcastCrashingRoute(message);
 }
 
@@ -364,15 +364,14 @@
 }
 
 void DirectEntryRuntime::OnPeerConnected(direct_wire::Frame& frame, core::TimePoint now) {
-  for (const auto& [name, route] : dispatcher_.CrashingRoutes(now)) {
-    WriteCrashingRoute(name, route.ran_for, now - route.time, *frame.add_crashing_routes());
+  for (const auto& [route, found] : dispatcher_.RecentCrashingRoutes(now)) {
+    WriteCrashingRoute(route, now - found, *frame.add_crashing_routes());
   }
 }
 
 void DirectEntryRuntime::OnPeerCrashingRoute(const direct_wire::CrashingRoute& message,
                                              core::TimePoint now) {
-  const direct::CrashSuspicion::Route route = ReadCrashingRoute(message, now);
-  dispatcher_.OnCrashingRoute(message.route(), route.ran_for, route.time, now);
+  dispatcher_.OnCrashingRoute(message.route(), ReadFindingTime(message, now), now);
 }
 
 void DirectEntryRuntime::OnPeerConfiguration(const std::string& entry,
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -56,7 +56,7 @@
   void SendWithdraw(const std::string& agent, const direct::RunId& id) override;
   void SendExpedite(const std::string& agent, const direct::RunId& id) override;
   void OnCrashVerdict(const direct::CrashVerdict& verdict, std::size_t crashes) override;
-  void OnCrashingRoute(const std::string& route, core::Duration ran_for) override;
+  void OnCrashingRoute(const std::string& route) override;
   void OnIsolationChanged(const std::string& route, const std::set<std::string>& agents) override;
   void SendClaim(const std::string& agent, const direct::RunId& id,
                  const direct::Resources& need) override;
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -123,16 +123,14 @@
   return crash;
 }
 
-void WriteCrashingRoute(const std::string& name, core::Duration ran_for, core::Duration age,
+void WriteCrashingRoute(const std::string& route, core::Duration age,
                         direct_wire::CrashingRoute& message) {
-  message.set_route(name);
-  message.set_ran_for_us(WriteDuration(ran_for));
+  message.set_route(route);
   message.set_age_us(WriteDuration(age));
 }
 
-direct::CrashSuspicion::Route ReadCrashingRoute(const direct_wire::CrashingRoute& message,
-                                                core::TimePoint now) {
-  return {ReadDuration(message.ran_for_us()), now - ReadDuration(message.age_us())};
+core::TimePoint ReadFindingTime(const direct_wire::CrashingRoute& message, core::TimePoint now) {
+  return now - ReadDuration(message.age_us());
 }
 
 void WriteDescription(const direct::WorkerDescription& description,
--- a/packages/daemon/src/direct_messages.h
+++ b/packages/daemon/src/direct_messages.h
@@ -4,7 +4,6 @@
 #include <string>
 
 #include "coltsfoottide/core/time.h"
-#include "coltsfoottide/direct/crash_suspicion.h"
 #include "coltsfoottide/direct/run_order.h"
 #include "coltsfoottide/direct/run_report.h"
 #include "coltsfoottide/direct/worker_crash.h"
@@ -34,11 +33,10 @@
                 direct_wire::WorkerCrash& message);
 direct::WorkerCrash ReadCrash(const direct_wire::WorkerCrash& message, core::TimePoint now);
 
-void WriteCrashingRoute(const std::string& name, core::Duration ran_for, core::Duration age,
+void WriteCrashingRoute(const std::string& route, core::Duration age,
                         direct_wire::CrashingRoute& message);
-// The route's time is that of its last finding.
-direct::CrashSuspicion::Route ReadCrashingRoute(const direct_wire::CrashingRoute& message,
-                                                core::TimePoint now);
+// Returns when the last task of the route was found.
+core::TimePoint ReadFindingTime(const direct_wire::CrashingRoute& message, core::TimePoint now);
 
 void WriteDescription(const direct::WorkerDescription& description,
                       direct_wire::WorkerDescription& message);
--- a/packages/direct/include/coltsfoottide/direct/entry_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/entry_sink.h
@@ -4,7 +4,6 @@
 #include <string>
 #include <vector>
 
-#include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/crash_verdict.h"
 #include "coltsfoottide/direct/job_outcome.h"
 #include "coltsfoottide/direct/placed_task.h"
@@ -33,9 +32,9 @@
   virtual void SendExpedite(const std::string& agent, const RunId& id) = 0;
   // The task is not started again after this many crashes, for logs.
   virtual void OnCrashVerdict(const CrashVerdict& verdict, std::size_t crashes) = 0;
-  // A task of the route that had run for this time has crashed backend servers. Other
-  // entries must be told.
-  virtual void OnCrashingRoute(const std::string& route, core::Duration ran_for) = 0;
+  // A task of the route was found to crash backend servers. Must be sent to all other
+  // entries.
+  virtual void OnCrashingRoute(const std::string& route) = 0;
   // The route is confined to these agents, or to none any more if it is empty, for logs.
   virtual void OnIsolationChanged(const std::string& route,
                                   const std::set<std::string>& agents) = 0;
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -12,7 +12,7 @@
 #include "coltsfoottide/direct/admission_control.h"
 #include "coltsfoottide/direct/agent_hello.h"
 #include "coltsfoottide/direct/crash_history.h"
-#include "coltsfoottide/direct/crash_suspicion.h"
+#include "coltsfoottide/direct/crashing_routes.h"
 #include "coltsfoottide/direct/job_outcome.h"
 #include "coltsfoottide/direct/job_request.h"
 #include "coltsfoottide/direct/retry_schedule.h"
@@ -68,11 +68,10 @@
   void OnWorkerCrash(const std::string& agent, const WorkerCrash& crash, core::TimePoint now);
 
   // Another entry has found, at `time`, that a task of the route crashes backend servers.
-  void OnCrashingRoute(const std::string& route, core::Duration ran_for, core::TimePoint time,
-                       core::TimePoint now);
-  // Routes whose tasks have crashed backend servers lately, for entries that connect.
-  std::map<std::string, CrashSuspicion::Route> CrashingRoutes(core::TimePoint now) const {
-    return suspicion_.Routes(now);
+  void OnCrashingRoute(const std::string& route, core::TimePoint time, core::TimePoint now);
+  // The routes with recent findings and their times, for entries that connect.
+  std::map<std::string, core::TimePoint> RecentCrashingRoutes(core::TimePoint now) const {
+    return crashing_routes_.Recent(now);
   }
 
   // A connection to the agent has opened. Runs that the agent does not list and
@@ -116,13 +115,11 @@
   WorkerFleet::Exclusion UnusableFor(const Job& job) const;
   // Chooses the backend servers of isolated routes anew.
   void AssignIsolated(core::TimePoint now);
-  // Gives up the tasks that the crash shows to be its cause, or makes suspects.
+  // Gives up the tasks that the crash shows to be its cause.
   void RecordCrash(const std::string& agent, const WorkerCrash& crash, core::TimePoint now);
   void FinishByVerdict(Job& job, const CrashVerdict& verdict, core::TimePoint now);
-  // Isolates the routes under suspicion whose service has lost too much to crashes.
+  // Isolates the routes with recent findings whose service has lost too much to crashes.
   void IsolateHarmfulRoutes(core::TimePoint now);
-  // Ends the jobs whose tasks are presumed to have caused the crash.
-  void GiveUpSuspects(const WorkerCrash& crash, core::TimePoint now);
   // Runs that are queued or running at the agent as far as this entry knows.
   std::vector<RunId> RunsAt(const std::string& agent) const;
   Task* FindRun(const std::string& agent, const RunId& id, Job** job);
@@ -153,7 +150,7 @@
   WorkerFleet fleet_;
   AdmissionControl admission_;
   CrashHistory crash_history_;
-  CrashSuspicion suspicion_;
+  CrashingRoutes crashing_routes_;
   RouteIsolation isolation_;
   // As last reported to the sink.
   std::map<std::string, std::set<std::string>> reported_isolation_;
--- a/packages/direct/src/job_dispatcher_crashes.cc
+++ b/packages/direct/src/job_dispatcher_crashes.cc
@@ -39,47 +39,33 @@
 
 void JobDispatcher::RecordCrash(const std::string& agent, const WorkerCrash& crash,
                                 core::TimePoint now) {
-  const std::vector<CrashVerdict> verdicts = crash_history_.OnCrash(agent, crash);
-  for (const CrashVerdict& verdict : verdicts) {
+  for (const CrashVerdict& verdict : crash_history_.OnCrash(agent, crash)) {
     sink_.OnCrashVerdict(verdict, crash_history_.CountCrashes(verdict.task));
     const auto it = jobs_.find(verdict.task.job);
     if (it == jobs_.end()) continue;
     if (verdict.proven) {
       const std::string& route = it->second->request.route;
-      suspicion_.OnCause(route, verdict.ran_for, crash.time);
-      sink_.OnCrashingRoute(route, verdict.ran_for);
+      crashing_routes_.OnFound(route, crash.time);
+      sink_.OnCrashingRoute(route);
     }
     if (!it->second->finished) FinishByVerdict(*it->second, verdict, now);
     RemoveIfEnded(verdict.task.job, now);
   }
-  if (verdicts.empty()) GiveUpSuspects(crash, now);
 }
 
-void JobDispatcher::GiveUpSuspects(const WorkerCrash& crash, core::TimePoint now) {
-  for (const RunAtCrash& run : crash.runs) {
-    const auto it = jobs_.find(run.id.task.job);
-    if (it == jobs_.end() || it->second->finished || !run.confirmed) continue;
-    const std::string& route = it->second->request.route;
-    if (!suspicion_.IsSuspect(route, run.ran_for, now)) continue;
-    suspicion_.Extend(route, crash.time);
-    Finish(*it->second, {JobOutcome::Kind::kMayHaveRun, "may crash backend servers", {}, {}}, now);
-    RemoveIfEnded(run.id.task.job, now);
-  }
-}
-
-void JobDispatcher::OnCrashingRoute(const std::string& route, core::Duration ran_for,
-                                    core::TimePoint time, core::TimePoint now) {
-  suspicion_.OnCause(route, ran_for, time);
+void JobDispatcher::OnCrashingRoute(const std::string& route, core::TimePoint time,
+                                    core::TimePoint now) {
+  crashing_routes_.OnFound(route, time);
   IsolateHarmfulRoutes(now);
 }
 
 void JobDispatcher::IsolateHarmfulRoutes(core::TimePoint now) {
-  const auto routes = suspicion_.Routes(now);
+  const auto routes = crashing_routes_.Recent(now);
   if (routes.empty()) return;
   const std::set<std::string> crashed = crash_history_.CrashedSince(now - kReturnTime);
   auto expected = fleet_.AgentsByService(crashed);
   auto present = fleet_.AgentsByService({});
-  for (const auto& [route, suspicion] : routes) {
+  for (const auto& [route, found] : routes) {
     const std::string service = isolation_.ServiceOf(route);
     const std::size_t all = expected[service].size();
     const std::size_t down = all - present[service].size();
