Isolate no step from the backend servers that it needs

A deployment whose steps need a label, a large backend server or a spread over many would have had every job of an isolated route refused while isolation lasted, and jobs of another route left without the only backend server that they can use.

Cause: the share of a route is chosen by rank and not by what its steps need.

Change: isolation limits a step only if enough of the backend servers in its part, up or expected back, meet its requirements.

Before and after: IsolatedStepKeepsTheBackendServersThatItNeeds, IsolationLeavesOtherStepsWhatTheyNeed and SpreadStepIsNotConfinedToTooFewBackendServers failed and pass.

--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -111,8 +111,13 @@
   bool Place(Job& job, std::uint32_t step, std::uint32_t index, std::vector<PlacedTask>& placed,
              core::TimePoint now);
   void UnlockSteps(Job& job);
-  // Agents that the job's route may not use.
-  WorkerFleet::Exclusion UnusableFor(const Job& job) const;
+  // Agents that isolation keeps from the job's route.
+  WorkerFleet::Exclusion OutsideIsolation(const Job& job) const;
+  // Whether isolation limits the step to a part of the fleet. It does not if too few of the
+  // backend servers in that part meet the step's requirements.
+  bool IsLimited(const Job& job, const StepRequest& step) const;
+  // Agents that the step may not use.
+  WorkerFleet::Exclusion UnusableFor(const Job& job, const StepRequest& step) const;
   // Chooses the backend servers of isolated routes anew.
   void AssignIsolated(core::TimePoint now);
   // Gives up the tasks that the crash shows to be its cause.
@@ -152,6 +157,8 @@
   CrashHistory crash_history_;
   CrashingRoutes crashing_routes_;
   RouteIsolation isolation_;
+  // Agents by service among which isolated routes have their share.
+  std::map<std::string, std::vector<std::string>> expected_agents_;
   // As last reported to the sink.
   std::map<std::string, std::set<std::string>> reported_isolation_;
   core::TimePoint assign_due_;
--- a/packages/direct/include/coltsfoottide/direct/worker_fleet.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_fleet.h
@@ -47,6 +47,11 @@
   // can be in time.
   core::Duration Backlog(const std::string& service, const Exclusion& unusable) const;
 
+  // Number of these agents whose backend server meets the requirements of the step, without
+  // unusable ones.
+  std::size_t CountSuitable(const std::vector<std::string>& agents, const StepRequest& step,
+                            const Exclusion& unusable) const;
+
   // Connected agents by the service of their backend servers: those that take work, and
   // those that do not and are in `expected_back`. Evacuated data centres are left out.
   std::map<std::string, std::vector<std::string>> AgentsByService(
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -84,12 +84,6 @@
   RemoveIfEnded(id, now);
 }
 
-WorkerFleet::Exclusion JobDispatcher::UnusableFor(const Job& job) const {
-  return [this, &job](const std::string& agent) {
-    return !isolation_.MayUse(job.request.route, agent);
-  };
-}
-
 // Refuses a job at once if the backlog makes its answer useless, or if the queues
 // are so long that they make other jobs late.
 bool JobDispatcher::Admit(Job& job, core::TimePoint now) {
@@ -97,7 +91,7 @@
   isolation_.OnSubmit(job.request.service, job.request.route, TotalWork(job), now);
   const core::Duration critical_path = CriticalPathTime(job.request.steps);
   admission_.OnSubmit(job.request.objective - now - critical_path, now);
-  const auto unusable = UnusableFor(job);
+  const auto unusable = UnusableFor(job, first);
   const auto choice = fleet_.Choose(job.request.service, first, {}, unusable);
   // Without a backend server the job waits for one to return; PlaceReady refuses it if its
   // route is isolated.
@@ -118,7 +112,8 @@
 
 // If there is a queue, the tasks of a wide job also wait for each other.
 core::Duration JobDispatcher::OwnQueueingDelay(const Job& job, core::Duration start_delay) const {
-  const std::uint64_t capacity = fleet_.Capacity(job.request.service, UnusableFor(job));
+  const auto unusable = UnusableFor(job, job.request.steps.front());
+  const std::uint64_t capacity = fleet_.Capacity(job.request.service, unusable);
   if (start_delay == core::Duration::zero() || capacity == 0) return core::Duration::zero();
   return std::chrono::milliseconds(StepWork(job.request.steps.front()) / capacity);
 }
@@ -155,8 +150,9 @@
                           std::vector<PlacedTask>& placed, core::TimePoint now) {
   const StepRequest& request = job.request.steps[step];
   Task& task = job.steps[step][index];
-  const auto unusable = [this, &job, step, &request](const std::string& agent) {
-    if (!isolation_.MayUse(job.request.route, agent)) return true;
+  const auto isolated = UnusableFor(job, request);
+  const auto unusable = [&isolated, &job, step, &request](const std::string& agent) {
+    if (isolated(agent)) return true;
     if (request.max_per_worker == 0) return false;
     const auto here =
         std::count_if(job.steps[step].begin(), job.steps[step].end(),
@@ -171,7 +167,8 @@
   }
   if (!choice) {
     // The backend servers of an isolated route are back only after seconds.
-    if (isolation_.IsIsolated(job.request.route)) GiveUp(job, "isolated", now);
+    const bool confined = isolation_.IsIsolated(job.request.route) && IsLimited(job, request);
+    if (confined) GiveUp(job, "isolated", now);
     return false;
   }
   task.agent = choice->agent;
@@ -331,7 +328,8 @@
   if (remaining <= core::Duration::zero() || task.state != Task::State::kStarted) return;
   if (task.moves >= kMaxMovesOfStartedTask) return;
   const StepRequest& request = job.request.steps[step];
-  const auto choice = fleet_.Choose(job.request.service, request, {task.agent}, UnusableFor(job));
+  const auto choice =
+      fleet_.Choose(job.request.service, request, {task.agent}, UnusableFor(job, request));
   if (!choice || choice->agent == task.agent) return;
   const core::Duration time_elsewhere = kMoveTime + choice->start_delay + choice->run_time;
   if (remaining * 100 < time_elsewhere * kMinRemainingPercent) return;
@@ -457,7 +455,7 @@
       if (withdrawals_left_ == 0 || task.moves >= kMaxMovesOfQueuedTask) continue;
       const StepRequest& request = job.request.steps[step];
       const auto choice =
-          fleet_.Choose(job.request.service, request, {task.agent}, UnusableFor(job));
+          fleet_.Choose(job.request.service, request, {task.agent}, UnusableFor(job, request));
       if (!choice || choice->agent == task.agent) continue;
       if (choice->start_delay > core::Duration::zero()) continue;
       --withdrawals_left_;
@@ -523,7 +521,7 @@
 void JobDispatcher::Refuse(Job& job, const std::string& reason, core::TimePoint now) {
   const std::string& service = job.request.service;
   const std::string& route = job.request.route;
-  const auto unusable = UnusableFor(job);
+  const auto unusable = UnusableFor(job, job.request.steps.front());
   RetrySchedule& schedule = retry_schedules_[isolation_.IsIsolated(route) ? route : ""];
   const core::Duration retry_after = schedule.ScheduleRetry(
       TotalWork(job), fleet_.Capacity(service, unusable), fleet_.Backlog(service, unusable), now);
--- a/packages/direct/src/job_dispatcher_crashes.cc
+++ b/packages/direct/src/job_dispatcher_crashes.cc
@@ -27,6 +27,12 @@
 // Interval at which the backend servers of isolated routes are chosen anew.
 constexpr core::Duration kAssignInterval = std::chrono::milliseconds(100);
 
+// Number of backend servers without which the step can never run as a whole.
+std::size_t ServersNeeded(const StepRequest& step) {
+  const std::size_t limit = step.max_per_worker;
+  return limit == 0 ? 1 : (step.count + limit - 1) / limit;
+}
+
 }  // namespace
 
 void JobDispatcher::OnWorkerCrash(const std::string& agent, const WorkerCrash& crash,
@@ -75,10 +81,29 @@
   AssignIsolated(now);
 }
 
+WorkerFleet::Exclusion JobDispatcher::OutsideIsolation(const Job& job) const {
+  return [this, &job](const std::string& agent) {
+    return !isolation_.MayUse(job.request.route, agent);
+  };
+}
+
+bool JobDispatcher::IsLimited(const Job& job, const StepRequest& step) const {
+  const auto agents = expected_agents_.find(job.request.service);
+  if (reported_isolation_.empty() || agents == expected_agents_.end()) return false;
+  const std::size_t needed = ServersNeeded(step);
+  return fleet_.CountSuitable(agents->second, step, OutsideIsolation(job)) >= needed;
+}
+
+WorkerFleet::Exclusion JobDispatcher::UnusableFor(const Job& job, const StepRequest& step) const {
+  if (IsLimited(job, step)) return OutsideIsolation(job);
+  return [](const std::string&) { return false; };
+}
+
 void JobDispatcher::AssignIsolated(core::TimePoint now) {
   assign_due_ = now + kAssignInterval;
   const std::set<std::string> crashed = crash_history_.CrashedSince(now - kReturnTime);
-  isolation_.Assign(fleet_.AgentsByService(crashed), crashed, now);
+  expected_agents_ = fleet_.AgentsByService(crashed);
+  isolation_.Assign(expected_agents_, crashed, now);
   auto isolated = isolation_.isolated();
   for (const auto& [route, agents] : reported_isolation_) {
     if (!isolated.contains(route)) sink_.OnIsolationChanged(route, {});
--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -86,6 +86,14 @@
   return millicores == 0 ? core::Duration::zero() : std::chrono::milliseconds(work / millicores);
 }
 
+std::size_t WorkerFleet::CountSuitable(const std::vector<std::string>& agents,
+                                       const StepRequest& step, const Exclusion& unusable) const {
+  return static_cast<std::size_t>(
+      std::count_if(agents.begin(), agents.end(), [&](const std::string& it) {
+        return workers_.at(it).MeetsRequirements(step) && !unusable(it);
+      }));
+}
+
 std::map<std::string, std::vector<std::string>> WorkerFleet::AgentsByService(
     const std::set<std::string>& expected_back) const {
   std::map<std::string, std::vector<std::string>> agents;
--- a/packages/direct/test/dispatcher_crash_test.cc
+++ b/packages/direct/test/dispatcher_crash_test.cc
@@ -17,6 +17,9 @@
   CPPUNIT_TEST(JobThatComesBackFailsWithoutAStart);
   CPPUNIT_TEST(HelloTellsANewEntryOfEarlierCrashes);
   CPPUNIT_TEST(OneCrashEndsNoJob);
+  CPPUNIT_TEST(IsolatedStepKeepsTheBackendServersThatItNeeds);
+  CPPUNIT_TEST(IsolationLeavesOtherStepsWhatTheyNeed);
+  CPPUNIT_TEST(SpreadStepIsNotConfinedToTooFewBackendServers);
   CPPUNIT_TEST(RouteIsIsolatedWhenItTakesAQuarterOfTheFleet);
   CPPUNIT_TEST(IsolatedJobIsRefusedAtOnceWithoutABackendServer);
   CPPUNIT_TEST_SUITE_END();
@@ -103,6 +106,62 @@
     CPPUNIT_ASSERT(sink_.answers.back().second.kind == JobOutcome::Kind::kCompleted);
   }
 
+  // Isolates "lookups" with the two backend servers that have crashed; "checks" keeps the
+  // others.
+  std::set<std::string> Isolate() {
+    RouteIsIsolatedWhenItTakesAQuarterOfTheFleet();
+    return sink_.isolations.front().second;
+  }
+  JobRequest RouteJob(const std::string& id, const std::string& route) {
+    JobRequest job = SampleJob(id, 1);
+    job.route = route;
+    return job;
+  }
+  void SetLabel(const std::string& agent, const std::string& label) {
+    WorkerDescription description = SampleWorker();
+    description.labels = {label};
+    dispatcher_->OnWorkerDescription(agent, description);
+  }
+
+  // Guards against refusing every job of an isolated route whose tasks need a label that
+  // none of its backend servers has.
+  void IsolatedStepKeepsTheBackendServersThatItNeeds() {
+    const std::set<std::string> confined = Isolate();
+    for (const char* it : {"agent-1", "agent-2", "agent-3", "agent-4"}) {
+      if (!confined.contains(it)) SetLabel(it, "large");
+    }
+    JobRequest job = RouteJob("next", "lookups");
+    job.steps.front().required_label = "large";
+    const std::size_t orders = sink_.orders.size();
+    dispatcher_->Submit(std::move(job), kStart + Ms(30));
+    CPPUNIT_ASSERT_EQUAL(orders + 1, sink_.orders.size());
+  }
+
+  // Guards against leaving another route without the only backend server that it can
+  // use.
+  void IsolationLeavesOtherStepsWhatTheyNeed() {
+    const std::string confined = *Isolate().begin();
+    SetLabel(confined, "large");
+    dispatcher_->OnWorkerState(confined, IdleWorker(), 0, kStart + Ms(30));
+    JobRequest job = RouteJob("next", "checks");
+    job.steps.front().required_label = "large";
+    dispatcher_->Submit(std::move(job), kStart + Ms(30));
+    CPPUNIT_ASSERT_EQUAL(confined, sink_.orders.back().agent);
+  }
+
+  // A step of four tasks may have one on each backend server, and its route has two.
+  // Guards against jobs that can never be placed.
+  void SpreadStepIsNotConfinedToTooFewBackendServers() {
+    for (const std::string& it : Isolate()) {
+      dispatcher_->OnWorkerState(it, IdleWorker(), 0, kStart + Ms(30));
+    }
+    JobRequest job = SampleJob("next", 4);
+    job.steps.front().max_per_worker = 1;
+    const std::size_t orders = sink_.orders.size();
+    dispatcher_->Submit(std::move(job), kStart + Ms(30));
+    CPPUNIT_ASSERT_EQUAL(orders + 4, sink_.orders.size());
+  }
+
   // Guards against one route that crashes backend server after backend server of a
   // service that others need too.
   void RouteIsIsolatedWhenItTakesAQuarterOfTheFleet() {
