Refuse late starts of lost runs at the next incarnation

Cause: after a crash the agent reported the runs as lost and left nothing at the next incarnation that refuses them; only runs that were never listed were stopped there.

Change: a run whose start had no answer is stopped at the next incarnation, until that is answered or 15 s have passed. A backend server refuses a start of a run that it was told to stop, so the order of arrival does not matter.

Before and after: NextIncarnationRefusesLateStartsOfListedRuns and NextIncarnationRefusesLateStartsAfterACrash failed and pass.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -137,6 +137,14 @@
     core::TimePoint overdue;
   };
 
+  // A stop for a run that has been reported as lost while copies of its start may still be
+  // on their way.
+  struct LateStop {
+    core::TimePoint due;
+    // Time after which no copy of the start can arrive.
+    core::TimePoint until;
+  };
+
   struct DeferredOrder {
     std::string owner;
     RunOrder order;
@@ -153,11 +161,12 @@
   void RecordCrash(std::int64_t incarnation, core::TimePoint now);
   std::vector<RunAtCrash> PresentRuns(core::TimePoint now) const;
   // Ends runs that only the earlier incarnation of the backend server can have;
-  // stops those that the new one may have started.
+  // stops those that the new one may have started or may start late.
   void AbandonIncarnation(core::TimePoint now);
   void ReportFinal(const std::string& owner, const RunReport& report, core::TimePoint now);
   void ReportNotRun(const std::vector<RunQueue::Item>& items, core::TimePoint now);
   void SendDueRenewals(core::TimePoint now);
+  void SendLateStops(core::TimePoint now);
   void OnUnansweredStart(Run& run, core::TimePoint now);
   void CheckWorkerResponsive(core::TimePoint now);
   void OnWorkerIncarnation(std::int64_t incarnation, core::TimePoint now);
@@ -178,6 +187,7 @@
   std::map<RunId, Run> runs_;
   // Orders for tasks of which an earlier run is still being stopped.
   std::vector<DeferredOrder> deferred_;
+  std::map<RunId, LateStop> late_stops_;
   std::map<std::string, core::TimePoint> owner_lease_until_;
   std::deque<FinalReport> finals_;
   std::deque<WorkerCrash> crashes_;
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -45,6 +45,9 @@
 // Reports of ended runs are repeated to an entry that reconnects within this
 // time.
 constexpr core::Duration kFinalRetention = std::chrono::seconds(4);
+// How long after its sending a start without an answer may still be carried out, also by
+// the next incarnation of the backend server.
+constexpr core::Duration kLateStartTime = std::chrono::seconds(15);
 // Crashes are repeated to an entry that connects within this time. Longer than
 // any job, whose caller may come back with it through another entry.
 constexpr core::Duration kCrashRetention = std::chrono::seconds(30);
@@ -94,6 +97,7 @@
   worker_ready_ = true;
   worker_shut_down_ = false;
   if (report.draining) ReportNotRun(queue_.TakeAll(), now);
+  SendLateStops(now);
   StartQueued(now);
   SendDueRenewals(now);
   return true;
@@ -305,6 +309,10 @@
 }
 
 void RunExecutor::OnStopResult(const RunId& id, bool answered, core::TimePoint now) {
+  if (const auto late = late_stops_.find(id); late != late_stops_.end()) {
+    if (answered) late_stops_.erase(late);
+    return;
+  }
   const auto it = runs_.find(id);
   if (it == runs_.end() || it->second.state != RunState::kStopping) return;
   if (!answered) {
@@ -342,7 +350,11 @@
 
 void RunExecutor::MarkAllRunsLost(core::TimePoint now) {
   std::vector<RunId> ids;
-  for (const auto& [id, run] : runs_) ids.push_back(id);
+  for (const auto& [id, run] : runs_) {
+    ids.push_back(id);
+    const bool may_start_late = run.unanswered_starts > 0 || run.state == RunState::kStarting;
+    if (may_start_late) late_stops_[id] = {now, now + kLateStartTime};
+  }
   worker_ready_ = false;
   for (const RunId& id : ids) EndRun(id, RunReport::Kind::kLost, now);
   ReportNotRun(queue_.TakeAll(), now);
@@ -375,7 +387,7 @@
 void RunExecutor::AbandonIncarnation(core::TimePoint now) {
   std::vector<RunId> ended;
   for (auto& [id, run] : runs_) {
-    if (run.listed) {
+    if (run.listed && run.unanswered_starts == 0) {
       ended.push_back(id);
       continue;
     }
@@ -387,6 +399,17 @@
   ReportNotRun(queue_.TakeAll(), now);
 }
 
+// A backend server refuses a start of a run that it was told to stop before.
+void RunExecutor::SendLateStops(core::TimePoint now) {
+  std::erase_if(late_stops_, [now](const auto& it) { return now >= it.second.until; });
+  if (!worker_ready_) return;
+  for (auto& [id, stop] : late_stops_) {
+    if (now < stop.due) continue;
+    stop.due = now + kRetryDelay;
+    worker_.StopRun(id);
+  }
+}
+
 void RunExecutor::ReportNotRun(const std::vector<RunQueue::Item>& items, core::TimePoint now) {
   for (const RunQueue::Item& it : items) {
     ReportFinal(it.owner, RunReport{it.order.id, RunReport::Kind::kNotRun, {}}, now);
@@ -581,6 +604,7 @@
     MarkAllRunsLost(now);
   }
   CheckWorkerResponsive(now);
+  SendLateStops(now);
   for (auto& [id, run] : runs_) {
     const auto owner = owner_lease_until_.find(run.owner);
     const bool unclaimed = run.owner.empty() && now - begun_at_ > kClaimPeriod;
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -52,6 +52,8 @@
   CPPUNIT_TEST(CrashIsReportedWithTheRunsThatWereThere);
   CPPUNIT_TEST(StartThatMayHaveCrashedTheWorkerIsPartOfTheCrash);
   CPPUNIT_TEST(SilentCrashIsReportedWhenTheWorkerIsBack);
+  CPPUNIT_TEST(NextIncarnationRefusesLateStartsOfListedRuns);
+  CPPUNIT_TEST(NextIncarnationRefusesLateStartsAfterACrash);
   CPPUNIT_TEST(PlannedLeaveIsNoCrash);
   CPPUNIT_TEST(SilenceIsNoCrash);
   CPPUNIT_TEST_SUITE_END();
@@ -393,6 +395,42 @@
     CPPUNIT_ASSERT(reports_.crashes.front().runs.front().id == id);
   }
 
+  // The answer to a start is lost, the repeated start is carried out, and the backend server
+  // restarts. Guards against a second run of the task there when the first copy of the start
+  // arrives late (soak, seed 108).
+  void NextIncarnationRefusesLateStartsOfListedRuns() {
+    const RunId id = Order(0);
+    executor_->OnStartResult(id, StartResult::kUnknown, kStart + Ms(20));
+    executor_->OnStartResult(id, StartResult::kStarted, kStart + Ms(21));
+    AnswerRenewal({{id, 5}}, {}, kStart + Ms(30));
+    WorkerReport next = SampleReport(1);
+    next.incarnation = 2000;
+    executor_->OnWorkerReport(next, kStart + Ms(40));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port_.stops.size());
+    CPPUNIT_ASSERT(port_.stops.front() == id);
+  }
+
+  // The same, with a crash that was noticed by a refused connection.
+  void NextIncarnationRefusesLateStartsAfterACrash() {
+    const RunId id = Order(0);
+    executor_->OnStartResult(id, StartResult::kUnknown, kStart + Ms(20));
+    executor_->OnStartResult(id, StartResult::kStarted, kStart + Ms(21));
+    RefuseRenewal(kStart + Ms(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kLost));
+    WorkerReport next = SampleReport(1);
+    next.incarnation = 2000;
+    executor_->OnWorkerReport(next, kStart + Ms(3000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port_.stops.size());
+    CPPUNIT_ASSERT(port_.stops.front() == id);
+    // It is sent again until it is answered.
+    executor_->OnStopResult(id, false, kStart + Ms(3020));
+    executor_->Advance(kStart + Ms(3100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.stops.size());
+    executor_->OnStopResult(id, true, kStart + Ms(3110));
+    executor_->Advance(kStart + Ms(3200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.stops.size());
+  }
+
   // Guards against blaming tasks for a backend server that leaves as announced.
   void PlannedLeaveIsNoCrash() {
     const RunId id = Order(0);
