Let the stand-in stay down after a crash by a task

Now it is down for half a second, its connections close without an answer, and such a task has no end.

--- a/packages/direct/test/crashing_tasks_test.cc
+++ b/packages/direct/test/crashing_tasks_test.cc
@@ -57,12 +57,12 @@
   void TaskIsGivenUpAfterItCrashedTwoServers() {
     SimulatedFleet fleet(kEntries, kServers, Kinds(140), {}, 1);
     fleet.Simulate(Seconds(2));
-    fleet.AddJob("deadly", 1, true);
-    fleet.Submit("deadly", 0);
+    fleet.AddJob("crashing", 1, true);
+    fleet.Submit("crashing", 0);
     fleet.Simulate(Seconds(4));
     CPPUNIT_ASSERT(fleet.MostLateStarts() <= kMaxLateStarts);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.crashes());
-    const auto& outcome = fleet.jobs().at("deadly").outcome;
+    const auto& outcome = fleet.jobs().at("crashing").outcome;
     CPPUNIT_ASSERT(outcome && outcome->kind == JobOutcome::Kind::kFailed);
   }
 
@@ -71,9 +71,9 @@
   void SubmissionsThroughOtherEntriesShareTheBound() {
     SimulatedFleet fleet(kEntries, kServers, Kinds(70), {}, 2);
     fleet.Simulate(Seconds(2));
-    fleet.AddJob("deadly", 1, true);
+    fleet.AddJob("crashing", 1, true);
     for (std::size_t i = 0; i < kEntries; ++i) {
-      fleet.Submit("deadly", i);
+      fleet.Submit("crashing", i);
       fleet.Simulate(Ms(1300));
     }
     CPPUNIT_ASSERT(fleet.MostLateStarts() <= kMaxLateStarts);
@@ -85,8 +85,8 @@
   void DeathOfAnEntryDoesNotResetTheBound() {
     SimulatedFleet fleet(kEntries, kServers, Kinds(70), {}, 3);
     fleet.Simulate(Seconds(2));
-    fleet.AddJob("deadly", 1, true);
-    fleet.Submit("deadly", 0);
+    fleet.AddJob("crashing", 1, true);
+    fleet.Submit("crashing", 0);
     SimulateUntilCrashes(fleet, 1);
     fleet.KillEntry(0);
     SimulateUntilCrashes(fleet, 2);
@@ -108,7 +108,7 @@
     }
   }
 
-  // One job in ten of a kind is deadly, three a second: more crashes than there are
+  // One job in ten of a kind is crashing, three a second: more crashes than there are
   // backend servers to lose, even with one for each such job. Guards against one kind
   // of request that takes the whole fleet from the others, which have room for all their
   // work on three quarters of it. Nine tenths in time is the target of a deployment.
--- a/packages/direct/test/simulated_fleet.h
+++ b/packages/direct/test/simulated_fleet.h
@@ -33,7 +33,7 @@
     double rate = 0;
   };
   struct Faults {
-    // The kind with deadly tasks, and the share of its jobs that have one.
+    // The kind with crashing tasks, and the share of its jobs that have one.
     std::size_t kind = 0;
     double share = 0;
     core::Duration from{};
@@ -43,7 +43,7 @@
     std::size_t kind = 0;
     core::TimePoint submitted;
     core::TimePoint objective;
-    bool deadly = false;
+    bool crashing = false;
     std::optional<JobOutcome> outcome;
     core::TimePoint answered;
   };
@@ -86,13 +86,13 @@
   }
 
   // Submits one job besides the load, and again wherever it is said so.
-  void AddJob(const std::string& id, std::size_t kind, bool deadly) {
+  void AddJob(const std::string& id, std::size_t kind, bool crashing) {
     Job& job = jobs_[id];
     job.kind = kind;
     job.submitted = events_.now();
     job.objective = events_.now() + Objective(kinds_[kind]);
-    job.deadly = deadly;
-    if (deadly) deadly_tasks_.insert(TaskId{id, 0, PickIndex(kinds_[kind])});
+    job.crashing = crashing;
+    if (crashing) crashing_tasks_.insert(TaskId{id, 0, PickIndex(kinds_[kind])});
   }
   void Submit(const std::string& id, std::size_t entry) {
     if (!entries_[entry]) return;
@@ -111,7 +111,7 @@
   core::TimePoint now() const { return events_.now(); }
   const std::map<std::string, Job>& jobs() const { return jobs_; }
   const std::map<TaskId, TaskHistory>& tasks() const { return tasks_; }
-  bool IsDeadly(const TaskId& task) const { return deadly_tasks_.contains(task); }
+  bool IsCrashing(const TaskId& task) const { return crashing_tasks_.contains(task); }
   std::size_t crashes() const { return crashes_; }
 
   // Most starts of a task that crashes its backend servers after three have crashed
@@ -119,25 +119,25 @@
   std::size_t MostLateStarts() const {
     std::size_t most = 0;
     for (const auto& [task, history] : tasks_) {
-      if (IsDeadly(task)) most = std::max(most, history.LateStarts());
+      if (IsCrashing(task)) most = std::max(most, history.LateStarts());
     }
     return most;
   }
-  // Jobs without a deadly task that were answered as failed.
+  // Jobs without a crashing task that were answered as failed.
   std::size_t FalselyFailed() const {
     return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [](const auto& it) {
-      return !it.second.deadly && it.second.outcome &&
+      return !it.second.crashing && it.second.outcome &&
              it.second.outcome->kind == JobOutcome::Kind::kFailed;
     }));
   }
-  // Share of the jobs of the kind without a deadly task, submitted in this time, that
+  // Share of the jobs of the kind without a crashing task, submitted in this time, that
   // ended by their objective.
   double InTimeShare(std::size_t kind, core::Duration from, core::Duration until) const {
     std::size_t all = 0;
     std::size_t in_time = 0;
     for (const auto& [id, job] : jobs_) {
       const core::Duration at = job.submitted - kStart;
-      if (job.kind != kind || job.deadly || at < from || at >= until) continue;
+      if (job.kind != kind || job.crashing || at < from || at >= until) continue;
       ++all;
       if (job.outcome && job.outcome->kind == JobOutcome::Kind::kCompleted &&
           job.answered <= job.objective) {
@@ -224,7 +224,7 @@
 
   void AddServer(const std::string& agent) {
     SimulatedServer::Fleet callbacks;
-    callbacks.is_deadly = [this](const TaskId& it) { return IsDeadly(it); };
+    callbacks.is_crashing = [this](const TaskId& it) { return IsCrashing(it); };
     callbacks.run_time = [this](const TaskId& it) {
       return kinds_[jobs_.at(it.job).kind].run_time;
     };
@@ -332,10 +332,10 @@
   void SubmitNextJob(std::size_t kind) {
     const core::Duration at = events_.now() - kStart;
     const bool faulty = kind == faults_.kind && at >= faults_.from && at < faults_.until;
-    const bool deadly =
+    const bool crashing =
         faulty && std::uniform_real_distribution<double>(0, 1)(random_) < faults_.share;
     const std::string id = "job-" + std::to_string(next_job_++);
-    AddJob(id, kind, deadly);
+    AddJob(id, kind, crashing);
     const std::size_t first =
         std::uniform_int_distribution<std::size_t>(0, entries_.size() - 1)(random_);
     for (std::size_t i = 0; i < entries_.size(); ++i) {
@@ -354,7 +354,7 @@
   std::uint64_t next_job_ = 0;
   std::map<std::string, Job> jobs_;
   std::map<std::string, std::size_t> owners_;
-  std::set<TaskId> deadly_tasks_;
+  std::set<TaskId> crashing_tasks_;
   std::map<TaskId, TaskHistory> tasks_;
   std::size_t crashes_ = 0;
 };
--- a/packages/direct/test/simulated_server.h
+++ b/packages/direct/test/simulated_server.h
@@ -21,13 +21,13 @@
 namespace coltsfoottide::direct {
 
 // A backend server in simulated time and its agent. Tasks that the fleet declares
-// deadly crash it some milliseconds after they have started; it is back seconds
+// crashing crash it some milliseconds after they have started; it is back seconds
 // later as a new incarnation.
 class SimulatedServer : private WorkerPort, private ReportSink {
  public:
   // What the fleet tells the server and learns from it.
   struct Fleet {
-    std::function<bool(const TaskId&)> is_deadly;
+    std::function<bool(const TaskId&)> is_crashing;
     std::function<core::Duration(const TaskId&)> run_time;
     std::function<void(const std::string& entry, const RunReport&)> on_report;
     std::function<void(const WorkerCrash&)> on_crash_reported;
@@ -116,7 +116,7 @@
     running_.push_back({id, events_.now(), events_.now() + run_time});
     fleet_.on_start(id.task, events_.now());
     const std::int64_t incarnation = incarnation_;
-    if (fleet_.is_deadly(id.task)) {
+    if (fleet_.is_crashing(id.task)) {
       events_.After(kCrashDelay, [this, incarnation] { Crash(incarnation); });
     } else {
       events_.After(run_time, [this, id, incarnation] {
--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -13,7 +13,9 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 MAX_LEASE_S = 1.0
-CRASH_DELAY_S = 0.01
+# Time from the start of a task that crashes its backend server to the crash, and how long
+# that is down then: its connections close without an answer.
+CRASH_DELAY_S, DOWN_S = 0.01, 0.5
 
 
 class Server(ThreadingHTTPServer):
@@ -119,6 +121,7 @@
         # 0.3 to 2 s late.
         self.lost_share = 0.0
         self.draining = False
+        self.down_until = 0.0
         # If set, stops are acknowledged and leases granted, but no run is stopped.
         self.ignores_stops = False
         self.random = random.Random(seed)
@@ -130,6 +133,9 @@
         class Calls(Handler):
             def do_POST(self):
                 body = json.loads(self.body())
+                if backend.down():
+                    self.close_connection = True
+                    return
                 lost = backend.random.random() < backend.lost_share
                 if lost and self.path == "/run-start":
                     late = backend.random.uniform(0.3, 2.0)
@@ -138,7 +144,11 @@
                     self.close_connection = True
                     time.sleep(0.6)
                     return
-                self.answer(*backend.call(self.path, body))
+                reply = backend.call(self.path, body)
+                if reply is None or backend.down():
+                    self.close_connection = True
+                else:
+                    self.answer(*reply)
 
         self.server = serve(address, port, Calls)
         threading.Thread(target=self._report, daemon=True).start()
@@ -157,8 +167,12 @@
         if incarnation != self.incarnation or task not in self.running:
             return
         self.history.crash(task)
+        self.down_until = time.monotonic() + DOWN_S
         self.restart()
 
+    def down(self):
+        return time.monotonic() < self.down_until
+
     def clock_ms(self):
         return int(time.monotonic() * 1000)
 
@@ -180,6 +194,8 @@
 
     def start(self, body):
         with self.lock:
+            if self.down():
+                return None
             task, run = body["Task"], body["Run"]
             reply = {"ClockMs": self.clock_ms()}
             if body.get("Fence", 0) < self.fence:
@@ -191,16 +207,18 @@
             if body["DeadlineMs"] / 1000 < time.monotonic():
                 return 409, {**reply, "Reason": "late"}
             self.extend_lease(body)
-            ms, cpu, *deadly = (int(it) for it in body["Spec"].split())
+            ms, cpu, *crashing = (int(it) for it in body["Spec"].split())
             if sum(it["cpu"] for it in self.running.values()) + cpu > self.cpu:
                 return 409, {**reply, "Reason": "room"}
             self.running[task] = {"task": task, "run": run, "cpu": cpu, "ms": ms,
                                   "begun": time.monotonic(), "life": self.incarnation}
             self.highest_run[task] = run
             self.history.start(self.name, task, run)
-            if deadly and int(task.split(".")[3]) == deadly[0]:
+            if crashing and int(task.split(".")[3]) == crashing[0]:
                 threading.Timer(CRASH_DELAY_S, self._crash_by, [task, self.incarnation]).start()
-            threading.Timer(ms / 1000, self._finish, [task, run, "done", self.incarnation]).start()
+            else:
+                threading.Timer(
+                    ms / 1000, self._finish, [task, run, "done", self.incarnation]).start()
             return 200, reply
 
     def stop(self, body):
@@ -245,6 +263,9 @@
     def _report(self):
         import http.client
         while True:
+            if self.down():
+                time.sleep(0.05)
+                continue
             self.sequence += 1
             state = "draining" if self.draining else "ready"
             body = {"Service": "review", "Address": self.public_address, "Zone": "a",
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -29,7 +29,7 @@
 SETTLE_S, MIN_SERVED_SHARE = 4.0, 0.9
 # Share of the jobs with a task that crashes its backend server. Such a task may be
 # started this many times after three backend servers have crashed under it.
-DEADLY_SHARE, MAX_LATE_STARTS = 0.03, 2
+CRASHING_SHARE, MAX_LATE_STARTS = 0.03, 2
 
 
 class History:
@@ -66,9 +66,9 @@
             if how == "done":
                 self.completed_tasks.setdefault(task.split(".")[0], set()).add(task)
 
-    def answer(self, job, tasks, status, body, refused_only, deadly):
+    def answer(self, job, tasks, status, body, refused_only, crashing):
         with self.lock:
-            if not deadly:
+            if not crashing:
                 self.answers.append((time.monotonic(), status))
             elif status == 200 and b"completed" in body:
                 self.errors.append(f"{job}: completed with a task that crashes its server")
@@ -132,9 +132,9 @@
         config = {"Version": version, "Routes": [route], "Services": [], "Limits": {}}
         self.store.append("keyed.op", "config", json.dumps(config).encode())
 
-    def call_once(self, host, job, tasks, ms, deadly):
+    def call_once(self, host, job, tasks, ms, crashing):
         steps = [{"Count": tasks, "Cpu": 6000, "MemMb": 64, "EstimateMs": ms}]
-        spec = f"{ms} 6000" + (f" {tasks - 1}" if deadly else "")
+        spec = f"{ms} 6000" + (f" {tasks - 1}" if crashing else "")
         body = json.dumps({"Spec": spec, "BestEffort": True, "Steps": steps})
         link = http.client.HTTPConnection(host, CALL_PORT, timeout=CALL_TIMEOUT_S)
         try:
@@ -154,11 +154,11 @@
             count += 1
             job = f"{number:04x}{count:012x}"
             tasks, ms = rng.choice([(2, 60), (3, 120), (1, 400), (1, 1800)])
-            deadly = rng.random() < DEADLY_SHARE
+            crashing = rng.random() < CRASHING_SHARE
             statuses = []
             for _ in range(4):
                 status, body = self.call_once(
-                    rng.choice(self.entry_hosts), job, tasks, ms, deadly)
+                    rng.choice(self.entry_hosts), job, tasks, ms, crashing)
                 statuses.append(status)
                 if status not in (0, 502, 504) or not self.running:
                     break
@@ -167,7 +167,7 @@
             if refused_only:
                 # Waits until a start that is delivered late would be recorded.
                 time.sleep(2.2)
-            self.history.answer(job, tasks, statuses[-1], body, refused_only, deadly)
+            self.history.answer(job, tasks, statuses[-1], body, refused_only, crashing)
             time.sleep(rng.uniform(0.0, 0.15))
 
     def inject_fault(self, rng, series):
