Say in plainer words what is kept about crashes; one constant for its age

Agents and entries kept the same 30 s under two names. Comments that needed a second reading are reworded.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -407,7 +407,7 @@
   logger_.Warn("backend server crashed", {{"life", std::to_string(crash.incarnation)},
                                           {"count", std::to_string(crash.runs.size())},
                                           {"runs", runs}});
-  // To all entries: the caller of a lost task may come back through another one.
+  // Sent to all entries, since the caller may submit the job again through another one.
   const core::TimePoint now = BootNow();
   for (auto& [name, link] : links_) {
     if (link.connected()) WriteCrash(crash, now, *link.connection->outbox().add_crashes());
--- a/packages/direct/include/coltsfoottide/direct/crash_history.h
+++ b/packages/direct/include/coltsfoottide/direct/crash_history.h
@@ -15,11 +15,10 @@
 
 namespace coltsfoottide::direct {
 
-// Attributes crashes of backend servers to tasks. A crash says that one of the runs
-// which were there may be its cause; a task that has met several crashes which no
-// other task explains is taken for the cause of all of them, and the tasks beside it
-// are cleared. Counts are kept by task, not by submission, so a job that comes back
-// through another entry is known there.
+// Attributes crashes of backend servers to tasks. Each run that was on the backend server
+// may be the cause of its crash. A task under which several crashes have no other
+// explanation counts as the cause of all of them, and explains them for the tasks that
+// ran beside it. Counts are kept by task id, so they hold across submissions of a job.
 class CrashHistory {
  public:
   // Records a crash of the agent's backend server. A crash that is already known
@@ -34,7 +33,7 @@
   // Agents whose backend server has crashed since this time.
   std::set<std::string> CrashedSince(core::TimePoint since) const;
 
-  // Forgets crashes that are too old for a job to come back.
+  // Forgets crashes that are older than kCrashRetention.
   void Forget(core::TimePoint now);
 
  private:
--- a/packages/direct/include/coltsfoottide/direct/route_isolation.h
+++ b/packages/direct/include/coltsfoottide/direct/route_isolation.h
@@ -10,12 +10,11 @@
 
 namespace coltsfoottide::direct {
 
-// Confines routes whose tasks crash backend servers to a part of the fleet, a bulkhead:
-// a bound on the crashes of each task does not keep other routes served when one route
-// brings such tasks faster than backend servers return. An isolated route gets the
-// share of the backend servers that its work has in all work, so that isolation costs
-// little while few crash; all other routes keep the rest. Entries that know the same
-// backend servers choose the same ones.
+// Confines routes whose tasks crash backend servers to a part of the fleet (a bulkhead):
+// other routes stay served even if such tasks arrive faster than backend servers restart.
+// An isolated route gets the share of the backend servers that its work has in all work;
+// all other routes keep the rest. Entries that know the same backend servers choose the
+// same ones.
 class RouteIsolation {
  public:
   // Records a submitted job. `work` is that of its tasks in millicore-milliseconds.
@@ -36,6 +35,8 @@
   void Assign(const std::map<std::string, std::vector<std::string>>& agents,
               const std::set<std::string>& crashed, core::TimePoint now);
 
+  // Whether any route is isolated.
+  bool active() const { return !isolated_.empty(); }
   bool IsIsolated(const std::string& route) const { return isolated_.contains(route); }
   bool MayUse(const std::string& route, const std::string& agent) const;
   // The service of a route that has submitted jobs, otherwise empty.
--- a/packages/direct/include/coltsfoottide/direct/time_bounds.h
+++ b/packages/direct/include/coltsfoottide/direct/time_bounds.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+
 #include "coltsfoottide/core/time.h"
 
 // Bounds that entries and agents must compute alike.
@@ -19,4 +21,8 @@
   return lease * kSlowClockPercent / 100;
 }
 
+// How long entries and agents remember a crash of a backend server: longer than a job and
+// its further submissions last.
+inline constexpr core::Duration kCrashRetention = std::chrono::seconds(30);
+
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/crash_history.cc
+++ b/packages/direct/src/crash_history.cc
@@ -4,12 +4,12 @@
 #include <chrono>
 #include <utility>
 
+#include "coltsfoottide/direct/time_bounds.h"
+
 namespace coltsfoottide::direct {
 
 namespace {
 
-// Longer than any job, whose caller may come back with it through another entry.
-constexpr core::Duration kRetention = std::chrono::seconds(30);
 // A task that crashes its backend server does so soon after its start. Crashes that
 // come later are weaker evidence.
 constexpr core::Duration kPromptCrash = std::chrono::milliseconds(250);
@@ -17,9 +17,8 @@
 // certainly ran at each and they were prompt, and in any case.
 constexpr std::size_t kPromptCrashes = 2;
 constexpr std::size_t kAnyCrashes = 3;
-// Two tasks cannot be told apart by the times that they had run at their crashes if the
-// longer one is at most this percentage of the other. An agent notices a crash 10 to 40 ms
-// late, the same for all runs of the crash.
+// Tasks whose longest run took at most this percentage of the shortest such time count as
+// equally likely causes: a crash is noticed 10 to 40 ms late.
 constexpr int kSimilarPercent = 150;
 constexpr int kWhole = 100;
 // Number of certain crashes that prove a verdict.
@@ -74,8 +73,8 @@
   return summary;
 }
 
-// The tasks with the most crashes at which they certainly ran, without those that had run
-// clearly longer: a task without fault is as likely to be hit late as early.
+// The tasks with the most confirmed crashes, without those that had run clearly longer:
+// a task that is not the cause may have run for any time.
 std::vector<TaskId> CrashHistory::FindCauses(const Crash& crash) const {
   std::vector<std::pair<Summary, TaskId>> found;
   for (const RunAtCrash& it : crash.crash.runs) {
@@ -126,7 +125,7 @@
 }
 
 void CrashHistory::Forget(core::TimePoint now) {
-  while (!crashes_.empty() && now - crashes_.front().crash.time > kRetention) {
+  while (!crashes_.empty() && now - crashes_.front().crash.time > kCrashRetention) {
     const Crash* const oldest = &crashes_.front();
     for (const RunAtCrash& it : oldest->crash.runs) {
       const auto task = tasks_.find(it.id.task);
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -411,7 +411,7 @@
   constexpr int kWithdrawalsPerCall = 8;
   withdrawals_left_ = kWithdrawalsPerCall;
   crash_history_.Forget(now);
-  if (now >= assign_due_ && !reported_isolation_.empty()) AssignIsolated(now);
+  if (now >= assign_due_ && isolation_.active()) AssignIsolated(now);
   std::vector<std::string> ids;
   ids.reserve(jobs_.size());
   for (const auto& [id, job] : jobs_) ids.push_back(id);
--- a/packages/direct/src/job_dispatcher_crashes.cc
+++ b/packages/direct/src/job_dispatcher_crashes.cc
@@ -89,7 +89,7 @@
 
 bool JobDispatcher::IsLimited(const Job& job, const StepRequest& step) const {
   const auto agents = expected_agents_.find(job.request.service);
-  if (reported_isolation_.empty() || agents == expected_agents_.end()) return false;
+  if (!isolation_.active() || agents == expected_agents_.end()) return false;
   const std::size_t needed = ServersNeeded(step);
   return fleet_.CountSuitable(agents->second, step, OutsideIsolation(job)) >= needed;
 }
--- a/packages/direct/src/route_isolation.cc
+++ b/packages/direct/src/route_isolation.cc
@@ -65,9 +65,9 @@
   for (const auto& [service, names] : agents) AssignService(service, names, crashed, now);
 }
 
-// Each route gets its share of the agents, rounded up on the sum of the shares so far:
-// the fewer the backend servers, the less do they even out a varying load. Others keep at
-// least one if they have work.
+// Each route gets its share of the agents, rounded up on the sum of the shares so far, since
+// few backend servers even out a varying load less. Others keep at least one if they have
+// work.
 void RouteIsolation::AssignService(const std::string& service, std::vector<std::string> agents,
                                    const std::set<std::string>& crashed, core::TimePoint now) {
   double total = 0;
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -48,9 +48,6 @@
 // How long after its sending a start without an answer may still be carried out, also by
 // the next incarnation of the backend server.
 constexpr core::Duration kLateStartTime = std::chrono::seconds(15);
-// Crashes are repeated to an entry that connects within this time. Longer than
-// any job, whose caller may come back with it through another entry.
-constexpr core::Duration kCrashRetention = std::chrono::seconds(30);
 // Time for entries to claim the runs of an earlier agent process, even if the
 // first attempt to connect is lost. If an entry and this agent die within one
 // owner lease, it adds to that lease, and the sum has to stay below the time
--- a/packages/direct/test/crashing_tasks_test.cc
+++ b/packages/direct/test/crashing_tasks_test.cc
@@ -66,7 +66,7 @@
     CPPUNIT_ASSERT(outcome && outcome->kind == JobOutcome::Kind::kFailed);
   }
 
-  // A caller gets no answer and comes back through entry after entry. Guards against
+  // The caller submits the same job through one entry after the other. Guards against
   // counts of crashes that each entry keeps for itself.
   void SubmissionsThroughOtherEntriesShareTheBound() {
     SimulatedFleet fleet(kEntries, kServers, Kinds(70), {}, 2);
@@ -96,13 +96,14 @@
     CPPUNIT_ASSERT(fleet.crashes() <= 3);
   }
 
-  // Guards against blaming the tasks that happened to run beside the culprit, some of
-  // them more than once.
+  // Guards against giving up the tasks that ran beside the cause, some of them more than
+  // once.
   void HealthyTasksOfCrashedServersAreServed() {
     SimulatedFleet fleet(kEntries, kServers, Kinds(140), {0, 0.003, Seconds(2), Seconds(32)}, 4);
     fleet.Simulate(Seconds(36));
     CPPUNIT_ASSERT(fleet.crashes() > 0);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.FalselyFailed());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.GivenUpEarly());
     for (std::size_t kind = 0; kind < 3; ++kind) {
       CPPUNIT_ASSERT(fleet.InTimeShare(kind, Seconds(2), Seconds(32)) >= 0.9);
     }
@@ -116,6 +117,7 @@
     SimulatedFleet fleet(kEntries, kServers, Kinds(140), {0, 0.1, Seconds(5), Seconds(15)}, 5);
     fleet.Simulate(Seconds(20));
     CPPUNIT_ASSERT(fleet.MostLateStarts() <= kMaxLateStarts);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.GivenUpEarly());
     CPPUNIT_ASSERT(fleet.InTimeShare(1, Seconds(5), Seconds(15)) >= 0.9);
     CPPUNIT_ASSERT(fleet.InTimeShare(2, Seconds(5), Seconds(15)) >= 0.9);
   }
--- a/packages/direct/test/dispatcher_crash_test.cc
+++ b/packages/direct/test/dispatcher_crash_test.cc
@@ -182,7 +182,7 @@
   }
 
   // All backend servers of the route are down. Guards against callers that wait until it
-  // is too late, and against a refusal that blames the backlog.
+  // is too late, and against a refusal that names the backlog as its reason.
   void IsolatedJobIsRefusedAtOnceWithoutABackendServer() {
     RouteIsIsolatedWhenItTakesAQuarterOfTheFleet();
     const std::size_t orders = sink_.orders.size();
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -431,7 +431,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.stops.size());
   }
 
-  // Guards against blaming tasks for a backend server that leaves as announced.
+  // Guards against counting a backend server that leaves as announced as crashed.
   void PlannedLeaveIsNoCrash() {
     const RunId id = Order(0);
     executor_->OnStartResult(id, StartResult::kStarted, kStart + Ms(1));
@@ -443,7 +443,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kLost));
   }
 
-  // Guards against blaming tasks for a backend server that was only silent until
+  // Guards against counting a backend server as crashed that was only silent until
   // its lease lapsed.
   void SilenceIsNoCrash() {
     const RunId id = Order(0);
--- a/packages/direct/test/simulated_fleet.h
+++ b/packages/direct/test/simulated_fleet.h
@@ -130,6 +130,19 @@
              it.second.outcome->kind == JobOutcome::Kind::kFailed;
     }));
   }
+  // Jobs without a crashing task that were given up because of crashes, though fewer than
+  // two backend servers had crashed under each of their tasks.
+  std::size_t GivenUpEarly() const {
+    return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [this](auto& it) {
+      const auto& [id, job] = it;
+      if (job.crashing || !job.outcome || job.outcome->reason.find("crash") == std::string::npos) {
+        return false;
+      }
+      return std::all_of(tasks_.lower_bound(TaskId{id, 0, 0}), tasks_.end(), [&id](auto& task) {
+        return task.first.job != id || task.second.crashes.size() < 2;
+      });
+    }));
+  }
   // Share of the jobs of the kind without a crashing task, submitted in this time, that
   // ended by their objective.
   double InTimeShare(std::size_t kind, core::Duration from, core::Duration until) const {
