Log how old an entry's confirmation is at each step of a run

The log line `run` of an agent said nothing about the permission that the run rests on: whether a start came late could be seen only by comparing it with the order in the entry's log, across two machines' clocks. The line now has `entry_confirmed_ms_ago`, the age of the agent's latest message that the entry has confirmed.

No logic changes. Direct tests as before.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -416,7 +416,9 @@
 
 void DirectAgentRuntime::LogReport(const std::string& owner, const direct::RunReport& report) {
   using Kind = direct::RunReport::Kind;
-  const direct::WorkerState state = executor_->State(BootNow());
+  const core::TimePoint now = BootNow();
+  const direct::WorkerState state = executor_->State(now);
+  const auto confirmed = executor_->TimeSinceConfirmed(owner, now);
   const bool slow = report.remaining > core::Duration::zero();
   // Warnings have a line budget of their own, so that successes cannot displace
   // failures from the log.
@@ -432,7 +434,8 @@
                   {"free_millicores", std::to_string(state.free.cpu_millicores)},
                   {"queued_work", std::to_string(state.queued_work + state.late_work)},
                   {"slowness", std::to_string(state.slowness)},
-                  {"entry", owner}});
+                  {"entry", owner},
+                  {"entry_confirmed_ms_ago", confirmed ? std::to_string(ToMs(*confirmed)) : ""}});
 }
 
 void DirectAgentRuntime::SendStates(core::TimePoint now) {
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -88,6 +88,10 @@
   // Crashes of the last seconds with the runs of all owners, for the hello.
   const std::deque<WorkerCrash>& recent_crashes() const { return crashes_; }
   bool HasRunsOf(const std::string& owner) const;
+  // How long ago this agent sent the latest message that the owner has confirmed; nothing
+  // if it has confirmed none.
+  std::optional<core::Duration> TimeSinceConfirmed(const std::string& owner,
+                                                   core::TimePoint now) const;
   // Whether no run is queued, deferred or on the backend server.
   bool idle() const { return runs_.empty() && queue_.empty() && deferred_.empty(); }
 
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -660,6 +660,13 @@
   return reports;
 }
 
+std::optional<core::Duration> RunExecutor::TimeSinceConfirmed(const std::string& owner,
+                                                              core::TimePoint now) const {
+  const auto it = owner_lease_until_.find(owner);
+  if (it == owner_lease_until_.end()) return std::nullopt;
+  return now - (it->second - tuning_.owner_lease);
+}
+
 bool RunExecutor::HasRunsOf(const std::string& owner) const {
   const bool running = std::any_of(runs_.begin(), runs_.end(),
                                    [&owner](const auto& it) { return it.second.owner == owner; });
