Reproduce runs that start after their entry's lease has run out

Three tests without network fail on the present code: an order that is read late, a queued run whose turn comes late, and a start that is repeated late are carried out though the entry has confirmed nothing for longer than its lease.

--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -38,6 +38,9 @@
   CPPUNIT_TEST(LostRenewalIsSentAgain);
   CPPUNIT_TEST(QueueOfSilentWorkerIsReportedNotRun);
   CPPUNIT_TEST(RunsOfSilentOwnerAreStopped);
+  CPPUNIT_TEST(OrderReadAfterItsOwnersLeaseIsNotStarted);
+  CPPUNIT_TEST(QueuedRunIsNotStartedAfterItsOwnersLease);
+  CPPUNIT_TEST(UnansweredStartIsNotSentAgainAfterItsOwnersLease);
   CPPUNIT_TEST(NewWorkerIncarnationEndsListedRuns);
   CPPUNIT_TEST(StartThatNewIncarnationMayHaveReceivedIsStopped);
   CPPUNIT_TEST(OldReportChangesNothing);
@@ -174,6 +177,38 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port_.stops.size());
   }
 
+  // An agent stands still and reads on waking an order that was sent before. Guards
+  // against a second run of a task that its entry has placed elsewhere meanwhile.
+  void OrderReadAfterItsOwnersLeaseIsNotStarted() {
+    Order(0, kStart + kOwnerLease + Ms(1));
+    CPPUNIT_ASSERT(port_.starts.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kNotRun));
+    executor_->OnOwnerConfirmed(kOwner, kStart + kOwnerLease);
+    Order(1, kStart + kOwnerLease + Ms(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port_.starts.size());
+  }
+
+  // The same for a run in the agent's queue, when the first event on waking is an answer
+  // of the backend server that frees resources.
+  void QueuedRunIsNotStartedAfterItsOwnersLease() {
+    const RunId first = Order(0);
+    Order(1);
+    Order(2);
+    executor_->OnStartResult(first, StartResult::kStarted, kStart + Ms(1));
+    AnswerRenewal({}, {{1, first, EndedRun::Outcome::kDone}}, kStart + kOwnerLease + Ms(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kNotRun));
+  }
+
+  // The same for a start that is repeated.
+  void UnansweredStartIsNotSentAgainAfterItsOwnersLease() {
+    const RunId id = Order(0);
+    executor_->OnStartResult(id, StartResult::kUnknown, kStart + kOwnerLease + Ms(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port_.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port_.stops.size());
+    CPPUNIT_ASSERT(port_.stops.front() == id);
+  }
+
   // Guards against waiting for runs of a backend server that has restarted
   // under the same id.
   void NewWorkerIncarnationEndsListedRuns() {
