Start runs only under a live lease of their entry

Cause: an agent stops the runs of an entry that has confirmed nothing for 0.7 s, and the entry counts on it: 1.78 s after it last heard of an agent it places the runs elsewhere. Only the agent's timer looked at that lease, though. A process that stood still reads its connections before its timers, so on waking it started orders that had been sent just before it stood still, or waited in its queue, after the entry had replaced them. A start that was repeated, and a hello read late, renewed such permissions as well.

Change: orders, queued runs and repeated starts of an entry whose lease has run out are handed back as not run. Only an echoed message confirms an entry; a hello no longer does, so the entry's first orders after one carry the echo. A lease is asked for until a point in time that is fixed when the event is handled, so a process that stands still between the decision and the call sends a start that the backend server refuses as late.

Two tests confirm an owner now before it sends orders; their checks are the same.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -357,7 +357,6 @@
   for (const direct::WorkerCrash& it : executor_->recent_crashes()) {
     WriteCrash(it, now, *own.add_crashes());
   }
-  executor_->OnOwnerConfirmed(link.owner, now);
   WriteStateTo(link, now);
 }
 
--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -166,6 +166,11 @@
   if (frame.has_configuration()) {
     listener_.OnPeerConfiguration(link.name, frame.configuration(), now);
   }
+  const bool from_agent =
+      link.is_agent || (frame.has_hello() && frame.hello().sender() == direct_wire::Hello::AGENT);
+  // Before the hello, so that the orders and claims that follow it carry the echo without
+  // which the agent starts nothing.
+  if (from_agent && frame.stamp_us() != 0) link.unechoed_stamp_us = frame.stamp_us();
   if (frame.has_hello()) OnHello(id, frame.hello());
   const auto it = links_.find(id);
   if (it == links_.end()) return;
@@ -176,7 +181,6 @@
     }
     return;
   }
-  if (frame.stamp_us() != 0) it->second.unechoed_stamp_us = frame.stamp_us();
   listener_.OnAgentFrame(std::string(it->second.name), frame, now);
 }
 
--- a/packages/daemon/test/entry_links_test.cc
+++ b/packages/daemon/test/entry_links_test.cc
@@ -6,7 +6,9 @@
 #include <QEventLoop>
 #include <QTcpServer>
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,7 @@
  public:
   void OnAgentConnected(const direct::AgentHello& hello, core::TimePoint /*now*/) override {
     connected.push_back(hello.agent);
+    if (on_connected) on_connected(hello.agent);
   }
   void OnAgentFrame(const std::string& /*agent*/, const direct_wire::Frame& /*frame*/,
                     core::TimePoint /*now*/) override {}
@@ -50,6 +53,7 @@
                            const direct_wire::Configuration& /*configuration*/,
                            core::TimePoint /*now*/) override {}
 
+  std::function<void(const std::string& agent)> on_connected;
   std::vector<std::string> connected;
   std::vector<std::string> lost;
   std::vector<std::string> crashing_routes;
@@ -62,21 +66,24 @@
     events.on_open = [this] { open = true; };
     events.on_frame = [this](const direct_wire::Frame& frame) {
       for (const auto& it : frame.crashing_routes()) crashing_routes.push_back(it.route());
+      if (frame.orders_size() > 0) echo_with_orders = frame.echo_us();
     };
     events.on_closed = [this] { closed = true; };
     connection = std::make_unique<FrameConnection>("127.0.0.1", port, events);
   }
 
-  void SendHello(const std::string& name) const {
+  void SendHello(const std::string& name, std::uint64_t stamp_us = 0) const {
     direct_wire::Hello& hello = *connection->outbox().mutable_hello();
     hello.set_sender(direct_wire::Hello::AGENT);
     hello.set_name(name);
+    connection->outbox().set_stamp_us(stamp_us);
     connection->Flush();
   }
 
   bool open = false;
   bool closed = false;
   std::vector<std::string> crashing_routes;
+  std::optional<std::uint64_t> echo_with_orders;
   std::unique_ptr<FrameConnection> connection;
 };
 
@@ -86,6 +93,7 @@
   CPPUNIT_TEST_SUITE(EntryLinksTest);
   CPPUNIT_TEST(PeerThatChangesItsNameIsClosed);
   CPPUNIT_TEST(HelloWithoutANameIsClosed);
+  CPPUNIT_TEST(OrdersThatFollowAHelloCarryItsEcho);
   CPPUNIT_TEST(EntriesTellEachOtherOfCrashingRoutes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -132,6 +140,20 @@
     CPPUNIT_ASSERT(listener_.connected.empty());
   }
 
+  // Guards against orders that an agent has to refuse: it starts nothing for an entry that
+  // has confirmed none of its messages.
+  void OrdersThatFollowAHelloCarryItsEcho() {
+    constexpr std::uint64_t kStampUs = 17;
+    listener_.on_connected = [this](const std::string& agent) {
+      links_->FrameTo(agent)->add_orders();
+    };
+    Peer peer(port_);
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.open; }));
+    peer.SendHello("10.0.0.1", kStampUs);
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.echo_with_orders.has_value(); }));
+    CPPUNIT_ASSERT_EQUAL(kStampUs, *peer.echo_with_orders);
+  }
+
   // Guards against an entry that has to lose backend servers of its own to learn what
   // others know: what it missed comes with the hello, the rest as it happens.
   void EntriesTellEachOtherOfCrashingRoutes() {
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -26,14 +26,15 @@
 class WorkerPort;
 
 // Runs tasks on the agent's backend server for several entries: queues orders,
-// tracks the free resources, renews the lease, and stops the runs of silent
-// entries. Does no I/O.
+// tracks the free resources, renews the lease, and starts and keeps runs only
+// while their entry confirms this agent's messages. Does no I/O.
 class RunExecutor {
  public:
   struct Tuning {
     // Longest lease that the backend server grants.
     core::Duration lease;
-    // Runs of an entry are stopped when it has confirmed nothing for this long.
+    // Runs of an entry are neither started nor kept when it has confirmed nothing for
+    // this long.
     core::Duration owner_lease;
   };
 
@@ -154,8 +155,13 @@
     RunOrder order;
   };
 
+  // Whether the owner has confirmed nothing for longer than its lease. It may then have
+  // placed its runs elsewhere.
+  bool IsSilent(const std::string& owner, core::TimePoint now) const;
+  void DropOrdersOfSilentOwners(core::TimePoint now);
   void StartQueued(core::TimePoint now);
   void Start(RunQueue::Item item, core::TimePoint now);
+  void SendStart(const Run& run, core::TimePoint now);
   void StopRun(Run& run, core::TimePoint now);
   void EndRun(const RunId& id, RunReport::Kind kind, core::TimePoint now);
   void MarkAllRunsLost(core::TimePoint now);
--- a/packages/direct/include/coltsfoottide/direct/worker_port.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_port.h
@@ -14,16 +14,18 @@
  public:
   virtual ~WorkerPort() = default;
 
-  // `lease` is how long all runs on the backend server may continue from now.
-  // Without an answer within `timeout` the result is unknown.
-  virtual void StartRun(const RunOrder& order, core::Duration lease, core::Duration timeout) = 0;
+  // All runs on the backend server may continue until `lease_end`, a point in time rather
+  // than a duration so that a delayed call does not extend it. A start that arrives later
+  // is refused. Without an answer within `timeout` the result is unknown.
+  virtual void StartRun(const RunOrder& order, core::TimePoint lease_end,
+                        core::Duration timeout) = 0;
   // If the run arrives after the stop, the backend server refuses it.
   virtual void StopRun(const RunId& id) = 0;
-  // Renews the lease, acknowledges ended runs up to the number `ended_cursor`,
+  // Renews the lease until `lease_end`, acknowledges ended runs up to the number `ended_cursor`,
   // and waits up to `wait` for the next end. `renewal_number` is returned with
   // the answer.
   virtual void RenewLease(std::uint64_t renewal_number, std::uint64_t ended_cursor,
-                          core::Duration lease, core::Duration wait) = 0;
+                          core::TimePoint lease_end, core::Duration wait) = 0;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -132,7 +132,8 @@
 }
 
 void RunExecutor::OnOrder(const std::string& owner, RunOrder order, core::TimePoint now) {
-  if (!AcceptsOrders()) {
+  // An agent that stood still reads orders that are older than their permission.
+  if (!AcceptsOrders() || IsSilent(owner, now)) {
     reports_.Report(owner, RunReport{order.id, RunReport::Kind::kNotRun, {}});
     return;
   }
@@ -216,7 +217,22 @@
   return free;
 }
 
+bool RunExecutor::IsSilent(const std::string& owner, core::TimePoint now) const {
+  const auto it = owner_lease_until_.find(owner);
+  return it == owner_lease_until_.end() || now > it->second;
+}
+
+void RunExecutor::DropOrdersOfSilentOwners(core::TimePoint now) {
+  for (const auto& [owner, until] : owner_lease_until_) {
+    if (now > until) ReportNotRun(queue_.TakeOwnedBy(owner), now);
+  }
+  std::erase_if(deferred_,
+                [this, now](const DeferredOrder& it) { return IsSilent(it.owner, now); });
+}
+
 void RunExecutor::StartQueued(core::TimePoint now) {
+  // The timer that drops such orders may be late itself.
+  DropOrdersOfSilentOwners(now);
   if (!AcceptsOrders() || now < no_start_before_) return;
   while (!queue_.empty()) {
     auto item = queue_.TakeNext(FreeResources(), now);
@@ -234,12 +250,16 @@
   run.progressed_at = now;
   run.reported_at = now;
   run.visible_from_renewal = last_sent_renewal_ + 1;
-  lease_until_ = std::max(lease_until_, now + MaxLease(tuning_.lease));
   reports_.Report(run.owner, RunReport{id, RunReport::Kind::kStarted, {}});
-  worker_.StartRun(run.order, tuning_.lease, kStartTimeout);
+  SendStart(run, now);
   SendDueRenewals(now);
 }
 
+void RunExecutor::SendStart(const Run& run, core::TimePoint now) {
+  lease_until_ = std::max(lease_until_, now + MaxLease(tuning_.lease));
+  worker_.StartRun(run.order, now + tuning_.lease, kStartTimeout);
+}
+
 void RunExecutor::OnStartResult(const RunId& id, StartResult result, core::TimePoint now) {
   const auto it = runs_.find(id);
   if (it == runs_.end()) return;
@@ -294,7 +314,8 @@
     health_.OnFailure();
     return StopRun(run, now);
   }
-  worker_.StartRun(run.order, tuning_.lease, kStartTimeout);
+  if (IsSilent(run.owner, now)) return StopRun(run, now);
+  SendStart(run, now);
 }
 
 void RunExecutor::StopRun(Run& run, core::TimePoint now) {
@@ -433,7 +454,7 @@
     renewals_[++last_sent_renewal_] = {now, now + longest + grace};
     acknowledged_cursor_ = ended_cursor_;
     lease_until_ = std::max(lease_until_, now + MaxLease(tuning_.lease));
-    worker_.RenewLease(last_sent_renewal_, ended_cursor_, tuning_.lease,
+    worker_.RenewLease(last_sent_renewal_, ended_cursor_, now + tuning_.lease,
                        ends_awaited ? longest : core::Duration::zero());
   }
 }
@@ -603,22 +624,14 @@
   CheckWorkerResponsive(now);
   SendLateStops(now);
   for (auto& [id, run] : runs_) {
-    const auto owner = owner_lease_until_.find(run.owner);
     const bool unclaimed = run.owner.empty() && now - begun_at_ > kClaimPeriod;
-    const bool silent = owner != owner_lease_until_.end() && now > owner->second;
+    const bool silent = !run.owner.empty() && IsSilent(run.owner, now);
     if (unclaimed || silent) StopRun(run, now);
     if (run.state == RunState::kStopping && !run.stop_answered && now >= run.stop_due) {
       run.stop_due = now + tuning_.lease;
       worker_.StopRun(id);
     }
   }
-  for (auto& [owner, until] : owner_lease_until_) {
-    if (now > until) ReportNotRun(queue_.TakeOwnedBy(owner), now);
-  }
-  std::erase_if(deferred_, [this, now](const DeferredOrder& it) {
-    const auto owner = owner_lease_until_.find(it.owner);
-    return owner != owner_lease_until_.end() && now > owner->second;
-  });
   StartQueued(now);
   SendDueRenewals(now);
 }
--- a/packages/direct/test/fake_worker_port.h
+++ b/packages/direct/test/fake_worker_port.h
@@ -15,13 +15,13 @@
     std::uint64_t ended_cursor = 0;
   };
 
-  void StartRun(const RunOrder& order, core::Duration /*lease*/,
+  void StartRun(const RunOrder& order, core::TimePoint /*lease_end*/,
                 core::Duration /*timeout*/) override {
     starts.push_back(order.id);
   }
   void StopRun(const RunId& id) override { stops.push_back(id); }
   void RenewLease(std::uint64_t renewal_number, std::uint64_t ended_cursor,
-                  core::Duration /*lease*/, core::Duration /*wait*/) override {
+                  core::TimePoint /*lease_end*/, core::Duration /*wait*/) override {
     renewals.push_back({renewal_number, ended_cursor});
   }
 
--- a/packages/direct/test/lost_answers_test.cc
+++ b/packages/direct/test/lost_answers_test.cc
@@ -65,7 +65,8 @@
   void set_lateness(core::Duration lateness) { lateness_ = lateness; }
   int renewal_calls() const { return renewal_calls_; }
 
-  void StartRun(const RunOrder& order, core::Duration /*lease*/, core::Duration timeout) override {
+  void StartRun(const RunOrder& order, core::TimePoint /*lease_end*/,
+                core::Duration timeout) override {
     const RunId id = order.id;
     if (Lost()) {
       After(std::max(timeout, min_timeout_),
@@ -79,7 +80,7 @@
   }
   void StopRun(const RunId& /*id*/) override {}
   void RenewLease(std::uint64_t renewal_number, std::uint64_t ended_cursor,
-                  core::Duration /*lease*/, core::Duration wait) override {
+                  core::TimePoint /*lease_end*/, core::Duration wait) override {
     ++renewal_calls_;
     if (!Lost()) {
       renewals_.push_back({renewal_number, ended_cursor, now_ + wait + lateness_});
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -14,6 +14,7 @@
 constexpr core::Duration kLease = std::chrono::seconds(1);
 constexpr core::Duration kOwnerLease = std::chrono::milliseconds(700);
 constexpr char kOwner[] = "entry-1";
+constexpr char kOtherOwner[] = "entry-2";
 
 class RecordingReports : public ReportSink {
  public:
@@ -69,6 +70,7 @@
         std::make_unique<RunExecutor>(RunExecutor::Tuning{kLease, kOwnerLease}, port_, reports_);
     executor_->OnWorkerReport(SampleReport(1), kStart);
     executor_->OnOwnerConfirmed(kOwner, kStart);
+    executor_->OnOwnerConfirmed(kOtherOwner, kStart);
   }
 
  private:
@@ -297,6 +299,7 @@
     restarted.OnLeaseRenewal(port.renewals.back().renewal_number,
                              LeaseRenewal{1000, {{adopted, 5}}, {}}, false, kStart + Ms(1));
     restarted.OnWorkerReport(SampleReport(1), kStart + Ms(2));
+    restarted.OnOwnerConfirmed(kOwner, kStart + Ms(2));
     restarted.OnOrder(kOwner, SampleOrder("j", 0), kStart + Ms(3));
     restarted.OnOrder(kOwner, SampleOrder("j", 1), kStart + Ms(3));
     CPPUNIT_ASSERT(port.starts.empty());
@@ -363,7 +366,7 @@
     executor_->OnStartResult(id, StartResult::kStarted, kStart + Ms(1));
     RunOrder again = SampleOrder("j", 0);
     again.id.number = 2;
-    executor_->OnOrder("entry-2", again, kStart + Ms(5));
+    executor_->OnOrder(kOtherOwner, again, kStart + Ms(5));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port_.starts.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port_.stops.size());
     AnswerRenewal({}, {{1, id, EndedRun::Outcome::kOther}}, kStart + Ms(20));
--- a/packages/direct/test/simulated_server.h
+++ b/packages/direct/test/simulated_server.h
@@ -75,7 +75,7 @@
   };
 
   // WorkerPort
-  void StartRun(const RunOrder& order, core::Duration /*lease*/,
+  void StartRun(const RunOrder& order, core::TimePoint /*lease_end*/,
                 core::Duration /*timeout*/) override {
     events_.After(kCallTime, [this, id = order.id] { Start(id); });
   }
@@ -86,7 +86,7 @@
     });
   }
   void RenewLease(std::uint64_t renewal_number, std::uint64_t ended_cursor,
-                  core::Duration /*lease*/, core::Duration wait) override {
+                  core::TimePoint /*lease_end*/, core::Duration wait) override {
     events_.After(kCallTime, [this, renewal_number, ended_cursor, wait] {
       if (down_) {
         return executor_.OnLeaseRenewal(renewal_number, std::nullopt, true, events_.now());
