Let no run outlast its entry's last confirmation by more than a lease

What callers could see: two runs of a task after an entry died and, within 0.7 s of it, an agent that stayed away for more than 0.25 s.

Cause: the agent renewed the backend server's lease by a second whatever its entries said. The lease that outlives the agent thus reached 1.73 s past the entry's death, and callers come back after 1.3 s. An agent's next process renewed it further, for runs that nobody had claimed.

Ruled out: a shorter lease for all (below 0.55 s), which ends all work of an agent that stands still for that long.

Change: a lease ends at most 1 s after each entry with runs there has last confirmed a message of the agent, and is not renewed while a run is unclaimed. The runs of a dead entry are over 1.03 s after its death, without any message. While an entry is silent the runs of others have at least 0.3 s of lease left; they lose it only if the agent's stops stay unanswered for that long.

Before and after: RunExecutorTest::NoRunOutlastsItsOwnersConfirmationByMoreThanALease and ::LeaseOfUnclaimedRunsIsNotRenewed fail with leases of a full second and pass.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -159,6 +159,12 @@
   // placed its runs elsewhere.
   bool IsSilent(const std::string& owner, core::TimePoint now) const;
   void DropOrdersOfSilentOwners(core::TimePoint now);
+  // Until when the backend server's lease may be renewed: no run may outlast its owner's
+  // latest confirmation by more than one lease. Nothing if that has passed, or while a run
+  // is unclaimed.
+  std::optional<core::TimePoint> LeaseEnd(core::TimePoint now) const;
+  // Notes that the runs may go on until then, by a clock that may be slow.
+  void NoteLease(core::TimePoint lease_end);
   void StartQueued(core::TimePoint now);
   void Start(RunQueue::Item item, core::TimePoint now);
   void SendStart(const Run& run, core::TimePoint now);
@@ -198,7 +204,8 @@
   // Orders for tasks of which an earlier run is still being stopped.
   std::vector<DeferredOrder> deferred_;
   std::map<RunId, LateStop> late_stops_;
-  std::map<std::string, core::TimePoint> owner_lease_until_;
+  // When this agent sent the latest message that the owner has confirmed.
+  std::map<std::string, core::TimePoint> confirmed_at_;
   std::deque<FinalReport> finals_;
   std::deque<WorkerCrash> crashes_;
   // Runs that ended with the lease of a silent backend server. It may turn out to
--- a/packages/direct/include/coltsfoottide/direct/worker_port.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/run_id.h"
@@ -21,11 +22,11 @@
                         core::Duration timeout) = 0;
   // If the run arrives after the stop, the backend server refuses it.
   virtual void StopRun(const RunId& id) = 0;
-  // Renews the lease until `lease_end`, acknowledges ended runs up to the number `ended_cursor`,
-  // and waits up to `wait` for the next end. `renewal_number` is returned with
-  // the answer.
+  // Renews the lease until `lease_end`, if given, acknowledges ended runs up to the number
+  // `ended_cursor`, and waits up to `wait` for the next end. `renewal_number` is returned
+  // with the answer.
   virtual void RenewLease(std::uint64_t renewal_number, std::uint64_t ended_cursor,
-                          core::TimePoint lease_end, core::Duration wait) = 0;
+                          std::optional<core::TimePoint> lease_end, core::Duration wait) = 0;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -202,8 +202,8 @@
 }
 
 void RunExecutor::OnOwnerConfirmed(const std::string& owner, core::TimePoint sent) {
-  core::TimePoint& until = owner_lease_until_[owner];
-  until = std::max(until, sent + tuning_.owner_lease);
+  core::TimePoint& confirmed = confirmed_at_[owner];
+  confirmed = std::max(confirmed, sent);
 }
 
 Resources RunExecutor::FreeResources() const {
@@ -218,13 +218,13 @@
 }
 
 bool RunExecutor::IsSilent(const std::string& owner, core::TimePoint now) const {
-  const auto it = owner_lease_until_.find(owner);
-  return it == owner_lease_until_.end() || now > it->second;
+  const auto it = confirmed_at_.find(owner);
+  return it == confirmed_at_.end() || now > it->second + tuning_.owner_lease;
 }
 
 void RunExecutor::DropOrdersOfSilentOwners(core::TimePoint now) {
-  for (const auto& [owner, until] : owner_lease_until_) {
-    if (now > until) ReportNotRun(queue_.TakeOwnedBy(owner), now);
+  for (const auto& [owner, confirmed] : confirmed_at_) {
+    if (IsSilent(owner, now)) ReportNotRun(queue_.TakeOwnedBy(owner), now);
   }
   std::erase_if(deferred_,
                 [this, now](const DeferredOrder& it) { return IsSilent(it.owner, now); });
@@ -256,8 +256,25 @@
 }
 
 void RunExecutor::SendStart(const Run& run, core::TimePoint now) {
-  lease_until_ = std::max(lease_until_, now + MaxLease(tuning_.lease));
-  worker_.StartRun(run.order, now + tuning_.lease, kStartTimeout);
+  const core::TimePoint lease_end = LeaseEnd(now).value_or(now);
+  NoteLease(lease_end);
+  worker_.StartRun(run.order, lease_end, kStartTimeout);
+}
+
+std::optional<core::TimePoint> RunExecutor::LeaseEnd(core::TimePoint now) const {
+  core::TimePoint end = now + tuning_.lease;
+  for (const auto& [id, run] : runs_) {
+    const auto confirmed = confirmed_at_.find(run.owner);
+    if (confirmed == confirmed_at_.end()) return std::nullopt;
+    end = std::min(end, confirmed->second + tuning_.lease);
+  }
+  if (end <= now) return std::nullopt;
+  return end;
+}
+
+void RunExecutor::NoteLease(core::TimePoint lease_end) {
+  const core::Duration clock_error = MaxLease(tuning_.lease) - tuning_.lease;
+  lease_until_ = std::max(lease_until_, lease_end + clock_error);
 }
 
 void RunExecutor::OnStartResult(const RunId& id, StartResult result, core::TimePoint now) {
@@ -450,11 +467,12 @@
   const int wanted_at_once = hurried ? kLossyConcurrentRenewals : 1;
   // An answer that may only be late gets one round of further renewals.
   const std::size_t most = lossy ? kMaxRenewals : 1 + kLossyConcurrentRenewals;
+  const std::optional<core::TimePoint> lease_end = LeaseEnd(now);
   for (auto n = awaited; n < wanted_at_once && renewals_.size() < most; ++n) {
     renewals_[++last_sent_renewal_] = {now, now + longest + grace};
     acknowledged_cursor_ = ended_cursor_;
-    lease_until_ = std::max(lease_until_, now + MaxLease(tuning_.lease));
-    worker_.RenewLease(last_sent_renewal_, ended_cursor_, now + tuning_.lease,
+    if (lease_end) NoteLease(*lease_end);
+    worker_.RenewLease(last_sent_renewal_, ended_cursor_, lease_end,
                        ends_awaited ? longest : core::Duration::zero());
   }
 }
@@ -500,6 +518,8 @@
       run.need_known = false;
       run.started_at = now;
       run.progressed_at = now;
+      // The earlier process may have renewed the lease just before it ended.
+      NoteLease(now + tuning_.lease);
     }
     OnRunning(it, now);
   }
@@ -675,9 +695,9 @@
 
 std::optional<core::Duration> RunExecutor::TimeSinceConfirmed(const std::string& owner,
                                                               core::TimePoint now) const {
-  const auto it = owner_lease_until_.find(owner);
-  if (it == owner_lease_until_.end()) return std::nullopt;
-  return now - (it->second - tuning_.owner_lease);
+  const auto it = confirmed_at_.find(owner);
+  if (it == confirmed_at_.end()) return std::nullopt;
+  return now - it->second;
 }
 
 bool RunExecutor::HasRunsOf(const std::string& owner) const {
--- a/packages/direct/test/fake_worker_port.h
+++ b/packages/direct/test/fake_worker_port.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "coltsfoottide/direct/worker_port.h"
@@ -13,21 +15,25 @@
   struct RenewalCall {
     std::uint64_t renewal_number = 0;
     std::uint64_t ended_cursor = 0;
+    std::optional<core::TimePoint> lease_end;
   };
 
-  void StartRun(const RunOrder& order, core::TimePoint /*lease_end*/,
+  void StartRun(const RunOrder& order, core::TimePoint lease_end,
                 core::Duration /*timeout*/) override {
     starts.push_back(order.id);
+    latest_lease_end = std::max(latest_lease_end, lease_end);
   }
   void StopRun(const RunId& id) override { stops.push_back(id); }
   void RenewLease(std::uint64_t renewal_number, std::uint64_t ended_cursor,
-                  core::TimePoint /*lease_end*/, core::Duration /*wait*/) override {
-    renewals.push_back({renewal_number, ended_cursor});
+                  std::optional<core::TimePoint> lease_end, core::Duration /*wait*/) override {
+    renewals.push_back({renewal_number, ended_cursor, lease_end});
+    latest_lease_end = std::max(latest_lease_end, lease_end.value_or(latest_lease_end));
   }
 
   std::vector<RunId> starts;
   std::vector<RunId> stops;
   std::vector<RenewalCall> renewals;
+  core::TimePoint latest_lease_end;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/test/lost_answers_test.cc
+++ b/packages/direct/test/lost_answers_test.cc
@@ -80,7 +80,7 @@
   }
   void StopRun(const RunId& /*id*/) override {}
   void RenewLease(std::uint64_t renewal_number, std::uint64_t ended_cursor,
-                  core::TimePoint /*lease_end*/, core::Duration wait) override {
+                  std::optional<core::TimePoint> /*lease_end*/, core::Duration wait) override {
     ++renewal_calls_;
     if (!Lost()) {
       renewals_.push_back({renewal_number, ended_cursor, now_ + wait + lateness_});
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(OrderReadAfterItsOwnersLeaseIsNotStarted);
   CPPUNIT_TEST(QueuedRunIsNotStartedAfterItsOwnersLease);
   CPPUNIT_TEST(UnansweredStartIsNotSentAgainAfterItsOwnersLease);
+  CPPUNIT_TEST(NoRunOutlastsItsOwnersConfirmationByMoreThanALease);
+  CPPUNIT_TEST(LeaseOfUnclaimedRunsIsNotRenewed);
   CPPUNIT_TEST(NewWorkerIncarnationEndsListedRuns);
   CPPUNIT_TEST(StartThatNewIncarnationMayHaveReceivedIsStopped);
   CPPUNIT_TEST(OldReportChangesNothing);
@@ -211,6 +213,45 @@
     CPPUNIT_ASSERT(port_.stops.front() == id);
   }
 
+  // An entry dies, and the agent some time before it would stop the entry's runs. Guards
+  // against a run that goes on when the entry's caller is back, whenever the agent dies and
+  // however long it stays away.
+  void NoRunOutlastsItsOwnersConfirmationByMoreThanALease() {
+    const RunId first = Order(0, kStart + Ms(5));
+    executor_->OnStartResult(first, StartResult::kStarted, kStart + Ms(6));
+    for (int ms = 20; ms <= 700; ms += 20) {
+      if (ms == 200) executor_->OnOwnerConfirmed(kOtherOwner, kStart + Ms(ms));
+      if (ms == 300) executor_->OnOrder(kOtherOwner, SampleOrder("other", 0), kStart + Ms(ms));
+      executor_->Advance(kStart + Ms(ms));
+      AnswerRenewal({{first, ms / 10}}, {}, kStart + Ms(ms));
+      CPPUNIT_ASSERT(port_.latest_lease_end == kStart + kLease);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.starts.size());
+    executor_->OnOwnerConfirmed(kOwner, kStart + Ms(650));
+    executor_->OnOwnerConfirmed(kOtherOwner, kStart + Ms(660));
+    AnswerRenewal({{first, 70}}, {}, kStart + Ms(710));
+    CPPUNIT_ASSERT(port_.latest_lease_end == kStart + Ms(650) + kLease);
+  }
+
+  // An agent restarts after an entry has died. Guards against keeping runs alive that
+  // nobody claims, and against an adopted run that counts as over while it goes on.
+  void LeaseOfUnclaimedRunsIsNotRenewed() {
+    FakeWorkerPort port;
+    RunExecutor restarted({kLease, kOwnerLease}, port, reports_);
+    restarted.Begin(kStart);
+    const RunId id{{"j", 0, 0}, 1};
+    restarted.OnLeaseRenewal(port.renewals.back().renewal_number, LeaseRenewal{1000, {{id, 5}}, {}},
+                             false, kStart + Ms(1));
+    restarted.Advance(kStart + Ms(2));
+    CPPUNIT_ASSERT(!port.renewals.back().lease_end);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, reports_.Count(RunReport::Kind::kLost));
+    restarted.OnOwnerConfirmed(kOwner, kStart + Ms(20));
+    restarted.OnClaim(kOwner, id, Resources{6000, 64, 0});
+    restarted.OnLeaseRenewal(port.renewals.back().renewal_number, LeaseRenewal{1000, {{id, 6}}, {}},
+                             false, kStart + Ms(52));
+    CPPUNIT_ASSERT(port.renewals.back().lease_end == kStart + Ms(20) + kLease);
+  }
+
   // Guards against waiting for runs of a backend server that has restarted
   // under the same id.
   void NewWorkerIncarnationEndsListedRuns() {
--- a/packages/direct/test/simulated_server.h
+++ b/packages/direct/test/simulated_server.h
@@ -86,7 +86,7 @@
     });
   }
   void RenewLease(std::uint64_t renewal_number, std::uint64_t ended_cursor,
-                  core::TimePoint /*lease_end*/, core::Duration wait) override {
+                  std::optional<core::TimePoint> /*lease_end*/, core::Duration wait) override {
     events_.After(kCallTime, [this, renewal_number, ended_cursor, wait] {
       if (down_) {
         return executor_.OnLeaseRenewal(renewal_number, std::nullopt, true, events_.now());
