Ignore late results of calls to an earlier incarnation

What callers could see: two runs of a task at the same time, after a crash of a backend server beside an agent that stood still.

Cause: the result of each lease renewal counted as the present state. One that was sent before a new incarnation became known, and answered by the earlier one or refused while nothing listened, was taken for a further restart: the runs of the new incarnation were reported as lost, stopped, and placed elsewhere while they went on. A refused start did the same.

Change: what a call says counts against the incarnation to which it was sent. The result of a renewal that was sent before the present incarnation became known is used only if that incarnation has answered it, whatever the order of the incarnations' times of birth.

Before and after: RunExecutorTest::LateAnswerOfAnEarlierIncarnationChangesNothing and ::LateRefusalChangesNothingForTheNextIncarnation failed and pass.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -125,6 +125,8 @@
     bool confirmed = false;
     // Number of start calls that got no answer.
     int unanswered_starts = 0;
+    // The incarnation that was present when the start was last sent.
+    std::int64_t sent_to = 0;
     // First lease renewal whose answer must list the run; earlier ones may lack
     // it.
     std::uint64_t visible_from_renewal = 0;
@@ -167,7 +169,7 @@
   void NoteLease(core::TimePoint lease_end);
   void StartQueued(core::TimePoint now);
   void Start(RunQueue::Item item, core::TimePoint now);
-  void SendStart(const Run& run, core::TimePoint now);
+  void SendStart(Run& run, core::TimePoint now);
   void StopRun(Run& run, core::TimePoint now);
   void EndRun(const RunId& id, RunReport::Kind kind, core::TimePoint now);
   void MarkAllRunsLost(core::TimePoint now);
@@ -220,6 +222,9 @@
   // answered.
   std::uint64_t last_sent_renewal_ = 0;
   std::uint64_t last_answered_renewal_ = 0;
+  // Number of the first lease renewal that was sent after the present incarnation had become
+  // known. Results of earlier ones may be about an earlier incarnation.
+  std::uint64_t first_renewal_of_incarnation_ = 0;
   // Unanswered lease renewals by number.
   std::map<std::uint64_t, SentRenewal> renewals_;
   // Until this time answers are expected to be lost, so lease renewals wait for
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -112,6 +112,7 @@
 void RunExecutor::OnWorkerIncarnation(std::int64_t incarnation, core::TimePoint now) {
   if (incarnation == worker_incarnation_ || incarnation == 0) return;
   const std::int64_t earlier = std::exchange(worker_incarnation_, incarnation);
+  first_renewal_of_incarnation_ = last_sent_renewal_ + 1;
   if (earlier == 0) return;
   RecordCrash(earlier, now);
   AbandonIncarnation(now);
@@ -255,7 +256,8 @@
   SendDueRenewals(now);
 }
 
-void RunExecutor::SendStart(const Run& run, core::TimePoint now) {
+void RunExecutor::SendStart(Run& run, core::TimePoint now) {
+  run.sent_to = worker_incarnation_;
   const core::TimePoint lease_end = LeaseEnd(now).value_or(now);
   NoteLease(lease_end);
   worker_.StartRun(run.order, lease_end, kStartTimeout);
@@ -307,12 +309,15 @@
       // have ended; a lease renewal will then list the end.
       if (run.unanswered_starts > 0) return StopRun(run, now);
       return EndRun(id, RunReport::Kind::kNumberUsed, now);
-    case StartResult::kConnectionRefused:
-      worker_ready_ = false;
+    case StartResult::kConnectionRefused: {
+      const bool gone = run.sent_to == worker_incarnation_;
+      if (gone) worker_ready_ = false;
       // After an unanswered start the run may be what has crashed the backend
       // server.
       if (run.unanswered_starts == 0) EndRun(id, RunReport::Kind::kNotRun, now);
-      return OnWorkerGone(now);
+      if (gone) OnWorkerGone(now);
+      return;
+    }
     case StartResult::kLeaseExpired:
     case StartResult::kUnhealthy:
     case StartResult::kFenced:
@@ -481,6 +486,8 @@
                                  const std::optional<LeaseRenewal>& result, bool connection_refused,
                                  core::TimePoint now) {
   renewals_.erase(renewal_number);
+  const bool of_incarnation = result && result->incarnation == worker_incarnation_;
+  if (renewal_number < first_renewal_of_incarnation_ && !of_incarnation) return;
   // A late answer, of a busy backend server or to an agent short of CPU time, is
   // not a lost one: only a later answer that overtakes it shows the loss.
   const bool overtakes = !renewals_.empty() && renewals_.begin()->first < renewal_number &&
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -46,6 +46,8 @@
   CPPUNIT_TEST(LeaseOfUnclaimedRunsIsNotRenewed);
   CPPUNIT_TEST(NewWorkerIncarnationEndsListedRuns);
   CPPUNIT_TEST(StartThatNewIncarnationMayHaveReceivedIsStopped);
+  CPPUNIT_TEST(LateAnswerOfAnEarlierIncarnationChangesNothing);
+  CPPUNIT_TEST(LateRefusalChangesNothingForTheNextIncarnation);
   CPPUNIT_TEST(OldReportChangesNothing);
   CPPUNIT_TEST(DrainingWorkerGetsNoRuns);
   CPPUNIT_TEST(RunsOfAnEarlierProcessAreAdoptedOrStopped);
@@ -89,6 +91,23 @@
     return SampleOrder("j", index).id;
   }
 
+  void ReportNextIncarnation(core::TimePoint now) {
+    WorkerReport next = SampleReport(1);
+    next.incarnation = 2000;
+    CPPUNIT_ASSERT(executor_->OnWorkerReport(next, now));
+  }
+  RunId StartAtNextIncarnation(core::TimePoint now) {
+    RunId id = Order(1, now);
+    CPPUNIT_ASSERT(port_.starts.back() == id);
+    executor_->OnStartResult(id, StartResult::kStarted, now);
+    return id;
+  }
+  bool WasLost(const RunId& id) const {
+    return std::any_of(reports_.reports.begin(), reports_.reports.end(), [&id](const auto& it) {
+      return it.second.id == id && it.second.kind == RunReport::Kind::kLost;
+    });
+  }
+
   // Guards against starting more runs than the backend server has resources
   // for.
   void StartsWhatFitsAndQueuesTheRest() {
@@ -283,6 +302,36 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kLost));
   }
 
+  // An agent that stood still reads the report of a new incarnation, and later an answer of
+  // the earlier one. Guards against treating the runs of the new one as over, which starts
+  // them a second time elsewhere.
+  void LateAnswerOfAnEarlierIncarnationChangesNothing() {
+    const RunId earlier = Order(0);
+    executor_->OnStartResult(earlier, StartResult::kStarted, kStart + Ms(1));
+    const std::uint64_t unanswered = port_.renewals.back().renewal_number;
+    ReportNextIncarnation(kStart + Ms(100));
+    const RunId id = StartAtNextIncarnation(kStart + Ms(110));
+    executor_->OnLeaseRenewal(unanswered, LeaseRenewal{1000, {{earlier, 5}}, {}}, false,
+                              kStart + Ms(200));
+    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number,
+                              LeaseRenewal{2000, {{id, 50}}, {}}, false, kStart + Ms(210));
+    CPPUNIT_ASSERT(!WasLost(id));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, std::count(port_.stops.begin(), port_.stops.end(), id));
+    CPPUNIT_ASSERT(executor_->State(kStart + Ms(210)).ready);
+  }
+
+  // The same for calls that were refused before the new incarnation listened.
+  void LateRefusalChangesNothingForTheNextIncarnation() {
+    const RunId earlier = Order(0);
+    const std::uint64_t unanswered = port_.renewals.back().renewal_number;
+    ReportNextIncarnation(kStart + Ms(100));
+    const RunId id = StartAtNextIncarnation(kStart + Ms(110));
+    executor_->OnLeaseRenewal(unanswered, std::nullopt, true, kStart + Ms(200));
+    executor_->OnStartResult(earlier, StartResult::kConnectionRefused, kStart + Ms(201));
+    CPPUNIT_ASSERT(!WasLost(id));
+    CPPUNIT_ASSERT(executor_->State(kStart + Ms(201)).ready);
+  }
+
   // Guards against a delayed report of an earlier incarnation or with an
   // earlier sequence number.
   void OldReportChangesNothing() {
