Let runs last until a restarted agent can adopt them

Cause: a lease that ends 1 s after the entry's latest confirmation, which is up to 0.25 s old, ends some 0.8 s after the agent's death; its next process is there after 0.8 s.

Change: the limit is 1.2 s. With a clock 2% slow the run is over 1.25 s after the entry's death, still before its callers come back (1.3 s).

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -121,7 +121,7 @@
   MakeWorkerClient();
   direct::ReportSink& reports = *this;
   executor_ = std::make_unique<direct::RunExecutor>(
-      direct::RunExecutor::Tuning{settings_.lease, kOwnerLease}, *worker_, reports);
+      direct::RunExecutor::Tuning{settings_.lease, kOwnerLease, kRunLimit}, *worker_, reports);
   if (auto error = OpenServer()) return error;
   if (auto error = metrics_server_.Open(settings_.metrics_listen)) return error;
   store_ = std::make_unique<platform::StoreClient>(settings_.log_url);
--- a/packages/daemon/src/direct_timing.h
+++ b/packages/daemon/src/direct_timing.h
@@ -17,6 +17,11 @@
 // 1.3 s at the earliest; the stop takes 50 ms more.
 inline constexpr core::Duration kOwnerLease = std::chrono::milliseconds(700);
 
+// No run goes on for longer than this after its entry has last confirmed a message of the
+// agent. Callers of a dead entry submit again after 1.3 s; the backend server's clock, by
+// which the lease ends, may be 2% slow.
+inline constexpr core::Duration kRunLimit = std::chrono::milliseconds(1200);
+
 // Longest interval between two states that an agent sends to an entry: while
 // it has runs of that entry, and while it has none.
 inline constexpr core::Duration kBusyInterval = std::chrono::milliseconds(150);
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -36,6 +36,9 @@
     // Runs of an entry are neither started nor kept when it has confirmed nothing for
     // this long.
     core::Duration owner_lease;
+    // No run goes on for longer than this after its owner's latest confirmation, whatever
+    // happens to this agent meanwhile.
+    core::Duration run_limit;
   };
 
   RunExecutor(const Tuning& tuning, WorkerPort& worker, ReportSink& reports);
@@ -161,9 +164,8 @@
   // placed its runs elsewhere.
   bool IsSilent(const std::string& owner, core::TimePoint now) const;
   void DropOrdersOfSilentOwners(core::TimePoint now);
-  // Until when the backend server's lease may be renewed: no run may outlast its owner's
-  // latest confirmation by more than one lease. Nothing if that has passed, or while a run
-  // is unclaimed.
+  // Until when the backend server's lease may be renewed; nothing while a run has used up its
+  // limit or is unclaimed.
   std::optional<core::TimePoint> LeaseEnd(core::TimePoint now) const;
   // Notes that the runs may go on until then, by a clock that may be slow.
   void NoteLease(core::TimePoint lease_end);
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -268,7 +268,7 @@
   for (const auto& [id, run] : runs_) {
     const auto confirmed = confirmed_at_.find(run.owner);
     if (confirmed == confirmed_at_.end()) return std::nullopt;
-    end = std::min(end, confirmed->second + tuning_.lease);
+    end = std::min(end, confirmed->second + tuning_.run_limit);
   }
   if (end <= now) return std::nullopt;
   return end;
