Let the soak's tasks that crash their server end with its other faults

Cause: one job in 33 has a task that crashes its backend server up to three times, and callers submitted such jobs until the end of the run.

Change: such jobs are submitted while faults are injected, at twice the share, and the time to settle begins when the last of them has its last answer.

--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -27,9 +27,10 @@
 # From SETTLE_S after the last fault, at least MIN_SERVED_SHARE of the calls must
 # be answered with status 200.
 SETTLE_S, MIN_SERVED_SHARE = 4.0, 0.9
-# Share of the jobs with a task that crashes its backend server. Such a task may be
-# started this many times after three backend servers have crashed under it.
-CRASHING_SHARE, MAX_LATE_STARTS = 0.03, 2
+# Share of the jobs with a task that crashes its backend server, while faults are
+# injected. Such a task may be started this many times after three backend servers have
+# crashed under it.
+CRASHING_SHARE, MAX_LATE_STARTS = 0.06, 2
 
 
 class History:
@@ -66,10 +67,11 @@
             if how == "done":
                 self.completed_tasks.setdefault(task.split(".")[0], set()).add(task)
 
-    def answer(self, job, tasks, status, body, refused_only, crashing):
+    def answer(self, job, tasks, statuses, body, refused_only, crashing):
+        status = statuses[-1]
         with self.lock:
             if not crashing:
-                self.answers.append((time.monotonic(), status))
+                self.answers.append((time.monotonic(), job, statuses))
             elif status == 200 and b"completed" in body:
                 self.errors.append(f"{job}: completed with a task that crashes its server")
             if status == 200 and b"completed" in body and len(
@@ -115,6 +117,10 @@
                 "backend_url": f"http://{relayed}:{BACKEND_PORT}"}, f"{ip}:{REPORT_PORT}"))
         self.entry_hosts = entries
         self.running = True
+        # Jobs with a crashing task are faults too: none is submitted after the others,
+        # and the last one must have ended before the time to settle begins.
+        self.crashing_jobs, self.may_crash = 0, True
+        self.crashing_changed = threading.Condition()
         self.faults_done = threading.Barrier(FAULT_SERIES + 1)
         self.run_finished = threading.Event()
 
@@ -147,6 +153,24 @@
         finally:
             link.close()
 
+    def begin_crashing_job(self):
+        """Returns whether a job with a crashing task may be submitted now."""
+        with self.crashing_changed:
+            self.crashing_jobs += self.may_crash
+            return self.may_crash
+
+    def end_crashing_job(self):
+        with self.crashing_changed:
+            self.crashing_jobs -= 1
+            self.crashing_changed.notify_all()
+
+    def end_faults(self):
+        """Waits for the end of the last fault."""
+        self.faults_done.wait()
+        with self.crashing_changed:
+            self.may_crash = False
+            self.crashing_changed.wait_for(lambda: self.crashing_jobs == 0)
+
     def run_caller(self, number, seed):
         rng = random.Random(seed)
         count = 0
@@ -154,7 +178,7 @@
             count += 1
             job = f"{number:04x}{count:012x}"
             tasks, ms = rng.choice([(2, 60), (3, 120), (1, 400), (1, 1800)])
-            crashing = rng.random() < CRASHING_SHARE
+            crashing = rng.random() < CRASHING_SHARE and self.begin_crashing_job()
             statuses = []
             for _ in range(4):
                 status, body = self.call_once(
@@ -163,11 +187,13 @@
                 if status not in (0, 502, 504) or not self.running:
                     break
                 time.sleep(RETRY_DELAY_S)
+            if crashing:
+                self.end_crashing_job()
             refused_only = all(it in (429, 503) for it in statuses)
             if refused_only:
                 # Waits until a start that is delivered late would be recorded.
                 time.sleep(2.2)
-            self.history.answer(job, tasks, statuses[-1], body, refused_only, crashing)
+            self.history.answer(job, tasks, statuses, body, refused_only, crashing)
             time.sleep(rng.uniform(0.0, 0.15))
 
     def inject_fault(self, rng, series):
@@ -255,7 +281,7 @@
                 for n in range(FAULT_SERIES)]
             for it in series:
                 it.start()
-            self.faults_done.wait()
+            self.end_faults()
             settled = time.monotonic() + SETTLE_S
             time.sleep(SETTLE_S + 4.0)
             self.running = False
@@ -271,11 +297,13 @@
             self.run_finished.set()
 
     def check_recovery(self, since):
-        late = [status for at, status in self.history.answers if at > since]
-        served = sum(1 for it in late if it == 200)
+        late = [(job, statuses) for at, job, statuses in self.history.answers if at > since]
+        unserved = [f"{job} {statuses}" for job, statuses in late if statuses[-1] != 200]
+        served = len(late) - len(unserved)
         if not late or served < MIN_SERVED_SHARE * len(late):
             self.history.errors.append(
-                f"after the faults {served} of {len(late)} calls were answered with status 200")
+                f"after the faults {served} of {len(late)} calls were answered with status "
+                f"200, not {', '.join(unserved)}")
 
 
 def main():
@@ -295,7 +323,7 @@
         it.ignores_stops = options.broken
     counts = soak.run(options.seconds, options.seed)
     history = soak.history
-    served = sum(1 for _, status in history.answers if status == 200)
+    served = sum(1 for *_, statuses in history.answers if statuses[-1] == 200)
     print(f"soak: seed={options.seed} jobs={len(history.answers)} served={served} "
           f"starts={history.starts} crashes={sum(history.crashes.values())} faults={json.dumps(counts, sort_keys=True)} "
           f"errors={len(history.errors)}")
