Stop runs that their entry has placed elsewhere

An agent that was silent for longer than an entry waits for it reconnects with runs, queued or started, that the entry has taken as over. The entry ignored them: a queued one started when resources became free and a started one went on to its end, both beside the run that replaced them, unless the agent dropped them itself.

Change: an unfinished run whose task has had this or a later run at this entry, and that the entry no longer follows, is stopped when the agent lists or reports it. Runs of jobs that the entry does not know, and runs with higher numbers, belong to other entries and are left alone.

--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -128,6 +128,9 @@
   // Runs that are queued or running at the agent as far as this entry knows.
   std::vector<RunId> RunsAt(const std::string& agent) const;
   Task* FindRun(const std::string& agent, const RunId& id, Job** job);
+  // Whether the task has had this or a later run at this entry. If FindRun does not find
+  // the run, it has been taken as over and must not continue.
+  bool IsSuperseded(const RunId& id) const;
   void OnRunEnded(Job& job, Task& task, bool may_have_run, core::TimePoint now);
   void OnDone(Job& job, Task& task, core::TimePoint now);
   // Expedites the queued runs of a job that is nearly done.
--- a/packages/direct/include/coltsfoottide/direct/run_report.h
+++ b/packages/direct/include/coltsfoottide/direct/run_report.h
@@ -28,6 +28,9 @@
   Kind kind = Kind::kQueued;
   // kStarted: projected time to its end if it is behind its estimate, else 0.
   core::Duration remaining{};
+
+  // Whether the agent still has the run.
+  bool IsUnfinished() const { return kind == Kind::kQueued || kind == Kind::kStarted; }
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -226,13 +226,23 @@
   return &task;
 }
 
+bool JobDispatcher::IsSuperseded(const RunId& id) const {
+  const auto it = jobs_.find(id.task.job);
+  if (it == jobs_.end() || id.task.step >= it->second->steps.size()) return false;
+  const std::vector<Task>& tasks = it->second->steps[id.task.step];
+  return id.task.index < tasks.size() && id.number <= tasks[id.task.index].run_number;
+}
+
 void JobDispatcher::OnReport(const std::string& agent, const RunReport& report,
                              core::TimePoint now) {
   // Skips run numbers that another entry may have used for the task.
   constexpr std::uint32_t kRunNumberStep = 64;
   Job* job = nullptr;
   Task* task = FindRun(agent, report.id, &job);
-  if (task == nullptr) return;
+  if (task == nullptr) {
+    if (report.IsUnfinished() && IsSuperseded(report.id)) sink_.SendStop(agent, report.id);
+    return;
+  }
   switch (report.kind) {
     case RunReport::Kind::kQueued:
       if (task->state == Task::State::kUnreachable || task->state == Task::State::kStarted) {
@@ -355,15 +365,13 @@
     listed.insert(it.id);
     Job* job = nullptr;
     const Task* task = FindRun(hello.agent, it.id, &job);
-    const bool unfinished =
-        it.kind == RunReport::Kind::kStarted || it.kind == RunReport::Kind::kQueued;
-    if (unfinished && task != nullptr) {
+    if (it.IsUnfinished() && task != nullptr) {
       sink_.SendClaim(hello.agent, it.id, job->request.steps[it.id.task.step].need);
     }
     OnReport(hello.agent, it, now);
     // The job was answered while the agent was unreachable; its run must be
     // stopped.
-    if (unfinished && FindRun(hello.agent, it.id, &job) != nullptr && job->finished) {
+    if (it.IsUnfinished() && FindRun(hello.agent, it.id, &job) != nullptr && job->finished) {
       sink_.SendStop(hello.agent, it.id);
     }
   }
