Address calls, clocks and fencing tokens to one incarnation

What callers could see: two runs of a task after a crash of a backend server, when a call to the earlier incarnation is carried out late. PROTOCOL.md allows the same id again.

Cause: three things belonged to the address and not to the process there. - The clock was taken from any answer. With that of an earlier incarnation, which is far ahead, a lease has no end on the later one's clock but the longest that it grants, from whenever the call arrives. - The fencing token was the same before and after a crash, so only stops in the memory of one agent process stood between a late start and the next incarnation. - The executor acted on the report of a new incarnation before the client knew it: its first stops and lease renewals went out with the earlier one's id and clock.

The agent calls a new incarnation at once, so that it knows the token, and the client learns of a report before the executor.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -206,9 +206,11 @@
     logger_.Warn("report ignored", {{"id", id}, {"reason", error}});
     return;
   }
+  if (!executor_->IsNews(decoded->report)) return;
   const direct::WorkerState before = executor_->State(BootNow());
-  if (!executor_->OnWorkerReport(decoded->report, BootNow())) return;
-  worker_->OnReport(id, decoded->address, decoded->clock_ms);
+  // First, so that the executor's calls go to the incarnation that has reported.
+  worker_->OnReport(id, decoded->report.incarnation, decoded->address, decoded->clock_ms);
+  executor_->OnWorkerReport(decoded->report, BootNow());
   const direct::WorkerState after = executor_->State(BootNow());
   if (before.ready != after.ready || before.draining != after.draining) {
     state_changed_ = true;
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -49,6 +49,8 @@
   // or no process listens there.
   bool runs_known() const { return runs_known_; }
 
+  // Whether the report is newer than the last one.
+  bool IsNews(const WorkerReport& report) const;
   // Returns whether the report is newer than the last one.
   bool OnWorkerReport(const WorkerReport& report, core::TimePoint now);
   // The backend server has announced its shutdown.
@@ -227,6 +229,9 @@
   // Number of the first lease renewal that was sent after the present incarnation had become
   // known. Results of earlier ones may be about an earlier incarnation.
   std::uint64_t first_renewal_of_incarnation_ = 0;
+  // Whether an answer shows that the present incarnation has received this agent's fencing
+  // token, which the one before it did not have.
+  bool incarnation_answered_ = true;
   // Unanswered lease renewals by number.
   std::map<std::uint64_t, SentRenewal> renewals_;
   // Until this time answers are expected to be lost, so lease renewals wait for
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -84,11 +84,15 @@
   SendDueRenewals(now);
 }
 
-bool RunExecutor::OnWorkerReport(const WorkerReport& report, core::TimePoint now) {
+bool RunExecutor::IsNews(const WorkerReport& report) const {
   if (report.incarnation < worker_incarnation_) return false;
   const bool same = worker_report_ && worker_report_->id == report.id &&
                     report.incarnation == worker_incarnation_;
-  if (same && report.sequence <= worker_report_->sequence) return false;
+  return !same || report.sequence > worker_report_->sequence;
+}
+
+bool RunExecutor::OnWorkerReport(const WorkerReport& report, core::TimePoint now) {
+  if (!IsNews(report)) return false;
   OnWorkerIncarnation(report.incarnation, now);
   worker_report_ = report;
   worker_ready_ = true;
@@ -114,6 +118,7 @@
   const std::int64_t earlier = std::exchange(worker_incarnation_, incarnation);
   first_renewal_of_incarnation_ = last_sent_renewal_ + 1;
   if (earlier == 0) return;
+  incarnation_answered_ = false;
   RecordCrash(earlier, now);
   AbandonIncarnation(now);
   health_.Reset();
@@ -458,8 +463,8 @@
 
 void RunExecutor::SendDueRenewals(core::TimePoint now) {
   const bool unconfirmed = worker_report_ && !worker_ready_ && !worker_shut_down_;
-  const bool wanted = earlier_runs_pending_ || unconfirmed || !runs_.empty() ||
-                      ended_cursor_ > acknowledged_cursor_;
+  const bool wanted = earlier_runs_pending_ || unconfirmed || !incarnation_answered_ ||
+                      !runs_.empty() || ended_cursor_ > acknowledged_cursor_;
   const auto awaited = std::count_if(renewals_.begin(), renewals_.end(),
                                      [now](const auto& it) { return now < it.second.overdue; });
   const bool overdue = static_cast<std::size_t>(awaited) < renewals_.size();
@@ -503,6 +508,7 @@
     return;
   }
   last_answer_ = now;
+  if (renewal_number >= first_renewal_of_incarnation_) incarnation_answered_ = true;
   const bool newest = renewal_number > last_answered_renewal_;
   last_answered_renewal_ = std::max(last_answered_renewal_, renewal_number);
   const bool first = earlier_runs_pending_;
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(StartThatNewIncarnationMayHaveReceivedIsStopped);
   CPPUNIT_TEST(LateAnswerOfAnEarlierIncarnationChangesNothing);
   CPPUNIT_TEST(LateRefusalChangesNothingForTheNextIncarnation);
+  CPPUNIT_TEST(NextIncarnationIsCalledAtOnce);
   CPPUNIT_TEST(OldReportChangesNothing);
   CPPUNIT_TEST(DrainingWorkerGetsNoRuns);
   CPPUNIT_TEST(RunsOfAnEarlierProcessAreAdoptedOrStopped);
@@ -344,6 +345,18 @@
     CPPUNIT_ASSERT(executor_->State(kStart + Ms(201)).ready);
   }
 
+  // Guards against a new incarnation that does not know the agent's fencing token until it
+  // gets its first run, and so carries out late calls to the one before.
+  void NextIncarnationIsCalledAtOnce() {
+    executor_->OnLeaseRenewal(1, LeaseRenewal{1000, {}, {}}, false, kStart);
+    const std::size_t before = port_.renewals.size();
+    ReportNextIncarnation(kStart + Ms(100));
+    CPPUNIT_ASSERT_EQUAL(before + 1, port_.renewals.size());
+    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, LeaseRenewal{2000, {}, {}},
+                              false, kStart + Ms(101));
+    CPPUNIT_ASSERT_EQUAL(before + 1, port_.renewals.size());
+  }
+
   // Guards against a delayed report of an earlier incarnation or with an
   // earlier sequence number.
   void OldReportChangesNothing() {
