Refuse late starts of ended runs at the next incarnation

What callers could see: a second run of a task, at an incarnation of a backend server that knows nothing of the first. A start gets no answer, its repetition does and the run ends or is stopped; the first copy is carried out after a crash.

Cause: only runs that were present at the crash were stopped at the next incarnation.

The raised fencing token voids such copies as well, once the new incarnation has been called; the stop also holds where the token is not checked.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -210,6 +210,9 @@
   // Orders for tasks of which an earlier run is still being stopped.
   std::vector<DeferredOrder> deferred_;
   std::map<RunId, LateStop> late_stops_;
+  // Ended runs of which a start got no answer, with the time after which no copy of it can
+  // arrive. The present incarnation refuses such copies; the next one has to be told.
+  std::map<RunId, core::TimePoint> unanswered_;
   // When this agent sent the latest message that the owner has confirmed.
   std::map<std::string, core::TimePoint> confirmed_at_;
   std::deque<FinalReport> finals_;
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -121,6 +121,7 @@
   incarnation_answered_ = false;
   RecordCrash(earlier, now);
   AbandonIncarnation(now);
+  for (const auto& [id, until] : std::exchange(unanswered_, {})) late_stops_[id] = {now, until};
   health_.Reset();
   ended_cursor_ = 0;
   acknowledged_cursor_ = 0;
@@ -375,6 +376,7 @@
   const auto it = runs_.find(id);
   if (it == runs_.end()) return;
   const std::string owner = it->second.owner;
+  if (it->second.unanswered_starts > 0) unanswered_[id] = now + kLateStartTime;
   runs_.erase(it);
   ReportFinal(owner, RunReport{id, kind, {}}, now);
   for (auto deferred = deferred_.begin(); deferred != deferred_.end(); ++deferred) {
@@ -447,6 +449,7 @@
 // A backend server refuses a start of a run that it was told to stop before.
 void RunExecutor::SendLateStops(core::TimePoint now) {
   std::erase_if(late_stops_, [now](const auto& it) { return now >= it.second.until; });
+  std::erase_if(unanswered_, [now](const auto& it) { return now >= it.second; });
   if (!worker_ready_) return;
   for (auto& [id, stop] : late_stops_) {
     if (now < stop.due) continue;
