Start no run under a lease that goes beyond its entry's limit

What callers could see: two runs of a task, after an entry died whose confirmation was old when the run started, and the agent died as well.

Cause: the backend server's lease holds for all runs and never becomes shorter. A run whose entry had last confirmed a message 0.6 s ago started under the lease that another entry's run had just got, a second from then, and could go on for 1.6 s after that confirmation.

Change: such a run waits in the queue for its entry's next confirmation, which comes with the entry's next message.

Direct tests 145 of 145.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -171,6 +171,8 @@
   std::optional<core::TimePoint> LeaseEnd(core::TimePoint now) const;
   // Notes that the runs may go on until then, by a clock that may be slow.
   void NoteLease(core::TimePoint lease_end);
+  // Whether the lease that other runs have got goes beyond the limit of the owner's runs.
+  bool LeaseExceedsLimit(const std::string& owner, core::TimePoint now) const;
   void StartQueued(core::TimePoint now);
   void Start(RunQueue::Item item, core::TimePoint now);
   void SendStart(Run& run, core::TimePoint now);
@@ -242,6 +244,8 @@
   core::TimePoint lossy_until_;
   core::TimePoint renewal_due_;
   core::TimePoint last_answer_;
+  // The latest end of a lease that was asked for, and when it has certainly passed.
+  core::TimePoint lease_end_;
   core::TimePoint lease_until_;
   core::TimePoint no_start_before_;
   core::TimePoint begun_at_;
--- a/packages/direct/include/coltsfoottide/direct/run_queue.h
+++ b/packages/direct/include/coltsfoottide/direct/run_queue.h
@@ -33,6 +33,9 @@
   // free resources are kept for a large run.
   std::optional<Item> TakeNext(const Resources& free, core::TimePoint now);
 
+  // Puts back a run that TakeNext has returned.
+  void Return(Item item);
+
   // Moves the run, if it is queued, ahead of runs that are not expedited.
   void Expedite(const RunId& id);
 
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -118,6 +118,7 @@
   const std::int64_t earlier = std::exchange(worker_incarnation_, incarnation);
   first_renewal_of_incarnation_ = last_sent_renewal_ + 1;
   if (earlier == 0) return;
+  lease_end_ = {};
   incarnation_answered_ = false;
   RecordCrash(earlier, now);
   AbandonIncarnation(now);
@@ -241,11 +242,24 @@
   // The timer that drops such orders may be late itself.
   DropOrdersOfSilentOwners(now);
   if (!AcceptsOrders() || now < no_start_before_) return;
+  std::vector<RunQueue::Item> held;
   while (!queue_.empty()) {
     auto item = queue_.TakeNext(FreeResources(), now);
-    if (!item) return;
-    Start(std::move(*item), now);
+    if (!item) break;
+    if (LeaseExceedsLimit(item->owner, now)) {
+      held.push_back(std::move(*item));
+    } else {
+      Start(std::move(*item), now);
+    }
   }
+  // Their turn comes with their owner's next confirmation.
+  for (RunQueue::Item& it : held) queue_.Return(std::move(it));
+}
+
+bool RunExecutor::LeaseExceedsLimit(const std::string& owner, core::TimePoint now) const {
+  const auto confirmed = confirmed_at_.find(owner);
+  if (confirmed == confirmed_at_.end()) return true;
+  return lease_end_ > now && confirmed->second + tuning_.run_limit < lease_end_;
 }
 
 void RunExecutor::Start(RunQueue::Item item, core::TimePoint now) {
@@ -282,6 +296,7 @@
 
 void RunExecutor::NoteLease(core::TimePoint lease_end) {
   const core::Duration clock_error = MaxLease(tuning_.lease) - tuning_.lease;
+  lease_end_ = std::max(lease_end_, lease_end);
   lease_until_ = std::max(lease_until_, lease_end + clock_error);
 }
 
--- a/packages/direct/src/run_queue.cc
+++ b/packages/direct/src/run_queue.cc
@@ -60,6 +60,8 @@
   return item;
 }
 
+void RunQueue::Return(Item item) { items_.push_back(std::move(item)); }
+
 template <typename Predicate>
 std::vector<RunQueue::Item> RunQueue::TakeIf(Predicate predicate) {
   std::vector<Item> taken;
