Accept a backend server whose clock was set back

What callers could see: less capacity. After a backend server's machine had its time of day set back, the server's next incarnation had an earlier time of birth than the one before, and its reports were ignored as late ones for good.

Cause: incarnations were ordered by their time of birth alone, a wall-clock time.

Change: an incarnation that is known to have ended, by a refused connection or because another one answers calls that name it (421), is followed by any that has not been there before.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -89,7 +89,7 @@
       return "fenced";
     case Result::kInvalid:
       return "invalid";
-    case Result::kConnectionRefused:
+    case Result::kWorkerGone:
       return "gone";
     case Result::kUnknown:
       break;
@@ -206,11 +206,12 @@
     logger_.Warn("report ignored", {{"id", id}, {"reason", error}});
     return;
   }
-  if (!executor_->IsNews(decoded->report)) return;
   const direct::WorkerState before = executor_->State(BootNow());
-  // First, so that the executor's calls go to the incarnation that has reported.
-  worker_->OnReport(id, decoded->report.incarnation, decoded->address, decoded->clock_ms);
-  executor_->OnWorkerReport(decoded->report, BootNow());
+  if (executor_->IsNews(decoded->report)) {
+    // First, so that the executor's calls go to the incarnation that has reported.
+    worker_->OnReport(id, decoded->report.incarnation, decoded->address, decoded->clock_ms);
+  }
+  if (!executor_->OnWorkerReport(decoded->report, BootNow())) return;
   const direct::WorkerState after = executor_->State(BootNow());
   if (before.ready != after.ready || before.draining != after.draining) {
     state_changed_ = true;
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -49,9 +49,12 @@
   // or no process listens there.
   bool runs_known() const { return runs_known_; }
 
-  // Whether the report is newer than the last one.
+  // Whether the report is newer than the last one. Incarnations are ordered by their time of
+  // birth, except that any new one is later than one that has ended: the clock may have been
+  // set back in between.
   bool IsNews(const WorkerReport& report) const;
-  // Returns whether the report is newer than the last one.
+  // Returns IsNews. A report that is not news but may be of a later incarnation makes the
+  // agent ask whether the present one is still there.
   bool OnWorkerReport(const WorkerReport& report, core::TimePoint now);
   // The backend server has announced its shutdown.
   void OnWorkerShutdown(const std::string& id, core::TimePoint now);
@@ -71,10 +74,10 @@
   void OnStartResult(const RunId& id, StartResult result, core::TimePoint now);
   void OnStopResult(const RunId& id, bool answered, core::TimePoint now);
   // The answer to a lease renewal, the call that also lists runs.
-  // Without a result, `connection_refused` is whether no process listens at the
-  // backend server.
+  // Without a result, `worker_gone` is whether the incarnation that was called has ended: no
+  // process listens, or another one answers.
   void OnLeaseRenewal(std::uint64_t renewal_number, const std::optional<LeaseRenewal>& result,
-                      bool connection_refused, core::TimePoint now);
+                      bool worker_gone, core::TimePoint now);
 
   // Starts no more runs and reports the queued ones as not run.
   void BeginDrain(core::TimePoint now);
@@ -179,7 +182,7 @@
   void StopRun(Run& run, core::TimePoint now);
   void EndRun(const RunId& id, RunReport::Kind kind, core::TimePoint now);
   void MarkAllRunsLost(core::TimePoint now);
-  // No process listens at the backend server.
+  // The present incarnation of the backend server has ended.
   void OnWorkerGone(core::TimePoint now);
   // Reports that the incarnation has crashed, if it had runs.
   void RecordCrash(std::int64_t incarnation, core::TimePoint now);
@@ -223,6 +226,10 @@
   // have crashed.
   std::vector<RunAtCrash> lapsed_runs_;
   std::int64_t worker_incarnation_ = 0;
+  // Incarnations before the present one, whose reports may arrive late.
+  std::set<std::int64_t> earlier_incarnations_;
+  // Whether the present incarnation is known to have ended.
+  bool worker_gone_ = false;
   // Number of the last ended run that was listed, and of the last that a lease
   // renewal has acknowledged.
   std::uint64_t ended_cursor_ = 0;
--- a/packages/direct/include/coltsfoottide/direct/start_result.h
+++ b/packages/direct/include/coltsfoottide/direct/start_result.h
@@ -21,8 +21,8 @@
 
   // The backend server rejects the call as invalid.
   kInvalid,
-  // No process listens at the backend server.
-  kConnectionRefused,
+  // The incarnation that was called has ended: no process listens, or another one answers.
+  kWorkerGone,
   // No answer: the run may have started or may start later.
   kUnknown,
 };
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -39,6 +39,8 @@
 constexpr core::Duration kStartTimeout = std::chrono::milliseconds(20);
 // A backend server that has answered nothing for this long gets no new work.
 constexpr core::Duration kUnresponsiveTimeout = std::chrono::milliseconds(300);
+// Reports of this many earlier incarnations are recognized.
+constexpr std::size_t kMaxEarlierIncarnations = 16;
 // Delay before a lease renewal whose connection was refused, or a stop that got
 // no answer, is sent again.
 constexpr core::Duration kRetryDelay = std::chrono::milliseconds(50);
@@ -85,14 +87,21 @@
 }
 
 bool RunExecutor::IsNews(const WorkerReport& report) const {
-  if (report.incarnation < worker_incarnation_) return false;
+  if (earlier_incarnations_.contains(report.incarnation)) return false;
+  if (report.incarnation < worker_incarnation_ && !worker_gone_) return false;
   const bool same = worker_report_ && worker_report_->id == report.id &&
                     report.incarnation == worker_incarnation_;
   return !same || report.sequence > worker_report_->sequence;
 }
 
 bool RunExecutor::OnWorkerReport(const WorkerReport& report, core::TimePoint now) {
-  if (!IsNews(report)) return false;
+  if (!IsNews(report)) {
+    const bool unknown = report.incarnation != worker_incarnation_ &&
+                         !earlier_incarnations_.contains(report.incarnation);
+    if (unknown) incarnation_answered_ = false;
+    SendDueRenewals(now);
+    return false;
+  }
   OnWorkerIncarnation(report.incarnation, now);
   worker_report_ = report;
   worker_ready_ = true;
@@ -118,6 +127,11 @@
   const std::int64_t earlier = std::exchange(worker_incarnation_, incarnation);
   first_renewal_of_incarnation_ = last_sent_renewal_ + 1;
   if (earlier == 0) return;
+  earlier_incarnations_.insert(earlier);
+  if (earlier_incarnations_.size() > kMaxEarlierIncarnations) {
+    earlier_incarnations_.erase(earlier_incarnations_.begin());
+  }
+  worker_gone_ = false;
   lease_end_ = {};
   incarnation_answered_ = false;
   RecordCrash(earlier, now);
@@ -330,7 +344,7 @@
       // have ended; a lease renewal will then list the end.
       if (run.unanswered_starts > 0) return StopRun(run, now);
       return EndRun(id, RunReport::Kind::kNumberUsed, now);
-    case StartResult::kConnectionRefused: {
+    case StartResult::kWorkerGone: {
       const bool gone = run.sent_to == worker_incarnation_;
       if (gone) worker_ready_ = false;
       // After an unanswered start the run may be what has crashed the backend
@@ -423,6 +437,7 @@
 }
 
 void RunExecutor::OnWorkerGone(core::TimePoint now) {
+  worker_gone_ = true;
   RecordCrash(worker_incarnation_, now);
   MarkAllRunsLost(now);
 }
@@ -506,7 +521,7 @@
 }
 
 void RunExecutor::OnLeaseRenewal(std::uint64_t renewal_number,
-                                 const std::optional<LeaseRenewal>& result, bool connection_refused,
+                                 const std::optional<LeaseRenewal>& result, bool worker_gone,
                                  core::TimePoint now) {
   renewals_.erase(renewal_number);
   const bool of_incarnation = result && result->incarnation == worker_incarnation_;
@@ -515,9 +530,9 @@
   // not a lost one: only a later answer that overtakes it shows the loss.
   const bool overtakes = !renewals_.empty() && renewals_.begin()->first < renewal_number &&
                          now >= renewals_.begin()->second.overdue;
-  if (overtakes || (!result && !connection_refused)) lossy_until_ = now + kLossyPeriod;
+  if (overtakes || (!result && !worker_gone)) lossy_until_ = now + kLossyPeriod;
   if (!result) {
-    if (connection_refused) {
+    if (worker_gone) {
       renewal_due_ = now + kRetryDelay;
       earlier_runs_pending_ = false;
       runs_known_ = true;
@@ -526,7 +541,10 @@
     return;
   }
   last_answer_ = now;
-  if (renewal_number >= first_renewal_of_incarnation_) incarnation_answered_ = true;
+  if (renewal_number >= first_renewal_of_incarnation_) {
+    incarnation_answered_ = true;
+    worker_gone_ = false;
+  }
   const bool newest = renewal_number > last_answered_renewal_;
   last_answered_renewal_ = std::max(last_answered_renewal_, renewal_number);
   const bool first = earlier_runs_pending_;
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(LateRefusalChangesNothingForTheNextIncarnation);
   CPPUNIT_TEST(NextIncarnationIsCalledAtOnce);
   CPPUNIT_TEST(OldReportChangesNothing);
+  CPPUNIT_TEST(NextIncarnationIsAcceptedAfterItsClockWasSetBack);
   CPPUNIT_TEST(DrainingWorkerGetsNoRuns);
   CPPUNIT_TEST(RunsOfAnEarlierProcessAreAdoptedOrStopped);
   CPPUNIT_TEST(AdoptedRunsKeepTheirResources);
@@ -340,7 +341,7 @@
     ReportNextIncarnation(kStart + Ms(100));
     const RunId id = StartAtNextIncarnation(kStart + Ms(110));
     executor_->OnLeaseRenewal(unanswered, std::nullopt, true, kStart + Ms(200));
-    executor_->OnStartResult(earlier, StartResult::kConnectionRefused, kStart + Ms(201));
+    executor_->OnStartResult(earlier, StartResult::kWorkerGone, kStart + Ms(201));
     CPPUNIT_ASSERT(!WasLost(id));
     CPPUNIT_ASSERT(executor_->State(kStart + Ms(201)).ready);
   }
@@ -369,6 +370,22 @@
     CPPUNIT_ASSERT(!executor_->State(kStart).draining);
   }
 
+  // The clock of the backend server's machine is set back, and the server restarts. Guards
+  // against ignoring it for good, and against accepting late reports of the incarnation
+  // before.
+  void NextIncarnationIsAcceptedAfterItsClockWasSetBack() {
+    executor_->OnLeaseRenewal(1, LeaseRenewal{1000, {}, {}}, false, kStart);
+    const std::size_t before = port_.renewals.size();
+    WorkerReport next = SampleReport(1);
+    next.incarnation = 900;
+    CPPUNIT_ASSERT(!executor_->OnWorkerReport(next, kStart + Ms(100)));
+    CPPUNIT_ASSERT_EQUAL(before + 1, port_.renewals.size());
+    RefuseRenewal(kStart + Ms(101));
+    CPPUNIT_ASSERT(executor_->OnWorkerReport(next, kStart + Ms(1600)));
+    CPPUNIT_ASSERT(!executor_->OnWorkerReport(SampleReport(9), kStart + Ms(1700)));
+    CPPUNIT_ASSERT(executor_->State(kStart + Ms(1700)).ready);
+  }
+
   // Guards against starts on a backend server that is draining.
   void DrainingWorkerGetsNoRuns() {
     Order(0);
@@ -527,7 +544,7 @@
   void StartThatMayHaveCrashedTheWorkerIsPartOfTheCrash() {
     const RunId id = Order(0);
     executor_->OnStartResult(id, StartResult::kUnknown, kStart + Ms(20));
-    executor_->OnStartResult(id, StartResult::kConnectionRefused, kStart + Ms(21));
+    executor_->OnStartResult(id, StartResult::kWorkerGone, kStart + Ms(21));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.crashes.size());
     CPPUNIT_ASSERT(reports_.crashes.front().runs.front().id == id);
     CPPUNIT_ASSERT(!reports_.crashes.front().runs.front().confirmed);
--- a/packages/direct/test/simulated_server.h
+++ b/packages/direct/test/simulated_server.h
@@ -110,7 +110,7 @@
 
   void Start(const RunId& id) {
     if (down_) {
-      return executor_.OnStartResult(id, StartResult::kConnectionRefused, events_.now());
+      return executor_.OnStartResult(id, StartResult::kWorkerGone, events_.now());
     }
     const core::Duration run_time = fleet_.run_time(id.task);
     running_.push_back({id, events_.now(), events_.now() + run_time});
