Pass on no request whose caller has closed before it was read

What callers could see: two runs of a task at the same time, through two entries. A caller that gets no answer closes its connection and submits its job again through another entry. An entry that stood still meanwhile, or is short of CPU time, reads the first request after that, and orders its runs before it sees that the connection has ended. It cancels them some 10 ms later, when the agents may have started them.

Change: a request behind which the input has ended is held back for up to 50 ms, until it is known whether the caller has closed the connection or only shut down its sending direction, by the same interim response as before. All other requests cost one more system call.

--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -19,6 +19,9 @@
 // with unread bytes would reset the connection, and the peer might not receive
 // the response.
 constexpr std::chrono::milliseconds kLingerTimeout = std::chrono::seconds(1);
+// Time in which a peer that has closed resets the connection: one round trip between data
+// centres.
+constexpr std::chrono::milliseconds kProbeTime{50};
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 
@@ -52,6 +55,10 @@
 
 void Connection::BeginRequest(std::uint64_t id) {
   request_id_ = id;
+  if (half_closed_) {
+    state_ = State::kHalfClosed;
+    return;
+  }
   state_ = State::kInProgress;
   if (!head_.accepts_interim_responses) return;
   half_closed_ = std::make_unique<HalfClosedPeer>(socket_.socketDescriptor());
@@ -141,12 +148,34 @@
   timed_state_ = RequestFramer::State::kRefused;
   continue_sent_ = false;
   head_ = framer_.head();
+  // The peer may have given up before this process could read its request, and sent it to
+  // another server since.
+  if (head_.accepts_interim_responses && InputHasEnded()) {
+    half_closed_ = std::make_unique<HalfClosedPeer>(socket_.socketDescriptor());
+    if (half_closed_->valid()) {
+      state_ = State::kProbing;
+      return;
+    }
+    half_closed_.reset();
+  }
+  Parse();
+}
+
+void Connection::Parse() {
   state_ = State::kParsing;
   if (parser_socket_) parser_socket_->Feed(framer_.Take());
   // The parser calls BeginRequest unless it disagrees with the framer.
   if (state_ == State::kParsing) Refuse(kBadRequest);
 }
 
+bool Connection::InputHasEnded() const {
+  if (socket_.bytesAvailable() > 0) return false;
+  char next = 0;
+  const int descriptor = static_cast<int>(socket_.socketDescriptor());
+  const ssize_t n = ::recv(descriptor, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno == ECONNRESET);
+}
+
 // Restarts the timer only when the state changes, so that a peer cannot
 // extend a limit by sending single bytes.
 void Connection::ArmReceiveTimer() {
@@ -172,6 +201,10 @@
   Response response;
   response.status = status;
   response.content_type = "text/plain";
+  if (state_ == State::kParsing && half_closed_) {
+    half_closed_->SendFinalResponse(FormatResponse(response, false, true));
+    return EndHalfClosed();
+  }
   socket_.write(FormatResponse(response, false, true));
   Linger();
 }
@@ -192,6 +225,7 @@
 void Connection::Close() { socket_.disconnectFromHost(); }
 
 void Connection::OnTimeout() {
+  if (state_ == State::kProbing) return Parse();
   const bool receiving = state_ == State::kReceiving;
   if (receiving && framer_.state() != RequestFramer::State::kEmpty) return Refuse(kRequestTimeout);
   if (receiving) return Linger();
@@ -199,6 +233,11 @@
 }
 
 void Connection::OnDisconnected() {
+  if (state_ == State::kProbing) {
+    half_closed_->Probe([this] { OnPeerClosed(); });
+    timer_.start(kProbeTime);
+    return;
+  }
   const bool input_ended = socket_.error() == QAbstractSocket::RemoteHostClosedError;
   if (state_ == State::kInProgress && input_ended && half_closed_ && half_closed_->valid()) {
     state_ = State::kHalfClosed;
@@ -213,8 +252,8 @@
 }
 
 void Connection::OnPeerClosed() {
-  state_ = State::kClosed;
-  events_.on_abandoned(*this);
+  const State last = std::exchange(state_, State::kClosed);
+  if (last != State::kProbing) events_.on_abandoned(*this);
   ReportClosed();
 }
 
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -53,6 +53,9 @@
  private:
   enum class State {
     kReceiving,
+    // A request has been read from a peer that has ended its input, and is passed on if
+    // the peer still reads.
+    kProbing,
     kParsing,
     kInProgress,
     // In progress; the peer has ended its input and can still be answered.
@@ -72,6 +75,8 @@
   void OnTimeout();
   void Receive();
   void Dispatch();
+  void Parse();
+  bool InputHasEnded() const;
   void ArmReceiveTimer();
   void Refuse(int status);
   void Linger();
@@ -82,7 +87,7 @@
   QTcpSocket socket_;
   QTimer timer_;
   QPointer<ParserSocket> parser_socket_;
-  // Set while a request is in progress.
+  // Set while a request is being probed or in progress.
   std::unique_ptr<HalfClosedPeer> half_closed_;
   RequestFramer framer_;
   // Framer state for which the receive timer is armed; kRefused while it is not.
