Reproduce a lease that is renewed for runs that are not known yet

An agent restarts and the first answers of its backend server are lost. It knows none of the runs of its earlier process then, so nothing bounds the lease: once a report has told it the clock, each renewal, and each start for an entry, extends all of them by a second. The lease of unclaimed runs is not renewed only after the first answer has listed them. They may outlast the time after which their entry, or another one, runs them elsewhere.

--- a/packages/direct/test/late_calls_test.cc
+++ b/packages/direct/test/late_calls_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST_SUITE(LateCallsTest);
   CPPUNIT_TEST(OtherEntriesDoNotKeepARunWhoseStopIsUnanswered);
   CPPUNIT_TEST(RunDoesNotStartUnderALongerLeaseThanItsEntryAllows);
+  CPPUNIT_TEST(RunsThatAreNotKnownYetAreNotRenewed);
   CPPUNIT_TEST(NextIncarnationRefusesLateStartsOfStoppedRuns);
   CPPUNIT_TEST_SUITE_END();
 
@@ -121,6 +122,21 @@
     CPPUNIT_ASSERT(!started || worker_.last_lease_end <= kStart + kCallerReturn);
   }
 
+  // An agent restarts, and the first answers of its backend server are lost, so that it does
+  // not know the runs of its earlier process. Guards against renewing their lease all the
+  // same, though no entry has claimed them.
+  void RunsThatAreNotKnownYetAreNotRenewed() {
+    RecordingWorker worker;
+    RunExecutor restarted({kLease, kOwnerLease, kRunLimit}, worker, worker);
+    restarted.Begin(kStart);
+    restarted.OnWorkerReport(SampleReport(1), kStart + Ms(10));
+    restarted.OnOwnerConfirmed(kOwner, kStart + Ms(20));
+    restarted.OnOrder(kOwner, SampleOrder("new", 0), kStart + Ms(30));
+    for (int ms = 100; ms <= 600; ms += 20) restarted.Advance(kStart + Ms(ms));
+    CPPUNIT_ASSERT(worker.renewals.size() > 1);
+    CPPUNIT_ASSERT(worker.last_lease_end <= kStart);
+  }
+
   // A start without an answer is carried out seconds later, after newer calls. Its run has
   // been stopped meanwhile, so that the incarnation that was told so refuses it. Guards
   // against a second run of the task, at an incarnation that knows nothing of the stop.
