End no run by a hello that cannot list it

What callers could see: two runs of a task, after an agent restarted beside a backend server that was silent for half a second.

Cause: an agent that does not know the runs of its earlier process yet says so in its hello, and the entry then takes nothing as over; but not in a second hello of the same process, after the connection broke. The runs of the process before were placed again while they went on.

Change: a hello ends runs that it does not list only if the agent knows all of them. An order that was lost with a connection in that state is over by the bound for silent agents.

AgentHelloTest::IncompleteHellosOfOneProcessEndNoRun failed and passes.

--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -169,7 +169,6 @@
   // backend servers do not wait for each other.
   std::map<std::string, RetrySchedule> retry_schedules_;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
-  std::map<std::string, std::uint64_t> incarnations_;
   std::map<std::string, std::size_t> runs_at_;
   std::deque<EndedJob> ended_;
   // Queued runs that this call of Advance may still withdraw.
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -352,11 +352,8 @@
 }
 
 void JobDispatcher::OnAgentHello(const AgentHello& hello, core::TimePoint now) {
-  std::uint64_t& last_incarnation = incarnations_[hello.agent];
-  const bool same_process = last_incarnation == hello.incarnation;
   for (const WorkerCrash& it : hello.crashes) RecordCrash(hello.agent, it, now);
   fleet_.Get(hello.agent).OnConnected();
-  last_incarnation = hello.incarnation;
   // The reports below may place new runs at this agent, which its hello cannot
   // list.
   const std::vector<RunId> earlier_runs = RunsAt(hello.agent);
@@ -375,7 +372,8 @@
       sink_.SendStop(hello.agent, it.id);
     }
   }
-  if (!same_process && !hello.runs_known) return;
+  // A run of an earlier process of the agent, also one before the last, may go on.
+  if (!hello.runs_known) return;
   for (const RunId& it : earlier_runs) {
     Job* job = nullptr;
     Task* task = listed.contains(it) ? nullptr : FindRun(hello.agent, it, &job);
