Renew no lease before the runs of an earlier agent process are known

What callers could see: two runs of a task, after an agent restarted beside a backend server that did not answer at first, and its entry died.

Cause: until the backend server has listed the runs of the agent's earlier process, nothing bounded the lease, so that renewals and starts extended those runs by a second each.

Change: until then no lease is asked for and no order starts.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -170,7 +170,7 @@
   bool IsSilent(const std::string& owner, core::TimePoint now) const;
   void DropOrdersOfSilentOwners(core::TimePoint now);
   // Until when the backend server's lease may be renewed; nothing while a run has used up its
-  // limit or is unclaimed.
+  // limit or is unclaimed, or runs of an earlier agent process may not be known.
   std::optional<core::TimePoint> LeaseEnd(core::TimePoint now) const;
   // Notes that the runs may go on until then, by a clock that may be slow.
   void NoteLease(core::TimePoint lease_end);
@@ -215,7 +215,7 @@
   // Orders for tasks of which an earlier run is still being stopped.
   std::vector<DeferredOrder> deferred_;
   std::map<RunId, LateStop> late_stops_;
-  // Ended runs of which a start got no answer, with the time after which no copy of it can
+  // Ended runs that may start late, with the time after which no copy of it can
   // arrive. The present incarnation refuses such copies; the next one has to be told.
   std::map<RunId, core::TimePoint> unanswered_;
   // When this agent sent the latest message that the owner has confirmed.
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -255,7 +255,7 @@
 void RunExecutor::StartQueued(core::TimePoint now) {
   // The timer that drops such orders may be late itself.
   DropOrdersOfSilentOwners(now);
-  if (!AcceptsOrders() || now < no_start_before_) return;
+  if (!AcceptsOrders() || earlier_runs_pending_ || now < no_start_before_) return;
   std::vector<RunQueue::Item> held;
   while (!queue_.empty()) {
     auto item = queue_.TakeNext(FreeResources(), now);
@@ -298,6 +298,7 @@
 }
 
 std::optional<core::TimePoint> RunExecutor::LeaseEnd(core::TimePoint now) const {
+  if (earlier_runs_pending_) return std::nullopt;
   core::TimePoint end = now + tuning_.lease;
   for (const auto& [id, run] : runs_) {
     const auto confirmed = confirmed_at_.find(run.owner);
