Report orders that are dropped with the lease of their entry

What callers could see: a job that waits until its deadline. An order for a task whose earlier run is still being stopped waits for that stop; when its entry falls silent it was dropped without a word, and the entry, if it stayed connected, waited for it.

LeaseBoundsTest::DeferredOrderOfASilentOwnerIsReported failed and passes.

--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -248,8 +248,11 @@
   for (const auto& [owner, confirmed] : confirmed_at_) {
     if (IsSilent(owner, now)) ReportNotRun(queue_.TakeOwnedBy(owner), now);
   }
-  std::erase_if(deferred_,
-                [this, now](const DeferredOrder& it) { return IsSilent(it.owner, now); });
+  std::erase_if(deferred_, [this, now](const DeferredOrder& it) {
+    if (!IsSilent(it.owner, now)) return false;
+    ReportFinal(it.owner, RunReport{it.order.id, RunReport::Kind::kNotRun, {}}, now);
+    return true;
+  });
 }
 
 void RunExecutor::StartQueued(core::TimePoint now) {
--- a/packages/direct/test/lease_bounds_test.cc
+++ b/packages/direct/test/lease_bounds_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(NothingIsRenewedBeforeEarlierRunsAreKnown);
   CPPUNIT_TEST(OrderOfAnEntryThatHasConfirmedNothingIsNotStarted);
   CPPUNIT_TEST(FirstAnswerCountsThoughAReportWasFaster);
+  CPPUNIT_TEST(DeferredOrderOfASilentOwnerIsReported);
   CPPUNIT_TEST(StopOfAnEarlierIncarnationDoesNotCoverTheNext);
   CPPUNIT_TEST(EndedRunWithAnUnansweredStartIsStoppedAfterACrash);
   CPPUNIT_TEST_SUITE_END();
@@ -147,6 +148,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, restarted.RunsFor(kOwner).size());
   }
 
+  // Both an entry and the agent stand still for a while and stay connected. Guards against an
+  // order that is dropped without a word, for which the entry waits until the job's deadline.
+  void DeferredOrderOfASilentOwnerIsReported() {
+    const RunId first = StartOther(0);
+    RunOrder again = LongOrder("other", 0);
+    again.id.number = 2;
+    executor_->OnOrder(kOwner, again, kStart + Ms(5));
+    CPPUNIT_ASSERT(port_.stops.back() == first);
+    executor_->Advance(kStart + kOwnerLease + Ms(1));
+    CPPUNIT_ASSERT(reports_.Has(again.id, RunReport::Kind::kNotRun));
+  }
+
   // The backend server answers a stop and crashes, and the agent reads the answer after it has
   // learned of the crash. Guards against the same.
   void StopOfAnEarlierIncarnationDoesNotCoverTheNext() {
