Stop a start in progress at the next incarnation though it was stopped before

What callers could see: a second run of a task at an incarnation of a backend server under the same id. A run is stopped before its start is answered, and the backend server crashes; the start is carried out late.

Cause: only runs without a stop were taken as possibly starting late.

Change: each run notes whether a start call is in progress.

LeaseBoundsTest::StoppedStartWithoutAnswerIsStoppedAfterACrash failed and passes.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -131,8 +131,11 @@
     bool need_known = true;
     // Whether the start was answered, or an earlier agent process started the run.
     bool confirmed = false;
-    // Number of start calls that got no answer.
+    // Number of start calls that got no answer, and whether one is in progress.
     int unanswered_starts = 0;
+    bool start_pending = false;
+    // Whether copies of the start may still arrive at the backend server.
+    bool MayStartLate() const { return unanswered_starts > 0 || start_pending; }
     // The incarnation that was present when the start was last sent.
     std::int64_t sent_to = 0;
     // First lease renewal whose answer must list the run; earlier ones may lack
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -295,6 +295,7 @@
 
 void RunExecutor::SendStart(Run& run, core::TimePoint now) {
   run.sent_to = worker_incarnation_;
+  run.start_pending = true;
   const core::TimePoint lease_end = LeaseEnd(now).value_or(now);
   NoteLease(lease_end);
   worker_.StartRun(run.order, lease_end, kStartTimeout);
@@ -322,6 +323,7 @@
   const auto it = runs_.find(id);
   if (it == runs_.end()) return;
   Run& run = it->second;
+  run.start_pending = false;
   switch (result) {
     case StartResult::kStarted:
       last_answer_ = now;
@@ -409,7 +411,7 @@
   const auto it = runs_.find(id);
   if (it == runs_.end()) return;
   const std::string owner = it->second.owner;
-  if (it->second.unanswered_starts > 0) unanswered_[id] = now + kLateStartTime;
+  if (it->second.MayStartLate()) unanswered_[id] = now + kLateStartTime;
   runs_.erase(it);
   ReportFinal(owner, RunReport{id, kind, {}}, now);
   for (auto deferred = deferred_.begin(); deferred != deferred_.end(); ++deferred) {
@@ -432,8 +434,7 @@
   std::vector<RunId> ids;
   for (const auto& [id, run] : runs_) {
     ids.push_back(id);
-    const bool may_start_late = run.unanswered_starts > 0 || run.state == RunState::kStarting;
-    if (may_start_late) late_stops_[id] = {now, now + kLateStartTime};
+    if (run.MayStartLate()) late_stops_[id] = {now, now + kLateStartTime};
   }
   worker_ready_ = false;
   for (const RunId& id : ids) EndRun(id, RunReport::Kind::kLost, now);
--- a/packages/direct/test/lease_bounds_test.cc
+++ b/packages/direct/test/lease_bounds_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(OrderOfAnEntryThatHasConfirmedNothingIsNotStarted);
   CPPUNIT_TEST(FirstAnswerCountsThoughAReportWasFaster);
   CPPUNIT_TEST(DeferredOrderOfASilentOwnerIsReported);
+  CPPUNIT_TEST(StoppedStartWithoutAnswerIsStoppedAfterACrash);
   CPPUNIT_TEST(StopOfAnEarlierIncarnationDoesNotCoverTheNext);
   CPPUNIT_TEST(EndedRunWithAnUnansweredStartIsStoppedAfterACrash);
   CPPUNIT_TEST_SUITE_END();
@@ -160,6 +161,24 @@
     CPPUNIT_ASSERT(reports_.Has(again.id, RunReport::Kind::kNotRun));
   }
 
+  // A run is stopped before its start is answered, and the backend server crashes. Guards
+  // against a copy of the start that the next incarnation carries out while the task runs
+  // elsewhere.
+  void StoppedStartWithoutAnswerIsStoppedAfterACrash() {
+    const RunOrder order = LongOrder("j", 0);
+    executor_->OnOrder(kOwner, order, kStart);
+    executor_->OnStop(order.id, kStart + Ms(2));
+    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt, true,
+                              kStart + Ms(5));
+    CPPUNIT_ASSERT(reports_.Has(order.id, RunReport::Kind::kLost));
+    const std::size_t before = port_.stops.size();
+    WorkerReport next = SampleReport(1);
+    next.incarnation = 2000;
+    executor_->OnWorkerReport(next, kStart + Ms(400));
+    CPPUNIT_ASSERT(port_.stops.size() > before);
+    CPPUNIT_ASSERT(port_.stops.back() == order.id);
+  }
+
   // The backend server answers a stop and crashes, and the agent reads the answer after it has
   // learned of the crash. Guards against the same.
   void StopOfAnEarlierIncarnationDoesNotCoverTheNext() {
