Drop connections in the soak's relays that their client has closed

From some second on all four agents log "backend server does not answer" 36 to 40 times a second until the end, while the reports of the same backend servers, which pass no relay, arrive every 402 ms.

Cause: an agent without answers gives up each renewal after 410 ms and sends the next on a new connection, 16 at a time: 39 connections a second. A relay accepts and connects in one thread, also for clients that are gone. On a busy machine it falls behind, its queue fills, and each connection is abandoned before its turn. Logged on a core shared with four busy loops: 249 to 257 of 256 waiting at the relays, at most one at the servers behind them. With 120 abandoned connections before it a call took 295 to 1307 ms (10 calls, load average 56 to 89). No backend server or network of the platform does that.

Change: the relay closes such a connection instead of connecting for it. Connections that are open when they are accepted pass, are cut, delayed, reset and black-holed as before.

--- a/scripts/lib/relay.py
+++ b/scripts/lib/relay.py
@@ -5,15 +5,25 @@
 direction or both, as a network partition does.
 """
 
+import select
 import socket
 import struct
 import threading
 import time
 
 
+def closed_by_peer(connection):
+    poll = select.poll()
+    poll.register(connection, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class Relay:
     """Forwards connections to host:port to the target address.
 
+    A connection that its client has closed before it is accepted is dropped. Otherwise
+    a client that gives up and connects again keeps a busy relay behind for good.
+
     `delay` is in seconds, for each direction. `cut` contains "in" while no data
     passes to the target and "out" while no data passes from it.
     """
@@ -58,6 +68,9 @@
                 near, _ = self._listener.accept()
             except OSError:
                 return
+            if closed_by_peer(near):
+                near.close()
+                continue
             try:
                 far = socket.create_connection(self._target, timeout=2.0)
             except OSError:
