Ask for no lease while the backend server has no runs

What callers could see: an order that waits up to one message of its entry at an idle agent. The call that acknowledges the end of the last run also renewed the lease by a second, which an entry's confirmation of 0.2 s ago does not allow any more, so the next order was held back.

RunExecutorTest::LeaseIsNotRenewedWithoutRuns failed and passes.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -172,8 +172,9 @@
   // placed its runs elsewhere.
   bool IsSilent(const std::string& owner, core::TimePoint now) const;
   void DropOrdersOfSilentOwners(core::TimePoint now);
-  // Until when the backend server's lease may be renewed; nothing while a run has used up its
-  // limit or is unclaimed, or runs of an earlier agent process may not be known.
+  // Until when the backend server's lease may be renewed; nothing without runs, while a run
+  // has used up its limit or is unclaimed, or before the runs of an earlier agent process are
+  // known.
   std::optional<core::TimePoint> LeaseEnd(core::TimePoint now) const;
   // Notes that the runs may go on until then, by a clock that may be slow.
   void NoteLease(core::TimePoint lease_end);
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -302,7 +302,7 @@
 }
 
 std::optional<core::TimePoint> RunExecutor::LeaseEnd(core::TimePoint now) const {
-  if (earlier_runs_pending_) return std::nullopt;
+  if (earlier_runs_pending_ || runs_.empty()) return std::nullopt;
   core::TimePoint end = now + tuning_.lease;
   for (const auto& [id, run] : runs_) {
     const auto confirmed = confirmed_at_.find(run.owner);
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(NoRunOutlastsItsOwnersConfirmationByMoreThanItsLimit);
   CPPUNIT_TEST(RunsLastUntilARestartedAgentAdoptsThem);
   CPPUNIT_TEST(LeaseOfUnclaimedRunsIsNotRenewed);
+  CPPUNIT_TEST(LeaseIsNotRenewedWithoutRuns);
   CPPUNIT_TEST(NewWorkerIncarnationEndsListedRuns);
   CPPUNIT_TEST(StartThatNewIncarnationMayHaveReceivedIsStopped);
   CPPUNIT_TEST(LateAnswerOfAnEarlierIncarnationChangesNothing);
@@ -285,6 +286,18 @@
     CPPUNIT_ASSERT(port.renewals.back().lease_end == kStart + Ms(52) + kLease);
   }
 
+  // The call that acknowledges the end of the last run is a lease renewal too. Guards against
+  // an order that has to wait for its entry's next message, because that renewal has extended
+  // the lease beyond what the entry's latest confirmation allows.
+  void LeaseIsNotRenewedWithoutRuns() {
+    const RunId first = Order(0);
+    executor_->OnStartResult(first, StartResult::kStarted, kStart + Ms(1));
+    AnswerRenewal({}, {{1, first, EndedRun::Outcome::kDone}}, kStart + Ms(300));
+    CPPUNIT_ASSERT(!port_.renewals.back().lease_end);
+    Order(1, kStart + Ms(400));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.starts.size());
+  }
+
   // Guards against waiting for runs of a backend server that has restarted
   // under the same id.
   void NewWorkerIncarnationEndsListedRuns() {
