--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -219,9 +219,9 @@
   // Orders for tasks of which an earlier run is still being stopped.
   std::vector<DeferredOrder> deferred_;
   std::map<RunId, LateStop> late_stops_;
-  // Ended runs that may start late, with the time after which no copy of it can
-  // arrive. The present incarnation refuses such copies; the next one has to be told.
-  std::map<RunId, core::TimePoint> unanswered_;
+  // Ended runs of which copies of the start may still arrive, with the time after which none
+  // can. The present incarnation refuses them; the next one has to be told.
+  std::map<RunId, core::TimePoint> late_starts_;
   // When this agent sent the latest message that the owner has confirmed.
   std::map<std::string, core::TimePoint> confirmed_at_;
   std::deque<FinalReport> finals_;
@@ -245,9 +245,10 @@
   // Number of the first lease renewal that was sent after the present incarnation had become
   // known. Results of earlier ones may be about an earlier incarnation.
   std::uint64_t first_renewal_of_incarnation_ = 0;
-  // Whether an answer shows that the present incarnation has received this agent's fencing
-  // token, which the one before it did not have.
-  bool incarnation_answered_ = true;
+  // Whether an answer shows that the present incarnation is there and has received the
+  // fencing token that is raised for it. Without it a lease renewal is sent though there
+  // are no runs.
+  bool incarnation_confirmed_ = true;
   // Unanswered lease renewals by number.
   std::map<std::uint64_t, SentRenewal> renewals_;
   // Until this time answers are expected to be lost, so lease renewals wait for
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -88,7 +88,9 @@
 
 bool RunExecutor::IsNews(const WorkerReport& report) const {
   if (earlier_incarnations_.contains(report.incarnation)) return false;
-  if (report.incarnation < worker_incarnation_ && !worker_gone_) return false;
+  // Without a time of birth the report names no incarnation.
+  const bool may_follow = worker_gone_ && report.incarnation != 0;
+  if (report.incarnation < worker_incarnation_ && !may_follow) return false;
   const bool same = worker_report_ && worker_report_->id == report.id &&
                     report.incarnation == worker_incarnation_;
   return !same || report.sequence > worker_report_->sequence;
@@ -98,7 +100,7 @@
   if (!IsNews(report)) {
     const bool unknown = report.incarnation != worker_incarnation_ &&
                          !earlier_incarnations_.contains(report.incarnation);
-    if (unknown) incarnation_answered_ = false;
+    if (unknown) incarnation_confirmed_ = false;
     SendDueRenewals(now);
     return false;
   }
@@ -133,10 +135,10 @@
   }
   worker_gone_ = false;
   lease_end_ = {};
-  incarnation_answered_ = false;
+  incarnation_confirmed_ = false;
   RecordCrash(earlier, now);
   AbandonIncarnation(now);
-  for (const auto& [id, until] : std::exchange(unanswered_, {})) late_stops_[id] = {now, until};
+  for (const auto& [id, until] : std::exchange(late_starts_, {})) late_stops_[id] = {now, until};
   health_.Reset();
   ended_cursor_ = 0;
   acknowledged_cursor_ = 0;
@@ -245,7 +247,7 @@
 }
 
 void RunExecutor::DropOrdersOfSilentOwners(core::TimePoint now) {
-  for (const auto& [owner, confirmed] : confirmed_at_) {
+  for (const auto& [owner, confirmed_at] : confirmed_at_) {
     if (IsSilent(owner, now)) ReportNotRun(queue_.TakeOwnedBy(owner), now);
   }
   std::erase_if(deferred_, [this, now](const DeferredOrder& it) {
@@ -411,7 +413,7 @@
   const auto it = runs_.find(id);
   if (it == runs_.end()) return;
   const std::string owner = it->second.owner;
-  if (it->second.MayStartLate()) unanswered_[id] = now + kLateStartTime;
+  if (it->second.MayStartLate()) late_starts_[id] = now + kLateStartTime;
   runs_.erase(it);
   ReportFinal(owner, RunReport{id, kind, {}}, now);
   for (auto deferred = deferred_.begin(); deferred != deferred_.end(); ++deferred) {
@@ -484,7 +486,7 @@
 // A backend server refuses a start of a run that it was told to stop before.
 void RunExecutor::SendLateStops(core::TimePoint now) {
   std::erase_if(late_stops_, [now](const auto& it) { return now >= it.second.until; });
-  std::erase_if(unanswered_, [now](const auto& it) { return now >= it.second; });
+  std::erase_if(late_starts_, [now](const auto& it) { return now >= it.second; });
   if (!worker_ready_) return;
   for (auto& [id, stop] : late_stops_) {
     if (now < stop.due) continue;
@@ -501,7 +503,7 @@
 
 void RunExecutor::SendDueRenewals(core::TimePoint now) {
   const bool unconfirmed = worker_report_ && !worker_ready_ && !worker_shut_down_;
-  const bool wanted = earlier_runs_pending_ || unconfirmed || !incarnation_answered_ ||
+  const bool wanted = earlier_runs_pending_ || unconfirmed || !incarnation_confirmed_ ||
                       !runs_.empty() || ended_cursor_ > acknowledged_cursor_;
   const auto awaited = std::count_if(renewals_.begin(), renewals_.end(),
                                      [now](const auto& it) { return now < it.second.overdue; });
@@ -547,7 +549,7 @@
   }
   last_answer_ = now;
   if (renewal_number >= first_renewal_of_incarnation_) {
-    incarnation_answered_ = true;
+    incarnation_confirmed_ = true;
     worker_gone_ = false;
   }
   const bool newest = renewal_number > last_answered_renewal_;
