Isolate at once in a new process what its peers have isolated

Cause: entries decide from what they have seen themselves: a finding, and a quarter of the service down at that moment. A new process is told of findings before any agent has connected to it, so nothing counts as down, and later only one or two backend servers are down at once. It places the route on all backend servers until the next two crashes of one task. Jobs that wait while no agent is connected all go to the first one that connects.

It adopts the isolation. Its shares rest on few jobs, so for two seconds an adopted route gets only backend servers that have crashed lately, which its peers have chosen first too, and its jobs wait until one is known. Backend servers are chosen anew when one returns.

RestartedEntryKeepsRoutesIsolated fails without the change (seeds 5 to 10; entries that restart are now connected to one agent after the other in the simulation).

Left: a service with one route only, whose backend servers have crashed, has only these for two seconds at an entry that restarts.

--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -364,6 +364,9 @@
 }
 
 void DirectEntryRuntime::OnPeerConnected(direct_wire::Frame& frame, core::TimePoint now) {
+  for (const auto& [route, last_crash] : dispatcher_.IsolatedRoutes(now)) {
+    WriteIsolatedRoute(route, now - last_crash, *frame.add_crashing_routes());
+  }
   for (const auto& [route, found] : dispatcher_.RecentCrashingRoutes(now)) {
     WriteCrashingRoute(route, now - found, *frame.add_crashing_routes());
   }
@@ -371,7 +374,12 @@
 
 void DirectEntryRuntime::OnPeerCrashingRoute(const direct_wire::CrashingRoute& message,
                                              core::TimePoint now) {
-  dispatcher_.OnCrashingRoute(message.route(), ReadFindingTime(message, now), now);
+  const core::TimePoint time = ReadCrashingRouteTime(message, now);
+  if (message.isolated()) {
+    dispatcher_.OnPeerIsolation(message.route(), time, now);
+  } else {
+    dispatcher_.OnCrashingRoute(message.route(), time, now);
+  }
 }
 
 void DirectEntryRuntime::OnPeerConfiguration(const std::string& entry,
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -129,7 +129,14 @@
   message.set_age_us(WriteDuration(age));
 }
 
-core::TimePoint ReadFindingTime(const direct_wire::CrashingRoute& message, core::TimePoint now) {
+void WriteIsolatedRoute(const std::string& route, core::Duration age,
+                        direct_wire::CrashingRoute& message) {
+  WriteCrashingRoute(route, age, message);
+  message.set_isolated(true);
+}
+
+core::TimePoint ReadCrashingRouteTime(const direct_wire::CrashingRoute& message,
+                                      core::TimePoint now) {
   return now - ReadDuration(message.age_us());
 }
 
--- a/packages/daemon/src/direct_messages.h
+++ b/packages/daemon/src/direct_messages.h
@@ -33,10 +33,16 @@
                 direct_wire::WorkerCrash& message);
 direct::WorkerCrash ReadCrash(const direct_wire::WorkerCrash& message, core::TimePoint now);
 
+// `age`: time since the last task of the route was found.
 void WriteCrashingRoute(const std::string& route, core::Duration age,
                         direct_wire::CrashingRoute& message);
-// Returns when the last task of the route was found.
-core::TimePoint ReadFindingTime(const direct_wire::CrashingRoute& message, core::TimePoint now);
+// `age`: time since the last crash for which this entry isolates the route.
+void WriteIsolatedRoute(const std::string& route, core::Duration age,
+                        direct_wire::CrashingRoute& message);
+// Returns when the last task of the route was found, or the time of the last crash for which
+// the sender isolates it.
+core::TimePoint ReadCrashingRouteTime(const direct_wire::CrashingRoute& message,
+                                      core::TimePoint now);
 
 void WriteDescription(const direct::WorkerDescription& description,
                       direct_wire::WorkerDescription& message);
--- a/packages/daemon/src/entry_links_listener.h
+++ b/packages/daemon/src/entry_links_listener.h
@@ -32,7 +32,8 @@
   // Another entry has connected, or is being connected to. Adds to `frame` what it should
   // know.
   virtual void OnPeerConnected(direct_wire::Frame& frame, core::TimePoint now) = 0;
-  // Another entry has found a task that crashes backend servers.
+  // Another entry has found a task that crashes backend servers, or isolates a route with
+  // such tasks.
   virtual void OnPeerCrashingRoute(const direct_wire::CrashingRoute& message,
                                    core::TimePoint now) = 0;
   virtual void OnPeerConfiguration(const std::string& entry,
--- a/packages/daemon/test/direct_messages_test.cc
+++ b/packages/daemon/test/direct_messages_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(CrashSurvivesTheWire);
   CPPUNIT_TEST(DurationsOfACrashAreBounded);
   CPPUNIT_TEST(ClaimWithoutItsNeedSaysNothing);
+  CPPUNIT_TEST(IsolationIsToldApartFromAFinding);
   CPPUNIT_TEST_SUITE_END();
 
   void CrashSurvivesTheWire() {
@@ -53,6 +54,25 @@
     frame.clear_claim_needs();
     CPPUNIT_ASSERT(!ReadClaimNeed(frame, 0));
   }
+
+  // Guards against an entry that isolates a route for a finding alone, and against a field
+  // that is lost or reads otherwise at the other end.
+  void IsolationIsToldApartFromAFinding() {
+    direct_wire::Frame sent;
+    WriteIsolatedRoute("lookups", std::chrono::seconds(4), *sent.add_crashing_routes());
+    WriteCrashingRoute("checks", std::chrono::seconds(3), *sent.add_crashing_routes());
+    direct_wire::Frame frame;
+    CPPUNIT_ASSERT(frame.ParseFromString(sent.SerializeAsString()));
+    CPPUNIT_ASSERT_EQUAL(2, frame.crashing_routes_size());
+    CPPUNIT_ASSERT_EQUAL(std::string("lookups"), frame.crashing_routes(0).route());
+    CPPUNIT_ASSERT(frame.crashing_routes(0).isolated());
+    CPPUNIT_ASSERT(ReadCrashingRouteTime(frame.crashing_routes(0), kNow) ==
+                   kNow - std::chrono::seconds(4));
+    CPPUNIT_ASSERT_EQUAL(std::string("checks"), frame.crashing_routes(1).route());
+    CPPUNIT_ASSERT(!frame.crashing_routes(1).isolated());
+    CPPUNIT_ASSERT(ReadCrashingRouteTime(frame.crashing_routes(1), kNow) ==
+                   kNow - std::chrono::seconds(3));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectMessagesTest);
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -74,6 +74,12 @@
     return crashing_routes_.Recent(now);
   }
 
+  // Another entry isolates the route for crashes until `last_crash`.
+  void OnPeerIsolation(const std::string& route, core::TimePoint last_crash, core::TimePoint now);
+  // The isolated routes and the times of the last crashes for which they are isolated, for
+  // entries that connect.
+  std::map<std::string, core::TimePoint> IsolatedRoutes(core::TimePoint now) const;
+
   // A connection to the agent has opened. Runs that the agent does not list and
   // can no longer have are treated as ended.
   void OnAgentHello(const AgentHello& hello, core::TimePoint now);
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -89,13 +89,14 @@
 bool JobDispatcher::Admit(Job& job, core::TimePoint now) {
   const StepRequest& first = job.request.steps.front();
   isolation_.OnSubmit(job.request.service, job.request.route, TotalWork(job), now);
+  if (isolation_.IsPending(job.request.route, now)) AssignIsolated(now);
   const core::Duration critical_path = CriticalPathTime(job.request.steps);
   admission_.OnSubmit(job.request.objective - now - critical_path, now);
   const auto unusable = UnusableFor(job, first);
   const auto choice = fleet_.Choose(job.request.service, first, {}, unusable);
   // Without a backend server the job waits for one to return; PlaceReady refuses it if its
   // route is isolated.
-  if (!choice) return true;
+  if (!choice || isolation_.IsPending(job.request.route, now)) return true;
   const core::Duration slowdown =
       std::max(choice->run_time - first.estimate, core::Duration::zero());
   const core::Duration wait = choice->start_delay + OwnQueueingDelay(job, choice->start_delay);
@@ -159,7 +160,10 @@
                       [&agent](const Task& it) { return it.HasRun() && it.agent == agent; });
     return static_cast<std::uint32_t>(here) >= request.max_per_worker;
   };
-  const auto choice = fleet_.Choose(job.request.service, request, task.avoided_agents, unusable);
+  const bool pending = isolation_.IsPending(job.request.route, now);
+  const auto choice =
+      pending ? std::nullopt
+              : fleet_.Choose(job.request.service, request, task.avoided_agents, unusable);
   const core::Duration delay = choice ? choice->start_delay : core::Duration::zero();
   if (now + delay + MinRunTime(request.estimate) > job.request.useful_until) {
     GiveUp(job, choice ? "too late" : "no backend server", now);
@@ -168,7 +172,7 @@
   if (!choice) {
     // The backend servers of an isolated route are back only after seconds.
     const bool confined = isolation_.IsIsolated(job.request.route) && IsLimited(job, request);
-    if (confined) GiveUp(job, "isolated", now);
+    if (confined && !pending) GiveUp(job, "isolated", now);
     return false;
   }
   task.agent = choice->agent;
@@ -212,7 +216,10 @@
 
 void JobDispatcher::OnWorkerState(const std::string& agent, const WorkerState& state,
                                   std::uint64_t orders_seen, core::TimePoint now) {
-  fleet_.Get(agent).OnState(state, orders_seen, now);
+  WorkerView& view = fleet_.Get(agent);
+  const bool returned = state.ready && !view.state().ready;
+  view.OnState(state, orders_seen, now);
+  if (returned && isolation_.active()) AssignIsolated(now);
 }
 
 Task* JobDispatcher::FindRun(const std::string& agent, const RunId& id, Job** job) {
--- a/packages/direct/src/job_dispatcher_crashes.cc
+++ b/packages/direct/src/job_dispatcher_crashes.cc
@@ -65,6 +65,20 @@
   IsolateHarmfulRoutes(now);
 }
 
+void JobDispatcher::OnPeerIsolation(const std::string& route, core::TimePoint last_crash,
+                                    core::TimePoint now) {
+  isolation_.Adopt(route, last_crash + kIsolationTime);
+  AssignIsolated(now);
+}
+
+std::map<std::string, core::TimePoint> JobDispatcher::IsolatedRoutes(core::TimePoint now) const {
+  std::map<std::string, core::TimePoint> routes;
+  for (const auto& [route, until] : isolation_.ends()) {
+    if (now < until) routes[route] = until - kIsolationTime;
+  }
+  return routes;
+}
+
 void JobDispatcher::IsolateHarmfulRoutes(core::TimePoint now) {
   const auto routes = crashing_routes_.Recent(now);
   if (routes.empty()) return;
--- a/packages/direct/src/route_isolation.cc
+++ b/packages/direct/src/route_isolation.cc
@@ -14,6 +14,8 @@
 // Half-life of work in the demand of a route: long enough that the number of backend
 // servers of a route does not follow single jobs.
 constexpr std::chrono::duration<double> kDemandHalfLife = std::chrono::seconds(5);
+// Time from the first job after which the shares of routes can be told.
+constexpr core::Duration kSettleTime = std::chrono::seconds(2);
 // Routes with less than this part of all work need no backend server of their own.
 constexpr double kMinShare = 0.001;
 
@@ -39,6 +41,7 @@
 
 void RouteIsolation::OnSubmit(const std::string& service, const std::string& route,
                               std::uint64_t work, core::TimePoint now) {
+  if (!first_submit_) first_submit_ = now;
   Demand& demand = demands_[route];
   demand.work = demand.At(now) + static_cast<double>(work);
   demand.service = service;
@@ -50,6 +53,11 @@
   isolation.until = std::max(isolation.until, until);
 }
 
+void RouteIsolation::Adopt(const std::string& route, core::TimePoint until) {
+  if (!IsIsolated(route)) isolated_[route] = {until, true, true, {}};
+  Isolate(route, until);
+}
+
 void RouteIsolation::Extend(const std::string& agent, core::TimePoint until) {
   for (auto& [route, isolation] : isolated_) {
     if (isolation.agents.contains(agent)) isolation.until = std::max(isolation.until, until);
@@ -80,6 +88,8 @@
   if (total <= 0) return;
   const std::size_t kept = others > total * kMinShare ? 1 : 0;
   const std::size_t all = agents.size();
+  const auto crashed_here = static_cast<std::size_t>(std::count_if(
+      agents.begin(), agents.end(), [&](const std::string& it) { return crashed.contains(it); }));
   double share = 0;
   std::size_t assigned = 0;
   for (auto& [route, isolation] : isolated_) {
@@ -87,7 +97,11 @@
     if (demand == demands_.end() || demand->second.service != service) continue;
     share += demand->second.At(now) / total;
     const auto until = static_cast<std::size_t>(std::ceil(share * static_cast<double>(all)));
-    const std::size_t left = all - std::min(all, assigned + kept);
+    std::size_t left = all - std::min(all, assigned + kept);
+    isolation.pending = isolation.adopted && crashed_here == 0;
+    if (isolation.adopted && !IsSettled(now)) {
+      left = std::min(left, crashed_here - std::min(crashed_here, assigned));
+    }
     const std::size_t wanted = std::max<std::size_t>(until, assigned + 1) - assigned;
     for (const std::string& it : Rank(route, agents, crashed, std::min(wanted, left))) {
       isolation.agents.insert(it);
@@ -106,11 +120,26 @@
   return !confined_.contains(agent);
 }
 
+bool RouteIsolation::IsSettled(core::TimePoint now) const {
+  return first_submit_ && now - *first_submit_ >= kSettleTime;
+}
+
+bool RouteIsolation::IsPending(const std::string& route, core::TimePoint now) const {
+  const auto it = isolated_.find(route);
+  return it != isolated_.end() && it->second.pending && !IsSettled(now);
+}
+
 std::string RouteIsolation::ServiceOf(const std::string& route) const {
   const auto it = demands_.find(route);
   return it == demands_.end() ? "" : it->second.service;
 }
 
+std::map<std::string, core::TimePoint> RouteIsolation::ends() const {
+  std::map<std::string, core::TimePoint> ends;
+  for (const auto& [route, isolation] : isolated_) ends[route] = isolation.until;
+  return ends;
+}
+
 std::map<std::string, std::set<std::string>> RouteIsolation::isolated() const {
   std::map<std::string, std::set<std::string>> routes;
   for (const auto& [route, isolation] : isolated_) routes[route] = isolation.agents;
--- a/packages/direct/test/crashing_tasks_test.cc
+++ b/packages/direct/test/crashing_tasks_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(DeathOfAnEntryDoesNotResetTheBound);
   CPPUNIT_TEST(HealthyTasksOfCrashedServersAreServed);
   CPPUNIT_TEST(OtherKindsAreServedWhileOneKindCrashesServers);
+  CPPUNIT_TEST(RestartedEntryKeepsRoutesIsolated);
   CPPUNIT_TEST_SUITE_END();
 
   static void SimulateUntilCrashes(SimulatedFleet& fleet, std::size_t crashes) {
@@ -121,6 +122,19 @@
     CPPUNIT_ASSERT(fleet.InTimeShare(1, Seconds(5), Seconds(15)) >= 0.9);
     CPPUNIT_ASSERT(fleet.InTimeShare(2, Seconds(5), Seconds(15)) >= 0.9);
   }
+
+  // The same load; an entry dies at second 11 and is back half a second later. Guards
+  // against a new process that places crashing tasks on the backend servers that its peers
+  // keep for other routes.
+  void RestartedEntryKeepsRoutesIsolated() {
+    for (const std::uint64_t seed : {5, 6, 7, 8, 9, 10}) {
+      SimulatedFleet fleet(kEntries, kServers, Kinds(140), {0, 0.1, Seconds(5), Seconds(15)}, seed);
+      fleet.Simulate(Seconds(11));
+      fleet.KillEntry(0);
+      fleet.Simulate(Seconds(9));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.CrashesOutsideIsolation(Ms(11'500), Seconds(15)));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingTasksTest);
--- a/packages/direct/test/dispatcher_crash_test.cc
+++ b/packages/direct/test/dispatcher_crash_test.cc
@@ -22,17 +22,24 @@
   CPPUNIT_TEST(SpreadStepIsNotConfinedToTooFewBackendServers);
   CPPUNIT_TEST(RouteIsIsolatedWhenItTakesAQuarterOfTheFleet);
   CPPUNIT_TEST(IsolatedJobIsRefusedAtOnceWithoutABackendServer);
+  CPPUNIT_TEST(EntryThatConnectsIsToldWhatIsIsolated);
+  CPPUNIT_TEST(FindingOfAnotherEntryIsolatesNothing);
+  CPPUNIT_TEST(ExpiredIsolationIsNotAdopted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
+    Restart();
+    for (const char* it : {"agent-1", "agent-2", "agent-3", "agent-4"}) Connect(it, {});
+  }
+
+ private:
+  void Restart() {
     sink_ = RecordingEntrySink();
     dispatcher_ =
         std::make_unique<JobDispatcher>(JobDispatcher::Tuning{Ms(1800), 1}, "a", 1.5, sink_);
-    for (const char* it : {"agent-1", "agent-2", "agent-3", "agent-4"}) Connect(it, {});
   }
 
- private:
   void Connect(const std::string& agent, const std::vector<WorkerCrash>& crashes) {
     dispatcher_->OnAgentHello({agent, 1, true, {}, crashes}, kStart);
     dispatcher_->OnWorkerDescription(agent, SampleWorker());
@@ -199,6 +206,49 @@
     CPPUNIT_ASSERT(!sink_.isolations.front().second.contains(sink_.orders.back().agent));
   }
 
+  // Two backend servers have crashed and are back. Guards against a new process that waits
+  // for further crashes before it isolates a route.
+  void EntryThatConnectsIsToldWhatIsIsolated() {
+    RouteIsIsolatedWhenItTakesAQuarterOfTheFleet();
+    const std::string back = *sink_.isolations.front().second.begin();
+    const core::TimePoint now = kStart + Ms(200);
+    const auto isolated = dispatcher_->IsolatedRoutes(now);
+    const auto found = dispatcher_->RecentCrashingRoutes(now);
+    Restart();
+    for (const auto& [route, time] : isolated) dispatcher_->OnPeerIsolation(route, time, now);
+    for (const auto& [route, time] : found) dispatcher_->OnCrashingRoute(route, time, now);
+    dispatcher_->Submit(SampleJob("next", 1), now);
+    Connect("agent-5", {});
+    dispatcher_->Advance(now + Ms(20));
+    CPPUNIT_ASSERT(sink_.orders.empty());
+    Connect(back, {WorkerCrash{1, kStart + Ms(20), {}}});
+    dispatcher_->Advance(now + Ms(40));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.orders.size());
+    CPPUNIT_ASSERT_EQUAL(back, sink_.orders.front().agent);
+  }
+
+  // No backend server is down. Guards against isolation of a route that no entry isolates:
+  // a finding, however old, is not one.
+  void FindingOfAnotherEntryIsolatesNothing() {
+    dispatcher_->OnCrashingRoute("lookups", kStart - Ms(1000), kStart);
+    CPPUNIT_ASSERT(dispatcher_->IsolatedRoutes(kStart).empty());
+    dispatcher_->Submit(SampleJob("j", 1), kStart);
+    CPPUNIT_ASSERT(sink_.isolations.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.orders.size());
+    const auto found = dispatcher_->RecentCrashingRoutes(kStart + Ms(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+    CPPUNIT_ASSERT(found.at("lookups") == kStart - Ms(1000));
+  }
+
+  // Guards against entries that keep a route isolated by telling each other of it.
+  void ExpiredIsolationIsNotAdopted() {
+    dispatcher_->OnPeerIsolation("lookups", kStart - Ms(9000), kStart);
+    CPPUNIT_ASSERT(dispatcher_->IsolatedRoutes(kStart).at("lookups") == kStart - Ms(9000));
+    CPPUNIT_ASSERT(dispatcher_->IsolatedRoutes(kStart + Ms(1000)).empty());
+    dispatcher_->OnPeerIsolation("checks", kStart - Ms(10'000), kStart);
+    CPPUNIT_ASSERT(!dispatcher_->IsolatedRoutes(kStart).contains("checks"));
+  }
+
   RecordingEntrySink sink_;
   std::unique_ptr<JobDispatcher> dispatcher_;
 };
--- a/packages/direct/test/route_isolation_test.cc
+++ b/packages/direct/test/route_isolation_test.cc
@@ -30,6 +30,8 @@
   CPPUNIT_TEST(DemandFollowsTheLoad);
   CPPUNIT_TEST(IsolationEndsSecondsAfterTheLastCrash);
   CPPUNIT_TEST(OneLostBackendServerMovesOneChoice);
+  CPPUNIT_TEST(AdoptedRouteTakesOnlyWhatHasCrashed);
+  CPPUNIT_TEST(AdoptedRouteWaitsForWhatHasCrashed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -158,6 +160,37 @@
     CPPUNIT_ASSERT_EQUAL(static_cast<std::ptrdiff_t>(before.size()) - 1, kept);
   }
 
+  // The first jobs of a new process are all of one route. Guards against a share of the
+  // fleet that follows from a few jobs.
+  void AdoptedRouteTakesOnlyWhatHasCrashed() {
+    const std::set<std::string> crashed = {"agent-1", "agent-4"};
+    isolation_.Adopt("lookups", kStart + Ms(9000));
+    Submit("lookups", 1000);
+    Assign(11, crashed);
+    CPPUNIT_ASSERT(isolation_.isolated().at("lookups") == crashed);
+    Submit("checks", 1000, kStart + Ms(2000));
+    Submit("lookups", 1000, kStart + Ms(2000));
+    Assign(11, crashed, kStart + Ms(2000));
+    CPPUNIT_ASSERT(CountUsable("lookups", 11) > 2);
+  }
+
+  // Agents connect one after the other. Guards against jobs of the route on the first one,
+  // whichever it is.
+  void AdoptedRouteWaitsForWhatHasCrashed() {
+    isolation_.Adopt("lookups", kStart + Ms(9000));
+    Submit("lookups", 1000);
+    Submit("checks", 1000);
+    Assign(1);
+    CPPUNIT_ASSERT(isolation_.IsPending("lookups", kStart));
+    CPPUNIT_ASSERT(!isolation_.IsPending("checks", kStart));
+    Assign(2, {"agent-1"});
+    CPPUNIT_ASSERT(!isolation_.IsPending("lookups", kStart));
+    CPPUNIT_ASSERT(isolation_.MayUse("lookups", "agent-1"));
+    CPPUNIT_ASSERT(!isolation_.MayUse("lookups", "agent-0"));
+    Assign(1);
+    CPPUNIT_ASSERT(!isolation_.IsPending("lookups", kStart + Ms(2000)));
+  }
+
   RouteIsolation isolation_;
 };
 
--- a/packages/direct/test/simulated_fleet.h
+++ b/packages/direct/test/simulated_fleet.h
@@ -114,6 +114,14 @@
   bool IsCrashing(const TaskId& task) const { return crashing_tasks_.contains(task); }
   std::size_t crashes() const { return crashes_; }
 
+  // Crashes in this time of backend servers to which no entry confines the kind with
+  // crashing tasks, while another entry confines it.
+  std::size_t CrashesOutsideIsolation(core::Duration from, core::Duration until) const {
+    return static_cast<std::size_t>(std::count_if(
+        outside_.begin(), outside_.end(),
+        [&](core::TimePoint it) { return it - kStart >= from && it - kStart < until; }));
+  }
+
   // Most starts of a task that crashes its backend servers after three have crashed
   // under it.
   std::size_t MostLateStarts() const {
@@ -160,6 +168,10 @@
 
  private:
   static constexpr core::Duration kLinkTime = std::chrono::milliseconds(1);
+  // From the start of an entry's process until the first agent connects to it, and from
+  // one agent to the next.
+  static constexpr core::Duration kConnectTime = std::chrono::milliseconds(100);
+  static constexpr core::Duration kConnectInterval = std::chrono::milliseconds(3);
   static constexpr core::Duration kTickInterval = std::chrono::milliseconds(20);
   static constexpr core::Duration kStateInterval = std::chrono::milliseconds(100);
 
@@ -210,8 +222,10 @@
         });
       }
     }
-    void OnIsolationChanged(const std::string& /*route*/,
-                            const std::set<std::string>& /*agents*/) override {}
+    void OnIsolationChanged(const std::string& route,
+                            const std::set<std::string>& agents) override {
+      if (route == fleet.kinds_[fleet.faults_.kind].route) confined_to = agents;
+    }
     void SendClaim(const std::string& agent, const RunId& id, const Resources& need) override {
       fleet.ToAgent(*this, agent,
                     [id, need](RunExecutor& it, const std::string& from, auto /*now*/) {
@@ -225,6 +239,9 @@
     JobDispatcher dispatcher;
     std::map<std::string, std::uint64_t> orders_sent;
     std::map<std::string, std::uint64_t> orders_seen;
+    std::set<std::string> connected;
+    // Agents of the kind with crashing tasks, none if it is not isolated.
+    std::set<std::string> confined_to;
   };
 
   // Most crashes under one task of the job.
@@ -264,29 +281,62 @@
     callbacks.on_start = [this](const TaskId& task, core::TimePoint now) {
       tasks_[task].starts.push_back(now);
     };
-    callbacks.on_crash = [this](const std::vector<TaskId>& tasks, core::TimePoint now) {
+    callbacks.on_crash = [this, agent](const std::vector<TaskId>& tasks, core::TimePoint now) {
       ++crashes_;
+      if (IsOutsideIsolation(agent)) outside_.push_back(now);
       for (const TaskId& it : tasks) tasks_[it].crashes.push_back(now);
     };
     servers_[agent] = std::make_unique<SimulatedServer>(events_, std::move(callbacks));
   }
 
+  bool IsOutsideIsolation(const std::string& agent) const {
+    bool isolated = false;
+    for (const auto& it : entries_) {
+      if (!it || it->confined_to.empty()) continue;
+      if (it->confined_to.contains(agent)) return false;
+      isolated = true;
+    }
+    return isolated;
+  }
+
   void StartEntry(std::size_t number) {
     entries_[number] = std::make_unique<Entry>(*this, number, ++processes_);
     Entry& entry = *entries_[number];
-    for (auto& [agent, server] : servers_) {
-      server->executor().OnOwnerConfirmed(entry.name, events_.now());
-      const RunExecutor& executor = server->executor();
-      const auto& crashes = executor.recent_crashes();
-      AgentHello hello{
-          agent, 1, true, executor.RunsFor(entry.name), {crashes.begin(), crashes.end()}};
-      entry.dispatcher.OnAgentHello(hello, events_.now());
-      entry.dispatcher.OnWorkerDescription(agent, SampleWorker());
-      entry.dispatcher.OnWorkerState(agent, server->executor().State(events_.now()), 0,
-                                     events_.now());
+    const bool restarted = processes_ > entries_.size();
+    for (const auto& it : entries_) {
+      if (!it || it.get() == &entry) continue;
+      for (const auto& [route, time] : it->dispatcher.IsolatedRoutes(events_.now())) {
+        entry.dispatcher.OnPeerIsolation(route, time, events_.now());
+      }
+      for (const auto& [route, time] : it->dispatcher.RecentCrashingRoutes(events_.now())) {
+        entry.dispatcher.OnCrashingRoute(route, time, events_.now());
+      }
+    }
+    core::Duration delay = kConnectTime;
+    for (const auto& [agent, server] : servers_) {
+      if (!restarted) {
+        Connect(entry, agent);
+        continue;
+      }
+      events_.After(delay, [this, name = entry.name, agent = agent] {
+        if (Entry* started = FindEntry(name)) Connect(*started, agent);
+      });
+      delay += kConnectInterval;
     }
   }
 
+  void Connect(Entry& entry, const std::string& agent) {
+    RunExecutor& executor = servers_.at(agent)->executor();
+    executor.OnOwnerConfirmed(entry.name, events_.now());
+    const auto& crashes = executor.recent_crashes();
+    const AgentHello hello{
+        agent, 1, true, executor.RunsFor(entry.name), {crashes.begin(), crashes.end()}};
+    entry.connected.insert(agent);
+    entry.dispatcher.OnAgentHello(hello, events_.now());
+    entry.dispatcher.OnWorkerDescription(agent, SampleWorker());
+    entry.dispatcher.OnWorkerState(agent, executor.State(events_.now()), 0, events_.now());
+  }
+
   Entry* FindEntry(const std::string& name) {
     for (const auto& it : entries_) {
       if (it && it->name == name) return it.get();
@@ -307,7 +357,7 @@
   template <typename Message>
   void ToEntry(const std::string& agent, const std::string& name, Message message) {
     const Entry* sender = FindEntry(name);
-    if (sender == nullptr) return;
+    if (sender == nullptr || !sender->connected.contains(agent)) return;
     const auto seen = sender->orders_seen.find(agent);
     const std::uint64_t orders_seen = seen == sender->orders_seen.end() ? 0 : seen->second;
     events_.After(kLinkTime, [this, agent, name, message, orders_seen,
@@ -377,6 +427,7 @@
   std::set<TaskId> crashing_tasks_;
   std::map<TaskId, TaskHistory> tasks_;
   std::size_t crashes_ = 0;
+  std::vector<core::TimePoint> outside_;
 };
 
 }  // namespace coltsfoottide::direct
