Keep no reference into the pool while a late answer is read

Cause: when the time limit of a call passes, the HTTP client reads an answer that may be waiting. The callback of that call sends further calls, which open connections and so move the list that the loop refers to. Shown by the test with a line of output in the loop: the list grows from 2 to 6 while the reference is in use. That this ends the agents is likely, not shown: the test passes by luck on the code before, too, and no core was at hand.

Change: the connection is found first, and referred to by its own address.

LateResponseTest::CallbackOfALateResponseMaySendFurtherCalls goes through the case.

--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -88,14 +88,15 @@
       expired->done(std::move(response));
       return;
     }
-    for (const auto& connection : connections_) {
-      if (connection->call() != call) continue;
-      // The response may have arrived in time while this process was too late to
-      // read it.
-      connection->ReadPending();
-      if (connection->call() == call) connection->Fail("time limit reached");
-      return;
-    }
+    const auto owner = std::find_if(connections_.begin(), connections_.end(),
+                                    [call](const auto& other) { return other->call() == call; });
+    if (owner == connections_.end()) return;
+    // Reading may report the end of the call, whose callback may add connections.
+    ClientConnection* const connection = owner->get();
+    // The response may have arrived in time while this process was too late to
+    // read it.
+    connection->ReadPending();
+    if (connection->call() == call) connection->Fail("time limit reached");
   }
 
   QString host_;
