Report an error of a connection attempt after its owner holds it

What was seen: an entry that dials an address to which the operating system refuses a connection at once ends with a segmentation fault. One odd record among the entries of the store is enough (an IPv6 address that sorts before the entry's own one), and every entry that reads it ends again after each restart. So do an unreachable network and a process without a free descriptor. The next process of such an entry counts as the same one and begins with any configuration, so this is also one way to a configuration that goes back.

Cause: FrameConnection's constructor reported such an error before it returned; EntryLinks::DialPeers had not stored the connection yet, and OnClosed closed a null pointer. The class of fault: an object calls its owner back before the owner holds it. Agents dial by other code that allows for it.

Change: the end of a connection is reported at the earliest by the next turn of the event loop after construction. Not after Close().

Tests, on the code before: DialThatFailsAtOnceIsRepeated ends with signal 11; EndIsReportedAfterConstruction and ClosedConnectionReportsNoEarlierError fail with 1 call instead of 0.

--- a/packages/daemon/src/frame_connection.cc
+++ b/packages/daemon/src/frame_connection.cc
@@ -21,6 +21,7 @@
   ConnectSignals();
   socket_.setSocketDescriptor(descriptor);
   socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  constructing_ = false;
 }
 
 FrameConnection::FrameConnection(const QString& host, std::uint16_t port, Events events)
@@ -30,15 +31,17 @@
     socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
     if (events_.on_open) events_.on_open();
   });
+  // Reports some errors before it returns, such as an unreachable network.
   socket_.connectToHost(host, port, QIODevice::ReadWrite, QAbstractSocket::IPv4Protocol);
+  constructing_ = false;
 }
 
 FrameConnection::~FrameConnection() { socket_.disconnect(this); }
 
 void FrameConnection::ConnectSignals() {
   connect(&socket_, &QTcpSocket::readyRead, this, [this] { OnReadable(); });
-  connect(&socket_, &QTcpSocket::disconnected, this, [this] { ReportClosed(); });
-  connect(&socket_, &QTcpSocket::errorOccurred, this, [this] { ReportClosed(); });
+  connect(&socket_, &QTcpSocket::disconnected, this, [this] { OnEnded(); });
+  connect(&socket_, &QTcpSocket::errorOccurred, this, [this] { OnEnded(); });
 }
 
 direct_wire::Frame& FrameConnection::outbox() {
@@ -92,12 +95,19 @@
 
 void FrameConnection::Close() {
   ended_ = true;
+  closed_by_owner_ = true;
   socket_.abort();
 }
 
-void FrameConnection::ReportClosed() {
+void FrameConnection::OnEnded() {
   if (std::exchange(ended_, true)) return;
-  events_.on_closed();
+  if (!constructing_) return ReportClosed();
+  QMetaObject::invokeMethod(
+      this, [this] { ReportClosed(); }, Qt::QueuedConnection);
+}
+
+void FrameConnection::ReportClosed() {
+  if (!closed_by_owner_) events_.on_closed();
 }
 
 }  // namespace coltsfoottide::daemon
--- a/packages/daemon/src/frame_connection.h
+++ b/packages/daemon/src/frame_connection.h
@@ -18,7 +18,7 @@
     std::function<void()> on_open;
     std::function<void(const direct_wire::Frame&)> on_frame;
     // Called once, also when the connection could not be opened. Not called
-    // by Close().
+    // by Close(), nor before the constructor has returned.
     std::function<void()> on_closed;
   };
 
@@ -39,6 +39,7 @@
  private:
   void ConnectSignals();
   void OnReadable();
+  void OnEnded();
   void ReportClosed();
 
   Events events_;
@@ -47,6 +48,9 @@
   direct_wire::Frame outbox_;
   bool flush_scheduled_ = false;
   bool ended_ = false;
+  bool closed_by_owner_ = false;
+  // In the constructor, whose caller does not hold this object yet.
+  bool constructing_ = true;
 };
 
 }  // namespace coltsfoottide::daemon
--- a/packages/daemon/test/entry_links_test.cc
+++ b/packages/daemon/test/entry_links_test.cc
@@ -23,6 +23,8 @@
 
 // Only a test that hangs waits this long.
 constexpr core::Duration kHang = std::chrono::seconds(20);
+// A connection attempt to it fails before the call returns.
+constexpr char kBroadcastAddress[] = "127.255.255.255";
 
 template <typename Done>
 bool RunUntil(Done done) {
@@ -95,6 +97,9 @@
   CPPUNIT_TEST(HelloWithoutANameIsClosed);
   CPPUNIT_TEST(OrdersThatFollowAHelloCarryItsEcho);
   CPPUNIT_TEST(EntriesTellEachOtherOfCrashingRoutes);
+  CPPUNIT_TEST(DialThatFailsAtOnceIsRepeated);
+  CPPUNIT_TEST(EndIsReportedAfterConstruction);
+  CPPUNIT_TEST(ClosedConnectionReportsNoEarlierError);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -173,6 +178,48 @@
     CPPUNIT_ASSERT_EQUAL(std::string("new"), peer.crashing_routes[1]);
   }
 
+  // Guards against an entry that ends when a connection attempt fails at once, here since
+  // TCP does not connect to a broadcast address, in production also for want of a route or
+  // of a descriptor.
+  void DialThatFailsAtOnceIsRepeated() {
+    const auto no_runs = [](const std::string&) { return false; };
+    const core::TimePoint now = BootNow();
+    UseName("99.0.0.1");
+    links_->AddConfiguredEntry(kBroadcastAddress);
+    links_->Advance(no_runs, now);
+    CPPUNIT_ASSERT(RunUntil([this] { return links_->links() == 0; }));
+    links_->Advance(no_runs, now + std::chrono::seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, links_->links());
+  }
+
+  // Guards against an owner that is called back before it holds the connection.
+  void EndIsReportedAfterConstruction() {
+    int closed = 0;
+    FrameConnection::Events events;
+    events.on_closed = [&closed] { ++closed; };
+    const FrameConnection connection(kBroadcastAddress, port_, events);
+    CPPUNIT_ASSERT_EQUAL(0, closed);
+    CPPUNIT_ASSERT(RunUntil([&closed] { return closed > 0; }));
+    CPPUNIT_ASSERT_EQUAL(1, closed);
+  }
+
+  // Guards against a late report to an owner that has closed the connection meanwhile.
+  void ClosedConnectionReportsNoEarlierError() {
+    int closed = 0;
+    FrameConnection::Events events;
+    events.on_closed = [&closed] { ++closed; };
+    FrameConnection connection(kBroadcastAddress, port_, events);
+    connection.Close();
+    QCoreApplication::processEvents();
+    CPPUNIT_ASSERT_EQUAL(0, closed);
+  }
+
+  // Gives the entry under test an address above those that it is to dial.
+  void UseName(const std::string& name) {
+    links_ = std::make_unique<EntryLinks>(1, "a", listener_, *logger_);
+    CPPUNIT_ASSERT(!links_->Open({"127.0.0.1", port_}, {name, port_}));
+  }
+
   int argc_ = 0;
   std::unique_ptr<QCoreApplication> application_;
   std::unique_ptr<Logger> logger_ = MakeJsonLogger("error", "test");
