--- a/packages/daemon/test/entry_links_test.cc
+++ b/packages/daemon/test/entry_links_test.cc
@@ -1,6 +1,10 @@
 #include "entry_links.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <QCoreApplication>
 #include <QEventLoop>
@@ -100,6 +104,7 @@
   CPPUNIT_TEST(DialThatFailsAtOnceIsRepeated);
   CPPUNIT_TEST(EndIsReportedAfterConstruction);
   CPPUNIT_TEST(ClosedConnectionReportsNoEarlierError);
+  CPPUNIT_TEST(AcceptsAgainAfterItHadNoDescriptor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -214,6 +219,33 @@
     CPPUNIT_ASSERT_EQUAL(0, closed);
   }
 
+  // Guards against an entry that accepts no agent any more once it has had no free
+  // descriptor: the listener pauses after such an error.
+  void AcceptsAgainAfterItHadNoDescriptor() {
+    const int waiting = ::socket(AF_INET, SOCK_STREAM, 0);
+    rlimit before{};
+    CPPUNIT_ASSERT_EQUAL(0, ::getrlimit(RLIMIT_NOFILE, &before));
+    // All numbers above the lowest free one are out of range.
+    const int lowest_free = ::dup(waiting);
+    ::close(lowest_free);
+    const rlimit none_free{static_cast<rlim_t>(lowest_free), before.rlim_max};
+    CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &none_free));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port_);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int connected =
+        ::connect(waiting, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    const core::TimePoint end = BootNow() + std::chrono::milliseconds(300);
+    RunUntil([end] { return BootNow() > end; });
+    const std::size_t accepted_without_descriptor = links_->links();
+    CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &before));
+    CPPUNIT_ASSERT_EQUAL(0, connected);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, accepted_without_descriptor);
+    CPPUNIT_ASSERT(RunUntil([this] { return links_->links() == 1; }));
+    ::close(waiting);
+  }
+
   // Gives the entry under test an address above those that it is to dial.
   void UseName(const std::string& name) {
     links_ = std::make_unique<EntryLinks>(1, "a", listener_, *logger_);
