Call back from the HTTP client only after Get or Post has returned

Ruled out: deferring every call of done, which adds a turn of the event loop to each answer.

Change: while calls are being started, their ends are reported from the event loop.

ClientTest::ErrorAtOnceIsReportedAfterTheCallReturns fails on the code before with 3 calls of done inside the first Get.

--- a/packages/http/include/coltsfoottide/http/client.h
+++ b/packages/http/include/coltsfoottide/http/client.h
@@ -37,7 +37,7 @@
  public:
   virtual ~Client() = default;
 
-  // Calls `done` exactly once, on the same thread.
+  // Calls `done` exactly once, on the same thread, after this function has returned.
   virtual void Post(const std::string& url, const std::map<std::string, std::string>& headers,
                     std::string body, std::chrono::milliseconds time_limit,
                     std::function<void(ClientResponse)> done) = 0;
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -28,13 +28,15 @@
 
  private:
   void StartQueuedCalls() {
+    starting_calls_ = true;
     while (!queued_calls_.empty()) {
       ClientConnection* connection = FindOrAddFreeConnection();
-      if (connection == nullptr) return;
+      if (connection == nullptr) break;
       auto call = std::move(queued_calls_.front());
       queued_calls_.pop_front();
       connection->Start(host_, port_, std::move(call));
     }
+    starting_calls_ = false;
   }
 
   // Prefers an idle open connection, then an idle closed one, then a new one.
@@ -66,7 +68,12 @@
     call->time_limit.stop();
     // Calls are queued only while all connections are busy.
     if (!queued_calls_.empty()) StartQueuedCallsLater();
-    call->done(std::move(response));
+    if (!starting_calls_) return call->done(std::move(response));
+    // The caller is still in Get or Post.
+    QMetaObject::invokeMethod(
+        &context_,
+        [done = std::move(call->done), response = std::move(response)] { done(response); },
+        Qt::QueuedConnection);
   }
 
   // Starts queued calls from the event loop, since a connection is free only
@@ -103,6 +110,8 @@
   std::uint16_t port_;
   int max_connections_;
   QObject context_;
+  // Calls are being started, on behalf of a caller that has not been returned to.
+  bool starting_calls_ = false;
   std::deque<std::unique_ptr<OutgoingCall>> queued_calls_;
   std::vector<std::unique_ptr<ClientConnection>> connections_;
 };
--- a/packages/http/test/client_test.cc
+++ b/packages/http/test/client_test.cc
@@ -93,11 +93,35 @@
   CPPUNIT_TEST(ErrorStatusIsAResponse);
   CPPUNIT_TEST(DoesNotFollowRedirects);
   CPPUNIT_TEST(DestroyedClientMakesNoCallback);
+  CPPUNIT_TEST(ErrorAtOnceIsReportedAfterTheCallReturns);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override { EnsureApplication(); }
 
+  // Guards against callers that are called back while they still send, and against a
+  // recursion as deep as the number of their attempts: TCP refuses a broadcast address
+  // before the connection attempt returns.
+  void ErrorAtOnceIsReportedAfterTheCallReturns() {
+    constexpr int kAttempts = 3;
+    const auto client = MakeClient(1);
+    int sending = 0;
+    int deepest = 0;
+    int failed = 0;
+    std::function<void()> send = [&] {
+      deepest = std::max(deepest, ++sending);
+      client->Get("http://127.255.255.255:9/", kLong, [&](const ClientResponse& it) {
+        CPPUNIT_ASSERT(it.delivery == Delivery::kNotSent);
+        if (++failed < kAttempts) send();
+      });
+      --sending;
+    };
+    send();
+    CPPUNIT_ASSERT_EQUAL(0, failed);
+    CPPUNIT_ASSERT(RunUntil([&failed] { return failed == kAttempts; }));
+    CPPUNIT_ASSERT_EQUAL(1, deepest);
+  }
+
   void PostsAndReusesConnection() {
     RawServer server;
     const auto client = MakeClient(4);
