Dial only what can be an entry's address, and bound how many there are

Change: EntryDirectory accepts IPv4 addresses only, and 512 entries at most beside those that are configured or connected. A record that is ignored is logged as "entry ignored"; an entry whose hello has no such name is closed as before an unnamed one.

--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -8,6 +8,7 @@
 #include "coltsfoottide/daemon/boot_clock.h"
 #include "coltsfoottide/daemon/logging.h"
 #include "coltsfoottide/direct/agent_hello.h"
+#include "coltsfoottide/direct/ipv4_address.h"
 #include "direct_messages.h"
 #include "direct_timing.h"
 #include "entry_links_listener.h"
@@ -29,6 +30,7 @@
 // runs of this entry, and while it has none. Far below kOwnerLease.
 constexpr core::Duration kBusyEchoDelay = std::chrono::milliseconds(100);
 constexpr core::Duration kIdleEchoDelay = std::chrono::milliseconds(300);
+constexpr std::size_t kMaxLoggedNameBytes = 64;
 
 }  // namespace
 
@@ -55,7 +57,10 @@
 }
 
 void EntryLinks::AddEntryHint(const std::string& name) {
-  if (name != name_ && entries_.AddHint(name, BootNow())) LogKnown("store", name);
+  if (name == name_) return;
+  if (entries_.AddHint(name, BootNow())) return LogKnown("store", name);
+  if (entries_.Contains(name)) return;
+  logger_.Warn("entry ignored", {{"entry", name.substr(0, kMaxLoggedNameBytes)}});
 }
 
 void EntryLinks::LogKnown(std::string_view source, const std::string& name) {
@@ -196,13 +201,15 @@
 void EntryLinks::OnHello(std::uint64_t id, const direct_wire::Hello& hello) {
   Link& link = links_.at(id);
   // A connection that changes its name would leave its former one in agents_.
-  if (link.introduced || hello.name().empty()) {
+  const bool is_entry = hello.sender() == direct_wire::Hello::ENTRY;
+  const bool named = is_entry ? direct::IsIpv4Address(hello.name()) : !hello.name().empty();
+  if (link.introduced || !named) {
     logger_.Warn("invalid hello", {{"peer", link.name}, {"name", hello.name()}});
     return OnClosed(id, "invalid hello");
   }
   link.introduced = true;
   link.name = hello.name();
-  if (hello.sender() == direct_wire::Hello::ENTRY) {
+  if (is_entry) {
     entries_.OnConnected({hello.name(), hello.data_centre()}, BootNow());
     entries_changed_ = true;
     if (!link.dialed) SendConfiguration(link);
--- a/packages/direct/include/coltsfoottide/direct/entry_directory.h
+++ b/packages/direct/include/coltsfoottide/direct/entry_directory.h
@@ -13,6 +13,8 @@
 // The entries that a process may connect to. An entry lists only those entries
 // that it is connected to itself, so an address that nobody reaches disappears
 // from all lists and is forgotten everywhere; a stale list cannot bring it back.
+// Names that are not IPv4 addresses are ignored, and so are further ones from
+// records and lists while some hundreds are known.
 class EntryDirectory {
  public:
   // Adds an entry of the settings. It is never forgotten, because it may be the
@@ -56,6 +58,7 @@
   };
 
   bool Add(const std::string& name, core::TimePoint now);
+  bool HasRoomFor(const std::string& name) const;
   bool IsListed(const std::string& name) const;
 
   std::map<std::string, Entry> entries_;
--- a/packages/direct/src/entry_directory.cc
+++ b/packages/direct/src/entry_directory.cc
@@ -4,17 +4,22 @@
 #include <chrono>
 #include <utility>
 
+#include "coltsfoottide/direct/ipv4_address.h"
+
 namespace coltsfoottide::direct {
 
 namespace {
 
 // Longer than a restart, or a cut of some seconds, takes.
 constexpr core::Duration kForgetDelay = std::chrono::seconds(10);
+// Entries known at the same time, beside those that are configured or connected. Bounds the
+// connection attempts that invalid records and lists cause, each of which takes a descriptor.
+constexpr std::size_t kMaxEntries = 512;
 
 }  // namespace
 
 bool EntryDirectory::Add(const std::string& name, core::TimePoint now) {
-  if (name.empty()) return false;
+  if (!IsIpv4Address(name)) return false;
   const auto [it, is_new] = entries_.try_emplace(name);
   it->second.last_evidence = std::max(it->second.last_evidence, now);
   return is_new;
@@ -22,12 +27,17 @@
 
 bool EntryDirectory::AddConfigured(const std::string& name) {
   const bool is_new = Add(name, {});
-  if (!name.empty()) entries_.at(name).configured = true;
+  const auto it = entries_.find(name);
+  if (it != entries_.end()) it->second.configured = true;
   return is_new;
 }
 
 bool EntryDirectory::AddHint(const std::string& name, core::TimePoint now) {
-  return Add(name, now);
+  return HasRoomFor(name) && Add(name, now);
+}
+
+bool EntryDirectory::HasRoomFor(const std::string& name) const {
+  return entries_.size() < kMaxEntries || entries_.contains(name);
 }
 
 void EntryDirectory::OnConnected(const EntryAddress& entry, core::TimePoint now) {
@@ -55,10 +65,13 @@
   std::vector<std::string> added;
   std::set<std::string> names;
   for (const EntryAddress& it : listed) {
-    if (it.name.empty()) continue;
+    if (!HasRoomFor(it.name)) continue;
     if (Add(it.name, now)) added.push_back(it.name);
-    Entry& entry = entries_.at(it.name);
-    if (!entry.connected && !it.data_centre.empty()) entry.data_centre = it.data_centre;
+    const auto entry = entries_.find(it.name);
+    if (entry == entries_.end()) continue;
+    if (!entry->second.connected && !it.data_centre.empty()) {
+      entry->second.data_centre = it.data_centre;
+    }
     names.insert(it.name);
   }
   // Entries that are no longer listed are kept for the delay from now on.
--- a/packages/direct/test/entry_directory_test.cc
+++ b/packages/direct/test/entry_directory_test.cc
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(ConfiguredEntryIsNeverForgotten);
   CPPUNIT_TEST(ShortInterruptionForgetsNothing);
   CPPUNIT_TEST(OwnConnectionGoesBeforeListedDataCentre);
+  CPPUNIT_TEST(NamesThatAreNoAddressAreIgnored);
+  CPPUNIT_TEST(NumberOfUnconfirmedEntriesIsBounded);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a replaced machine whose address is dialed for as long as the
@@ -100,6 +102,43 @@
     directory.OnListed("10.0.0.1", {{"10.0.0.2", "old"}}, kStart);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), directory.Known().at(1).data_centre);
   }
+
+  // Guards against dialing whatever another writer has left among the records of entries.
+  void NamesThatAreNoAddressAreIgnored() {
+    EntryDirectory directory;
+    const std::vector<std::string> names = {
+        "",      "0::1",       "10.0.0.1:99999",     "10.0.0.1 ", "1e400",
+        "10.1",  "10.0.0.256", std::string("1.2.3.4\0", 8), "[[[[",      std::string(100'000, '[')};
+    for (const std::string& it : names) {
+      CPPUNIT_ASSERT(!directory.AddHint(it, kStart));
+      CPPUNIT_ASSERT(!directory.AddConfigured(it));
+      CPPUNIT_ASSERT(directory.OnListed("10.0.0.1", {{it, "a"}}, kStart).empty());
+      directory.OnConnected({it, "a"}, kStart);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, directory.size());
+  }
+
+  // Guards against as many connection attempts as there are records, while an entry that
+  // is there is still accepted.
+  void NumberOfUnconfirmedEntriesIsBounded() {
+    constexpr int kRecords = 5000;
+    constexpr std::size_t kBound = 512;
+    EntryDirectory directory;
+    std::vector<EntryAddress> listed;
+    for (int i = 0; i < kRecords; ++i) {
+      const std::string rest = std::to_string(i / 250) + '.' + std::to_string(i % 250);
+      directory.AddHint("10.9." + rest, kStart);
+      listed.push_back({"10.8." + rest, "a"});
+    }
+    directory.OnListed("10.0.0.1", listed, kStart);
+    CPPUNIT_ASSERT_EQUAL(kBound, directory.size());
+    directory.OnConnected({"10.0.0.2", "a"}, kStart);
+    CPPUNIT_ASSERT(directory.Contains("10.0.0.2"));
+    CPPUNIT_ASSERT(directory.AddConfigured("10.0.0.3"));
+    directory.OnListed("10.0.0.1", {}, kStart + Ms(1000));
+    directory.Forget(kStart + Ms(60'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryDirectoryTest);
