--- a/packages/daemon/include/coltsfoottide/daemon/settings.h
+++ b/packages/daemon/include/coltsfoottide/daemon/settings.h
@@ -55,6 +55,8 @@
   // stop a run.
   std::chrono::milliseconds lease = std::chrono::seconds(1);
   std::chrono::milliseconds stop_time = std::chrono::milliseconds(50);
+  // Direct entry: time within which a change of the configuration has to be in force.
+  std::chrono::milliseconds configuration_limit = std::chrono::seconds(2);
   // Direct entry: factor by which a task takes longer away from its data.
   double far_factor = 1.0;
 };
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -28,10 +28,6 @@
 
 // The load balancer removes an entry after two failed probes, one a second.
 constexpr std::chrono::milliseconds kBalancerRemovalDelay{2500};
-// An unknown route is answered with 404 only if the configuration was confirmed
-// within this time; otherwise it may have missed a change, and the answer is 503
-// with Retry-After. Above the 2 s within which a change has to be in force.
-constexpr core::Duration kMaxViewAge = std::chrono::seconds(3);
 constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
 constexpr core::Duration kGaugeInterval = std::chrono::seconds(1);
 std::string WithoutPort(const std::string& host) { return host.substr(0, host.find(':')); }
@@ -68,6 +64,7 @@
       metrics_(metrics),
       metrics_server_(metrics),
       dispatcher_(MakeTuning(settings), settings.data_centre, settings.far_factor, *this),
+      initial_view_(BootNow()),
       links_(static_cast<std::uint64_t>(BootNow().time_since_epoch().count()), settings.data_centre,
              *this, logger) {}
 
@@ -83,7 +80,9 @@
   QObject::connect(&tick_, &QTimer::timeout, &tick_, [this] { Tick(); });
   tick_.start(kTick);
   logger_.Info("entry started",
-               {{"data_centre", settings_.data_centre}, {"callers", settings_.http_listen}});
+               {{"data_centre", settings_.data_centre},
+                {"callers", settings_.http_listen},
+                {"configuration_limit_ms", std::to_string(settings_.configuration_limit.count())}});
   return std::nullopt;
 }
 
@@ -111,15 +110,26 @@
   return std::nullopt;
 }
 
-bool DirectEntryRuntime::ready() const {
-  return !stopping_ && view_.configuration() != nullptr && links_.connected_agents() > 0;
+bool DirectEntryRuntime::ready(core::TimePoint now) {
+  return !stopping_ && ViewSettled(now) && links_.connected_agents() > 0;
+}
+
+bool DirectEntryRuntime::ViewSettled(core::TimePoint now) {
+  if (view_.configuration() == nullptr) return false;
+  const bool settled = initial_view_.Settled(links_.known_entries() > 0, now);
+  if (settled && !std::exchange(view_was_settled_, true)) {
+    logger_.Info("configuration settled", {{"version", ConfigurationVersion()},
+                                           {"position", std::to_string(view_.next_offset())},
+                                           {"age_ms", ConfigurationAge()}});
+  }
+  return settled;
 }
 
 void DirectEntryRuntime::OnReadinessProbe(const http::Request& request) {
   http::Response response;
   response.content_type = "text/plain";
   if (request.path == "/ready") {
-    response.status = ready() ? kOk : kUnavailable;
+    response.status = ready(BootNow()) ? kOk : kUnavailable;
   } else {
     response.status = kNotFound;
   }
@@ -138,14 +148,17 @@
                                      {"config_version", ConfigurationVersion()},
                                      {"config_age_ms", ConfigurationAge()}});
   };
-  if (!configuration) return refuse(kUnavailable, "no configuration yet", kRetryAfter);
+  if (!ViewSettled(BootNow())) {
+    return refuse(kUnavailable, "no configuration yet", kRetryAfter);
+  }
   const auto host = request.headers.find("host");
   const direct::Route* route =
       host == request.headers.end()
           ? nullptr
           : configuration->FindRoute(WithoutPort(host->second), request.path);
   if (route == nullptr) {
-    if (BootNow() - view_.confirmed_at() > kMaxViewAge) {
+    // A change that was acknowledged after the confirmation is not due yet.
+    if (BootNow() - view_.confirmed_at() > settings_.configuration_limit) {
       return refuse(kUnavailable, "the configuration may be out of date", kRetryAfter);
     }
     return refuse(kNotFound, "no such queue", {});
@@ -384,11 +397,24 @@
 
 void DirectEntryRuntime::OnPeerConfiguration(const std::string& entry,
                                              const direct_wire::Configuration& message,
-                                             core::TimePoint now) {
+                                             core::TimePoint /*now*/) {
   const auto configuration = platform::DecodeConfiguration(message.text());
+  if (!configuration) {
+    logger_.Warn("configuration ignored", {{"source", "entry " + entry}, {"reason", "invalid"}});
+    return;
+  }
+  initial_view_.OnPeerView();
   const std::set<std::string> evacuated(message.evacuated().begin(), message.evacuated().end());
-  if (configuration && view_.OnPeerView(*configuration, evacuated, message.position(), now)) {
-    OnViewChanged("entry " + entry);
+  if (view_.OnPeerView(*configuration, evacuated, message.position())) {
+    return OnViewChanged("entry " + entry);
+  }
+  const auto in_force = view_.configuration();
+  if (configuration->version < in_force->version) {
+    logger_.Info("configuration ignored", {{"source", "entry " + entry},
+                                           {"reason", "older"},
+                                           {"version", std::to_string(configuration->version)},
+                                           {"in_force", std::to_string(in_force->version)},
+                                           {"position", std::to_string(message.position())}});
   }
 }
 
@@ -398,15 +424,19 @@
 }
 
 std::string DirectEntryRuntime::ConfigurationAge() const {
-  return view_.configuration() ? std::to_string(ToMs(BootNow() - view_.confirmed_at())) : "none";
+  const bool confirmed = view_.confirmed_at() != core::TimePoint();
+  return confirmed ? std::to_string(ToMs(BootNow() - view_.confirmed_at())) : "none";
 }
 
 void DirectEntryRuntime::OnViewChanged(const std::string& source) {
   dispatcher_.SetEvacuated(view_.evacuated());
   std::string evacuated;
   for (const std::string& it : view_.evacuated()) evacuated += (evacuated.empty() ? "" : ",") + it;
-  logger_.Info("configuration in force",
-               {{"version", ConfigurationVersion()}, {"evacuated", evacuated}, {"source", source}});
+  logger_.Info("configuration in force", {{"version", ConfigurationVersion()},
+                                          {"evacuated", evacuated},
+                                          {"source", source},
+                                          {"position", std::to_string(view_.next_offset())},
+                                          {"age_ms", ConfigurationAge()}});
   SendViewToPeers();
 }
 
@@ -421,20 +451,40 @@
   links_.BroadcastConfiguration(message);
 }
 
+std::vector<direct::OperatorRecord> DirectEntryRuntime::DecodeRecords(
+    const platform::StoreClient::Batch& batch) {
+  const auto on_invalid = [this](const std::string& record) {
+    logger_.Warn("operator record ignored", {{"record", record}});
+  };
+  for (const std::uint64_t it : batch.malformed) {
+    on_invalid("malformed record at offset " + std::to_string(it));
+  }
+  return platform::DecodeOperatorRecords(batch.records, on_invalid);
+}
+
+void DirectEntryRuntime::OnStoreSnapshot(const platform::StoreClient::Batch& batch,
+                                         core::TimePoint complete_at) {
+  initial_view_.OnStoreView();
+  if (view_.OnSnapshot(DecodeRecords(batch), batch.next, complete_at)) OnViewChanged("store");
+}
+
+void DirectEntryRuntime::OnStoreRecords(const platform::StoreClient::Batch& batch,
+                                        core::TimePoint complete_at) {
+  if (view_.OnRecords(DecodeRecords(batch), batch.next, complete_at)) OnViewChanged("store");
+}
+
 void DirectEntryRuntime::FollowStore() {
   store_ = std::make_unique<platform::StoreClient>(settings_.log_url);
-  const auto on_invalid_record = [this](const std::string& record) {
-    logger_.Warn("operator record ignored", {{"record", record}});
+  const auto log_outdated = [this](std::uint64_t end, std::uint64_t expected) {
+    logger_.Warn("store answer outdated",
+                 {{"end", std::to_string(end)}, {"expected", std::to_string(expected)}});
   };
   TopicFollower::Events events;
-  events.on_snapshot = [this, on_invalid_record](const platform::StoreClient::Batch& batch) {
-    const auto records = platform::DecodeOperatorRecords(batch.records, on_invalid_record);
-    if (view_.OnSnapshot(records, batch.next, BootNow())) OnViewChanged("store");
-  };
-  events.on_records = [this, on_invalid_record](const platform::StoreClient::Batch& batch) {
-    const auto records = platform::DecodeOperatorRecords(batch.records, on_invalid_record);
-    if (view_.OnRecords(records, batch.next, BootNow())) OnViewChanged("store");
-  };
+  events.on_snapshot = [this](const platform::StoreClient::Batch& batch,
+                              core::TimePoint complete_at) { OnStoreSnapshot(batch, complete_at); };
+  events.on_records = [this](const platform::StoreClient::Batch& batch,
+                             core::TimePoint complete_at) { OnStoreRecords(batch, complete_at); };
+  events.on_outdated = log_outdated;
   events.on_reachable = [this](bool reachable) {
     logger_.Warn(reachable ? "store regained" : "store lost", {});
     if (reachable && !announced_ && !stopping_) Announce();
@@ -442,10 +492,11 @@
   operator_topic_ = std::make_unique<TopicFollower>(*store_, platform::kOperatorTopic, events);
   operator_topic_->Begin();
   TopicFollower::Events entry_events;
-  entry_events.on_snapshot = [this](const platform::StoreClient::Batch& batch) {
+  entry_events.on_snapshot = [this](const platform::StoreClient::Batch& batch, core::TimePoint) {
     for (const platform::KeyedRecord& it : batch.records) OnEntryRecord(it.key, it.value);
   };
   entry_events.on_records = entry_events.on_snapshot;
+  entry_events.on_outdated = log_outdated;
   entry_events.on_reachable = [](bool) {};
   entry_topic_ = std::make_unique<TopicFollower>(*store_, platform::kEntryTopic, entry_events);
   entry_topic_->Begin();
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -12,6 +12,7 @@
 #include "coltsfoottide/daemon/runtime.h"
 #include "coltsfoottide/daemon/settings.h"
 #include "coltsfoottide/direct/entry_sink.h"
+#include "coltsfoottide/direct/initial_view.h"
 #include "coltsfoottide/direct/job_dispatcher.h"
 #include "coltsfoottide/direct/operator_view.h"
 #include "coltsfoottide/http/server.h"
@@ -67,7 +68,9 @@
   void Submit(const http::Request& request, const direct::Route& route, const std::string& job);
   void OnAbandoned(std::uint64_t request);
   void OnReadinessProbe(const http::Request& request);
-  bool ready() const;
+  bool ready(core::TimePoint now);
+  // Whether this process may act on its view of the operator's records.
+  bool ViewSettled(core::TimePoint now);
   // For logs; "none" before the first configuration.
   std::string ConfigurationVersion() const;
   // For logs; milliseconds since the configuration was last confirmed, "none"
@@ -87,6 +90,9 @@
 
   void SendViewToPeers();
   void OnViewChanged(const std::string& source);
+  void OnStoreSnapshot(const platform::StoreClient::Batch& batch, core::TimePoint complete_at);
+  void OnStoreRecords(const platform::StoreClient::Batch& batch, core::TimePoint complete_at);
+  std::vector<direct::OperatorRecord> DecodeRecords(const platform::StoreClient::Batch& batch);
   void FollowStore();
   void Announce();
   void OnEntryRecord(const std::string& name, const std::string& value);
@@ -99,6 +105,9 @@
   MetricsServer metrics_server_;
   direct::JobDispatcher dispatcher_;
   direct::OperatorView view_;
+  direct::InitialView initial_view_;
+  // Whether `view_` was settled at the last call of ViewSettled().
+  bool view_was_settled_ = false;
   std::unique_ptr<http::Server> caller_server_;
   std::unique_ptr<http::Server> readiness_server_;
   EntryLinks links_;
--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -168,9 +168,6 @@
   const core::TimePoint now = BootNow();
   Link& link = links_.at(id);
   link.last_heard = now;
-  if (frame.has_configuration()) {
-    listener_.OnPeerConfiguration(link.name, frame.configuration(), now);
-  }
   const bool from_agent =
       link.is_agent || (frame.has_hello() && frame.hello().sender() == direct_wire::Hello::AGENT);
   // Before the hello, so that the orders and claims that follow it carry the echo without
@@ -180,6 +177,9 @@
   const auto it = links_.find(id);
   if (it == links_.end()) return;
   if (!it->second.is_agent) {
+    if (frame.has_configuration() && it->second.introduced) {
+      listener_.OnPeerConfiguration(it->second.name, frame.configuration(), now);
+    }
     if (frame.has_entry_list()) OnEntryList(it->second.name, frame.entry_list(), now);
     for (const direct_wire::CrashingRoute& route : frame.crashing_routes()) {
       listener_.OnPeerCrashingRoute(route, now);
--- a/packages/daemon/src/entry_links_listener.h
+++ b/packages/daemon/src/entry_links_listener.h
@@ -28,7 +28,6 @@
   // The connection has closed or was replaced; the last frame arrived at
   // `last_heard`.
   virtual void OnAgentLost(const std::string& agent, core::TimePoint last_heard) = 0;
-  // Another entry has sent its configuration.
   // Another entry has connected, or is being connected to. Adds to `frame` what it should
   // know.
   virtual void OnPeerConnected(direct_wire::Frame& frame, core::TimePoint now) = 0;
@@ -36,6 +35,7 @@
   // such tasks.
   virtual void OnPeerCrashingRoute(const direct_wire::CrashingRoute& message,
                                    core::TimePoint now) = 0;
+  // Another entry has sent its configuration.
   virtual void OnPeerConfiguration(const std::string& entry,
                                    const direct_wire::Configuration& configuration,
                                    core::TimePoint now) = 0;
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -19,6 +19,7 @@
 constexpr std::uint32_t kMaxConnections = 4096;
 constexpr std::uint32_t kMaxDrainMs = 600'000;
 constexpr std::uint32_t kMaxLeaseMs = 60'000;
+constexpr std::uint32_t kMaxConfigurationLimitMs = 60'000;
 constexpr double kMaxFarFactor = 100.0;
 constexpr std::size_t kMaxNameBytes = 64;
 
@@ -105,6 +106,8 @@
   ReadEndpoint(reader, "metrics_listen", settings.metrics_listen);
   ReadMilliseconds(reader, "lease_ms", kMaxLeaseMs, settings.lease);
   ReadMilliseconds(reader, "stop_ms", kMaxLeaseMs, settings.stop_time);
+  ReadMilliseconds(reader, "configuration_limit_ms", kMaxConfigurationLimitMs,
+                   settings.configuration_limit);
   reader.Read("far_factor", settings.far_factor, 1.0, kMaxFarFactor);
 }
 
--- a/packages/daemon/src/topic_follower.cc
+++ b/packages/daemon/src/topic_follower.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "coltsfoottide/daemon/boot_clock.h"
+
 namespace coltsfoottide::daemon {
 
 namespace {
@@ -34,31 +36,47 @@
 void TopicFollower::Begin() { ReadNewest(); }
 
 void TopicFollower::ReadNewest() {
-  store_.ReadNewest(topic_, [this](const std::optional<platform::StoreClient::Batch>& batch, bool) {
+  store_.ReadNewest(topic_, [this, sent = BootNow()](
+                                const std::optional<platform::StoreClient::Batch>& batch, bool) {
     if (!batch) return OnFailure();
     OnSuccess();
     have_snapshot_ = true;
-    next_offset_ = batch->next;
-    events_.on_snapshot(*batch);
+    if (batch->next < next_offset_) events_.on_outdated(batch->next, next_offset_);
+    next_offset_ = std::max(next_offset_, batch->next);
+    events_.on_snapshot(*batch, sent);
     ReadNext();
   });
 }
 
 void TopicFollower::ReadNext() {
   store_.ReadFrom(topic_, next_offset_, kLongPollTime,
-                  [this](const std::optional<platform::StoreClient::Batch>& batch, bool expired) {
+                  [this, sent = BootNow()](const std::optional<platform::StoreClient::Batch>& batch,
+                                           bool expired) {
                     if (expired) {
                       have_snapshot_ = false;
-                      return ReadNewest();
+                      retry_.start(kMinRetryDelay);
+                    } else if (batch) {
+                      OnRead(*batch, sent);
+                    } else {
+                      OnFailure();
                     }
-                    if (!batch) return OnFailure();
-                    OnSuccess();
-                    next_offset_ = batch->next;
-                    events_.on_records(*batch);
-                    ReadNext();
                   });
 }
 
+void TopicFollower::OnRead(const platform::StoreClient::Batch& batch, core::TimePoint sent) {
+  OnSuccess();
+  if (batch.end < next_offset_) {
+    events_.on_outdated(batch.end, next_offset_);
+    retry_.start(kMinRetryDelay);
+    return;
+  }
+  next_offset_ = batch.next;
+  // The store answers without a record only when it has waited for one.
+  const core::Duration waited = batch.records.empty() ? kLongPollTime : core::Duration::zero();
+  events_.on_records(batch, std::min(sent + waited, BootNow()));
+  ReadNext();
+}
+
 void TopicFollower::OnSuccess() {
   failures_ = 0;
   if (!std::exchange(reachable_, true)) events_.on_reachable(true);
--- a/packages/daemon/src/topic_follower.h
+++ b/packages/daemon/src/topic_follower.h
@@ -18,9 +18,14 @@
 class TopicFollower {
  public:
   struct Events {
-    // The newest record of every key.
-    std::function<void(const platform::StoreClient::Batch&)> on_snapshot;
-    std::function<void(const platform::StoreClient::Batch&)> on_records;
+    // The newest record of every key. `complete_at`: when the store certainly held
+    // no further record.
+    std::function<void(const platform::StoreClient::Batch&, core::TimePoint complete_at)>
+        on_snapshot;
+    std::function<void(const platform::StoreClient::Batch&, core::TimePoint complete_at)>
+        on_records;
+    // The store has answered with an earlier state than it did before.
+    std::function<void(std::uint64_t end, std::uint64_t expected)> on_outdated;
     // The store has begun or ceased to answer.
     std::function<void(bool reachable)> on_reachable;
   };
@@ -33,6 +38,8 @@
  private:
   void ReadNewest();
   void ReadNext();
+  // Handles the answer to a read that was sent at `sent`.
+  void OnRead(const platform::StoreClient::Batch& batch, core::TimePoint sent);
   void OnFailure();
   void OnSuccess();
 
@@ -40,6 +47,7 @@
   std::string topic_;
   Events events_;
   QTimer retry_;
+  // Never falls.
   std::uint64_t next_offset_ = 0;
   bool have_snapshot_ = false;
   bool reachable_ = false;
--- a/packages/direct/src/operator_view.cc
+++ b/packages/direct/src/operator_view.cc
@@ -1,5 +1,6 @@
 #include "coltsfoottide/direct/operator_view.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace coltsfoottide::direct {
@@ -10,10 +11,12 @@
   return true;
 }
 
+void OperatorView::Confirm(core::TimePoint complete_at) {
+  confirmed_at_ = std::max(confirmed_at_, complete_at);
+}
+
 bool OperatorView::OnSnapshot(const std::vector<OperatorRecord>& records, std::uint64_t next_offset,
-                              core::TimePoint now) {
-  // The store may answer a read with a state that is seconds old.
-  if (next_offset < next_offset_) return false;
+                              core::TimePoint complete_at) {
   bool changed = false;
   std::set<std::string> evacuated;
   for (const OperatorRecord& it : records) {
@@ -23,15 +26,17 @@
       evacuated.insert(it.evacuated_data_centre);
     }
   }
+  // The store may answer a read with a state that is seconds old.
+  if (next_offset < next_offset_) return changed;
   changed = changed || evacuated != evacuated_;
   evacuated_ = std::move(evacuated);
   next_offset_ = next_offset;
-  confirmed_at_ = now;
+  Confirm(complete_at);
   return changed;
 }
 
 bool OperatorView::OnRecords(const std::vector<OperatorRecord>& records, std::uint64_t next_offset,
-                             core::TimePoint now) {
+                             core::TimePoint complete_at) {
   bool changed = false;
   for (const OperatorRecord& it : records) {
     if (it.configuration) {
@@ -45,20 +50,18 @@
   }
   if (next_offset >= next_offset_) {
     next_offset_ = next_offset;
-    confirmed_at_ = now;
+    Confirm(complete_at);
   }
   return changed;
 }
 
 bool OperatorView::OnPeerView(const Configuration& configuration,
-                              const std::set<std::string>& evacuated, std::uint64_t next_offset,
-                              core::TimePoint now) {
+                              const std::set<std::string>& evacuated, std::uint64_t next_offset) {
   bool changed = ReplaceIfNewer(configuration);
   if (next_offset <= next_offset_) return changed;
   changed = changed || evacuated != evacuated_;
   evacuated_ = evacuated;
   next_offset_ = next_offset;
-  confirmed_at_ = now;
   return changed;
 }
 
--- a/packages/direct/test/operator_view_test.cc
+++ b/packages/direct/test/operator_view_test.cc
@@ -29,6 +29,9 @@
   CPPUNIT_TEST(RepeatedRecordsChangeNothing);
   CPPUNIT_TEST(SnapshotWithoutAnEvacuationEndsIt);
   CPPUNIT_TEST(NewerViewOfAPeerIsAdopted);
+  CPPUNIT_TEST(ViewOfAPeerConfirmsNothing);
+  CPPUNIT_TEST(LateAnswerConfirmsAnEarlierTime);
+  CPPUNIT_TEST(NewerConfigurationOfAnOutdatedSnapshotIsAdopted);
   CPPUNIT_TEST(LongestPrefixWins);
   CPPUNIT_TEST_SUITE_END();
 
@@ -70,12 +73,43 @@
   // have one, and against taking over an older view.
   void NewerViewOfAPeerIsAdopted() {
     OperatorView view;
-    CPPUNIT_ASSERT(view.OnPeerView(Configuration{7, {}, 0, ""}, {"a"}, 9, kStart));
+    CPPUNIT_ASSERT(view.OnPeerView(Configuration{7, {}, 0, ""}, {"a"}, 9));
     CPPUNIT_ASSERT(view.evacuated().contains("a"));
-    CPPUNIT_ASSERT(!view.OnPeerView(Configuration{7, {}, 0, ""}, {}, 8, kStart));
+    CPPUNIT_ASSERT(!view.OnPeerView(Configuration{7, {}, 0, ""}, {}, 8));
     CPPUNIT_ASSERT(view.evacuated().contains("a"));
   }
 
+  // Guards against 404 for a route that was added since: the other entry may be cut off
+  // from the store.
+  void ViewOfAPeerConfirmsNothing() {
+    OperatorView view;
+    view.OnRecords({Version(0, 1)}, 1, kStart);
+    CPPUNIT_ASSERT(view.OnPeerView(Configuration{7, {}, 0, ""}, {}, 9));
+    CPPUNIT_ASSERT(view.confirmed_at() == kStart);
+  }
+
+  // Guards against a process that stood still and takes the answer that waited meanwhile
+  // for a new one.
+  void LateAnswerConfirmsAnEarlierTime() {
+    OperatorView view;
+    view.OnRecords({Version(0, 1)}, 1, kStart + Ms(500));
+    view.OnRecords({}, 1, kStart + Ms(200));
+    CPPUNIT_ASSERT(view.confirmed_at() == kStart + Ms(500));
+    view.OnSnapshot({Version(0, 1)}, 1, kStart + Ms(900));
+    CPPUNIT_ASSERT(view.confirmed_at() == kStart + Ms(900));
+  }
+
+  // Guards against a configuration that is missed because the end that came with it is
+  // behind: the pages of a snapshot are not read at one time.
+  void NewerConfigurationOfAnOutdatedSnapshotIsAdopted() {
+    OperatorView view;
+    view.OnPeerView(Configuration{3, {}, 0, ""}, {"a"}, 9);
+    CPPUNIT_ASSERT(view.OnSnapshot({Version(9, 4)}, 8, kStart));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, view.configuration()->version);
+    CPPUNIT_ASSERT(view.evacuated().contains("a"));
+    CPPUNIT_ASSERT(view.confirmed_at() == core::TimePoint());
+  }
+
   // Guards against routing a call by a shorter prefix.
   void LongestPrefixWins() {
     Configuration configuration;
