Leave descriptors to agents and the store while callers connect

Cause: an entry accepted 4096 connections of callers, whatever its limit of descriptors; on machines with 4100, of which 200 are for files, callers alone could use them all, and the entry could neither dial nor accept agents, entries or the store.

A line of an earlier test is formatted.

--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -13,6 +13,7 @@
 #include "coltsfoottide/direct/time_bounds.h"
 #include "coltsfoottide/platform/job_calls.h"
 #include "coltsfoottide/platform/operator_records.h"
+#include "descriptor_limit.h"
 #include "direct_messages.h"
 #include "direct_timing.h"
 
@@ -93,17 +94,21 @@
           links_.Open(listen, no_advertise ? listen : *ParseEndpoint(settings_.advertise))) {
     return error;
   }
-  const auto open = [](const std::string& address, http::ServerCallbacks callbacks) {
+  const auto open = [](const std::string& address, const http::ServerLimits& limits,
+                       http::ServerCallbacks callbacks) {
     const Endpoint endpoint = *ParseEndpoint(address);
-    return http::MakeServer(endpoint.address, endpoint.port, {}, std::move(callbacks));
+    return http::MakeServer(endpoint.address, endpoint.port, limits, std::move(callbacks));
   };
-  auto callers =
-      open(settings_.http_listen, {[this](const http::Request& request) { OnRequest(request); },
-                                   [this](std::uint64_t id) { OnAbandoned(id); }});
+  http::ServerLimits caller_limits;
+  caller_limits.max_connections =
+      std::min(caller_limits.max_connections, MaxCallerConnections(DescriptorLimit()));
+  auto callers = open(settings_.http_listen, caller_limits,
+                      {[this](const http::Request& request) { OnRequest(request); },
+                       [this](std::uint64_t id) { OnAbandoned(id); }});
   if (auto* error = std::get_if<http::ServerError>(&callers)) return RuntimeError{error->message};
   caller_server_ = std::move(std::get<std::unique_ptr<http::Server>>(callers));
   auto probes =
-      open(settings_.ready_listen,
+      open(settings_.ready_listen, {},
            {[this](const http::Request& request) { OnReadinessProbe(request); }, nullptr});
   if (auto* error = std::get_if<http::ServerError>(&probes)) return RuntimeError{error->message};
   readiness_server_ = std::move(std::get<std::unique_ptr<http::Server>>(probes));
--- a/packages/direct/test/entry_directory_test.cc
+++ b/packages/direct/test/entry_directory_test.cc
@@ -106,9 +106,16 @@
   // Guards against dialing whatever another writer has left among the records of entries.
   void NamesThatAreNoAddressAreIgnored() {
     EntryDirectory directory;
-    const std::vector<std::string> names = {
-        "",      "0::1",       "10.0.0.1:99999",     "10.0.0.1 ", "1e400",
-        "10.1",  "10.0.0.256", std::string("1.2.3.4\0", 8), "[[[[",      std::string(100'000, '[')};
+    const std::vector<std::string> names = {"",
+                                            "0::1",
+                                            "10.0.0.1:99999",
+                                            "10.0.0.1 ",
+                                            "1e400",
+                                            "10.1",
+                                            "10.0.0.256",
+                                            std::string("1.2.3.4\0", 8),
+                                            "[[[[",
+                                            std::string(100'000, '[')};
     for (const std::string& it : names) {
       CPPUNIT_ASSERT(!directory.AddHint(it, kStart));
       CPPUNIT_ASSERT(!directory.AddConfigured(it));
