Start the soak with a dying entry and odd records, and detect the broken servers by them

Before that, another writer leaves odd records among the entries (not an address, a port out of range, deeply nested, an address to which no connection can be opened) and records without a key.

Ruled out: longer tasks alone, with which the scene found nothing, since the first entry had no backend server yet.

--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -72,7 +72,7 @@
                     if url.path == "/log-newest":
                         newest = {key: (value, n) for n, (key, value) in enumerate(records)}
                         items = [{"Key": k, "Value": base64.b64encode(v).decode(), "Offset": n}
-                                 for k, (v, n) in newest.items() if v]
+                                 for k, (v, n) in newest.items() if k is not None and v]
                         return self.answer(200, {"items": items, "More": False,
                                                  "End": len(records)})
                     first = int(query["From"])
@@ -80,7 +80,8 @@
                         store.lock.wait(int(query.get("WaitMs", 0)) / 1000)
                     data = struct.pack(">QQ", len(records), 0)
                     for key, value in records[first:]:
-                        content = bytes([len(key)]) + key.encode() + value
+                        content = b"" if key is None else (
+                            bytes([len(key)]) + key.encode() + value)
                         data += struct.pack(">I", len(content)) + content
                 self.answer(200, data)
 
@@ -103,6 +104,7 @@
         return self.outage is None
 
     def append(self, topic, key, value):
+        """Without a key the record is empty, which only another writer may append."""
         with self.lock:
             self.topics.setdefault(topic, []).append((key, value))
             self.lock.notify_all()
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -7,6 +7,7 @@
 
 import argparse
 import http.client
+import itertools
 import json
 import pathlib
 import random
@@ -16,7 +17,7 @@
 import threading
 import time
 
-from fleet import Process, write_toml
+from fleet import FleetError, Process, write_toml
 from platform_standin import Store, BackendServer
 from relay import Relay
 
@@ -24,6 +25,9 @@
 LINK_PORT, CALL_PORT, READY_PORT = 17010, 17011, 17012
 REPORT_PORT, BACKEND_PORT, STORE_PORT = 17013, 17014, 17015
 RETRY_DELAY_S, CALL_TIMEOUT_S = 1.3, 2.5
+# Of a task, in thousandths of a core.
+TASK_CPU = 6000
+START_LIMIT_S = 20.0
 # From SETTLE_S after the last fault, at least MIN_SERVED_SHARE of the calls must
 # be answered with status 200.
 SETTLE_S, MIN_SERVED_SHARE = 4.0, 0.9
@@ -31,6 +35,12 @@
 # injected. Such a task may be started this many times after three backend servers have
 # crashed under it.
 CRASHING_SHARE, MAX_LATE_STARTS = 0.06, 2
+# Before the random faults an entry dies ENTRY_DEATH_S after it was given tasks that outlast
+# the pause after which their callers submit them again.
+LONG_TASK_MS, ENTRY_DEATH_S = 1800, 0.2
+# Names of entries that another writer may leave in the store: not an address, a port out of
+# range, deeply nested, and an address to which no connection can be opened.
+ODD_ENTRIES = ["0::1", "127.0.0.1:99999", "[" * 200, "127.255.255.255"]
 
 
 class History:
@@ -139,8 +149,8 @@
         self.store.append("keyed.op", "config", json.dumps(config).encode())
 
     def call_once(self, host, job, tasks, ms, crashing):
-        steps = [{"Count": tasks, "Cpu": 6000, "MemMb": 64, "EstimateMs": ms}]
-        spec = f"{ms} 6000" + (f" {tasks - 1}" if crashing else "")
+        steps = [{"Count": tasks, "Cpu": TASK_CPU, "MemMb": 64, "EstimateMs": ms}]
+        spec = f"{ms} {TASK_CPU}" + (f" {tasks - 1}" if crashing else "")
         body = json.dumps({"Spec": spec, "BestEffort": True, "Steps": steps})
         link = http.client.HTTPConnection(host, CALL_PORT, timeout=CALL_TIMEOUT_S)
         try:
@@ -171,6 +181,50 @@
             self.may_crash = False
             self.crashing_changed.wait_for(lambda: self.crashing_jobs == 0)
 
+    def append_odd_records(self):
+        for it in ODD_ENTRIES:
+            self.store.append("keyed.coltsfoottide-entries", it, b"1")
+        for topic in ("keyed.coltsfoottide-entries", "keyed.op"):
+            self.store.append(topic, None, b"")
+
+    def submit_long_job(self, number):
+        """Submits a job to the first entry, and again to the second one if there is no answer."""
+        job = f"{0xffff:04x}{number:012x}"
+        statuses = []
+        for host in self.entry_hosts:
+            status, body = self.call_once(host, job, 1, LONG_TASK_MS, False)
+            statuses.append(status)
+            if status not in (0, 502, 504):
+                break
+            time.sleep(RETRY_DELAY_S)
+        self.history.answer(job, 1, statuses, body, False, False)
+
+    def wait_served(self):
+        """Waits until each entry places tasks at all backend servers."""
+        tasks = BACKENDS * self.backends[0].cpu // TASK_CPU
+        for number, host in enumerate(self.entry_hosts):
+            deadline = time.monotonic() + START_LIMIT_S
+            for n in itertools.count():
+                job = f"{0xfffe:04x}{number:06x}{n:06x}"
+                if self.call_once(host, job, tasks, 10, False)[0] == 200:
+                    break
+                if time.monotonic() > deadline:
+                    raise FleetError(f"{host} serves no job of {tasks} tasks")
+                time.sleep(0.1)
+
+    def run_entry_death(self):
+        """Two runs of a task overlap unless the first one is stopped when its entry dies."""
+        callers = [threading.Thread(target=self.submit_long_job, args=(n,), daemon=True)
+                   for n in range(CALLERS)]
+        for it in callers:
+            it.start()
+        time.sleep(ENTRY_DEATH_S)
+        self.entries[0].kill()
+        for it in callers:
+            it.join()
+        self.entries[0].start()
+        self.entries[0].wait_ready()
+
     def run_caller(self, number, seed):
         rng = random.Random(seed)
         count = 0
@@ -269,6 +323,9 @@
                 it.start()
             for it in self.entries:
                 it.wait_ready()
+            self.append_odd_records()
+            self.wait_served()
+            self.run_entry_death()
             callers = [threading.Thread(target=self.run_caller, args=(n, seed * 1000 + n),
                                         daemon=True) for n in range(CALLERS)]
             for it in callers:
