End the runs of a backend server only on its own word

The agent reported all listed runs as lost without stopping them, the entries placed them again at once, and the backend server was ignored from then on.

Cause: RunExecutor took a report for proof that the present incarnation had ended, and calls went to the address in the report. Ruled out: a refused call to that address as the trigger; the runs are reported lost in the moment of the report.

A report of another incarnation now waits until answers to calls decide: the present incarnation answers (refuted), or is refused, or the new one answers (proven). No answer proves nothing. Calls go to the address of the settings, and reports of another service than the one of the settings are ignored.

--- a/packages/daemon/include/coltsfoottide/daemon/settings.h
+++ b/packages/daemon/include/coltsfoottide/daemon/settings.h
@@ -35,7 +35,8 @@
 
   // Agent and direct agent: base URL of the backend server.
   std::string backend_url;
-  // Agent: its service and resources.
+  // Agent: its service and resources. Direct agent: the service of its backend
+  // server, or empty; reports of other services are ignored.
   std::string service;
   std::uint32_t slots = 8;
   std::uint32_t connections = 64;
--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -160,6 +160,7 @@
         }
         executor_->OnLeaseRenewal(round, result, gone, BootNow());
         state_changed_ = true;
+        LogWorkerState();
       };
   callbacks.on_warning = [this](const std::string& event, const std::string& detail) {
     logger_.Warn(event, {{"detail", detail}});
@@ -201,25 +202,33 @@
 // repeat it.
 void DirectAgentRuntime::OnWorkerReport(const std::string& id, const std::string& body) {
   std::string error;
-  const auto decoded = platform::DecodeReport(id, body, error);
-  if (!decoded) {
+  const auto report = platform::DecodeReport(id, body, error);
+  if (!report) {
     logger_.Warn("report ignored", {{"id", id}, {"reason", error}});
     return;
   }
-  const direct::WorkerState before = executor_->State(BootNow());
-  if (executor_->IsNews(decoded->report)) {
-    // First, so that the executor's calls go to the incarnation that has reported.
-    worker_->OnReport(id, decoded->report.incarnation, decoded->address, decoded->clock_ms);
-  }
-  if (!executor_->OnWorkerReport(decoded->report, BootNow())) return;
-  const direct::WorkerState after = executor_->State(BootNow());
-  if (before.ready != after.ready || before.draining != after.draining) {
-    state_changed_ = true;
-    logger_.Info("backend server state", {{"id", id},
-                                          {"life", std::to_string(decoded->report.incarnation)},
-                                          {"ready", after.ready ? "yes" : "no"},
-                                          {"draining", after.draining ? "yes" : "no"}});
+  const std::string& service = report->description.service;
+  if (!settings_.service.empty() && service != settings_.service) {
+    logger_.Warn("report ignored", {{"id", id}, {"reason", "of the service " + service}});
+    return;
   }
+  executor_->OnWorkerReport(*report, BootNow());
+  LogWorkerState();
+}
+
+void DirectAgentRuntime::OnReportRefuted(const direct::WorkerReport& report) {
+  logger_.Warn("report ignored", {{"id", report.id},
+                                  {"life", std::to_string(report.incarnation)},
+                                  {"reason", "another incarnation answers"}});
+}
+
+void DirectAgentRuntime::LogWorkerState() {
+  const direct::WorkerState state = executor_->State(BootNow());
+  if (state.ready == logged_state_.ready && state.draining == logged_state_.draining) return;
+  logged_state_ = state;
+  state_changed_ = true;
+  logger_.Info("backend server state", {{"ready", state.ready ? "yes" : "no"},
+                                        {"draining", state.draining ? "yes" : "no"}});
 }
 
 void DirectAgentRuntime::AddConfiguredEntry(const std::string& name) {
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -68,11 +68,14 @@
   // ReportSink
   void Report(const std::string& owner, const direct::RunReport& report) override;
   void ReportCrash(const direct::WorkerCrash& crash) override;
+  void OnReportRefuted(const direct::WorkerReport& report) override;
 
   std::optional<RuntimeError> OpenServer();
   void MakeWorkerClient();
   void OnRequest(const http::Request& request);
   void OnWorkerReport(const std::string& id, const std::string& body);
+  // Logs whether the backend server takes work, after each change.
+  void LogWorkerState();
 
   void AddConfiguredEntry(const std::string& name);
   void LogKnown(const std::string& source, const std::string& name);
@@ -118,6 +121,8 @@
   core::TimePoint started_;
   core::TimePoint store_lookup_due_;
   core::TimePoint log_due_;
+  // As last logged by LogWorkerState().
+  direct::WorkerState logged_state_;
   QTimer tick_;
   GracefulStop stop_;
   // The worker's state has changed since it was last sent to every entry.
--- a/packages/direct/include/coltsfoottide/direct/report_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/report_sink.h
@@ -7,6 +7,8 @@
 
 namespace coltsfoottide::direct {
 
+struct WorkerReport;
+
 // Sends an agent's reports of runs and crashes to the entries.
 class ReportSink {
  public:
@@ -18,6 +20,10 @@
   // The backend server has crashed while it had runs. Called before the reports of
   // their ends, unless these have ended with their lease.
   virtual void ReportCrash(const WorkerCrash& crash) = 0;
+
+  // The backend server's answers show that this report is not of its present incarnation,
+  // for logs.
+  virtual void OnReportRefuted(const WorkerReport& report) = 0;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -49,12 +49,10 @@
   // or no process listens there.
   bool runs_known() const { return runs_known_; }
 
-  // Whether the report is newer than the last one. Incarnations are ordered by their time of
-  // birth, except that any new one is later than one that has ended: the clock may have been
-  // set back in between.
-  bool IsNews(const WorkerReport& report) const;
-  // Returns IsNews. A report that is not news but may be of a later incarnation makes the
-  // agent ask whether the present one is still there.
+  // Takes over a report that is newer than the last one; returns whether it did. A report
+  // does not prove that the present incarnation has ended, since it may be delayed or of
+  // another writer. One of another incarnation is taken over only once the backend server's
+  // answers show that the present one has ended.
   bool OnWorkerReport(const WorkerReport& report, core::TimePoint now);
   // The backend server has announced its shutdown.
   void OnWorkerShutdown(const std::string& id, core::TimePoint now);
@@ -168,6 +166,16 @@
     RunOrder order;
   };
 
+  // Whether the report is newer than the last one. Incarnations are ordered by their time of
+  // birth, except that any new one is later than one that has ended: the clock may have been
+  // set back in between.
+  bool IsNews(const WorkerReport& report) const;
+  // Whether the report can only be of the present incarnation, or none is known to be there.
+  bool NeedsNoProof(const WorkerReport& report) const;
+  void TakeOver(const WorkerReport& report, core::TimePoint now);
+  // Takes over or drops `unproven_report_` after an answer to the lease renewal with this
+  // number.
+  void DecideUnprovenReport(std::uint64_t renewal_number, core::TimePoint now);
   // Whether the owner has confirmed nothing for longer than its lease. It may then have
   // placed its runs elsewhere.
   bool IsSilent(const std::string& owner, core::TimePoint now) const;
@@ -213,6 +221,10 @@
   WorkerPort& worker_;
   ReportSink& reports_;
   std::optional<WorkerReport> worker_report_;
+  // The latest report of another incarnation, while the present one may still be there.
+  std::optional<WorkerReport> unproven_report_;
+  // The first lease renewal whose answer decides about `unproven_report_`.
+  std::uint64_t deciding_renewal_ = 0;
   WorkerHealth health_;
   RunQueue queue_;
   std::map<RunId, Run> runs_;
--- a/packages/direct/include/coltsfoottide/direct/worker_port.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_port.h
@@ -9,12 +9,17 @@
 
 namespace coltsfoottide::direct {
 
-// Calls to the agent's backend server. Each leads to one call of the
-// RunExecutor's OnStartResult, OnStopResult or OnLeaseRenewal.
+struct WorkerReport;
+
+// Calls to the agent's backend server. Each call of StartRun, StopRun and RenewLease leads
+// to one call of the RunExecutor's OnStartResult, OnStopResult or OnLeaseRenewal.
 class WorkerPort {
  public:
   virtual ~WorkerPort() = default;
 
+  // Calls from now on are meant for the incarnation with this report.
+  virtual void UseIncarnation(const WorkerReport& report) = 0;
+
   // All runs on the backend server may continue until `lease_end`, a point in time rather
   // than a duration so that a delayed call does not extend it. A start that arrives later
   // is refused. Without an answer within `timeout` the result is unknown.
--- a/packages/direct/include/coltsfoottide/direct/worker_report.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_report.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "coltsfoottide/direct/worker_description.h"
@@ -16,6 +18,8 @@
   // Rises within one incarnation.
   std::uint64_t sequence = 0;
   WorkerDescription description;
+  // Reading of its monotonic clock, if the report has one.
+  std::optional<std::chrono::milliseconds> clock;
   bool draining = false;
 };
 
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -96,6 +96,14 @@
   return !same || report.sequence > worker_report_->sequence;
 }
 
+bool RunExecutor::NeedsNoProof(const WorkerReport& report) const {
+  if (worker_gone_) return true;
+  if (earlier_runs_pending_) return false;
+  if (worker_incarnation_ == 0) return true;
+  const bool same_id = !worker_report_ || worker_report_->id == report.id;
+  return report.incarnation == worker_incarnation_ && same_id;
+}
+
 bool RunExecutor::OnWorkerReport(const WorkerReport& report, core::TimePoint now) {
   if (!IsNews(report)) {
     const bool unknown = report.incarnation != worker_incarnation_ &&
@@ -104,6 +112,19 @@
     SendDueRenewals(now);
     return false;
   }
+  if (!NeedsNoProof(report)) {
+    unproven_report_ = report;
+    deciding_renewal_ = last_sent_renewal_ + 1;
+    SendDueRenewals(now);
+    return false;
+  }
+  TakeOver(report, now);
+  return true;
+}
+
+void RunExecutor::TakeOver(const WorkerReport& report, core::TimePoint now) {
+  // First, so that the calls below go to the incarnation that has reported.
+  worker_.UseIncarnation(report);
   OnWorkerIncarnation(report.incarnation, now);
   worker_report_ = report;
   worker_ready_ = true;
@@ -112,10 +133,22 @@
   SendLateStops(now);
   StartQueued(now);
   SendDueRenewals(now);
-  return true;
+}
+
+void RunExecutor::DecideUnprovenReport(std::uint64_t renewal_number, core::TimePoint now) {
+  if (!unproven_report_) return;
+  // The present incarnation has answered under the id that it has reported.
+  const bool present_answers = worker_report_.has_value();
+  const bool proven = !present_answers && unproven_report_->incarnation == worker_incarnation_;
+  if (!proven && renewal_number < deciding_renewal_) return;
+  const WorkerReport report = std::move(*unproven_report_);
+  unproven_report_.reset();
+  if (proven) return TakeOver(report, now);
+  reports_.OnReportRefuted(report);
 }
 
 void RunExecutor::OnWorkerShutdown(const std::string& id, core::TimePoint now) {
+  if (unproven_report_ && unproven_report_->id == id) unproven_report_.reset();
   if (!worker_report_ || worker_report_->id != id) return;
   worker_ready_ = false;
   worker_shut_down_ = true;
@@ -447,6 +480,10 @@
   worker_gone_ = true;
   RecordCrash(worker_incarnation_, now);
   MarkAllRunsLost(now);
+  if (!unproven_report_) return;
+  const WorkerReport report = std::move(*unproven_report_);
+  unproven_report_.reset();
+  if (IsNews(report)) TakeOver(report, now);
 }
 
 std::vector<RunAtCrash> RunExecutor::PresentRuns(core::TimePoint now) const {
@@ -504,7 +541,7 @@
 void RunExecutor::SendDueRenewals(core::TimePoint now) {
   const bool unconfirmed = worker_report_ && !worker_ready_ && !worker_shut_down_;
   const bool wanted = earlier_runs_pending_ || unconfirmed || !incarnation_confirmed_ ||
-                      !runs_.empty() || ended_cursor_ > acknowledged_cursor_;
+                      unproven_report_ || !runs_.empty() || ended_cursor_ > acknowledged_cursor_;
   const auto awaited = std::count_if(renewals_.begin(), renewals_.end(),
                                      [now](const auto& it) { return now < it.second.overdue; });
   const bool overdue = static_cast<std::size_t>(awaited) < renewals_.size();
@@ -557,6 +594,7 @@
   const bool first = earlier_runs_pending_;
   earlier_runs_pending_ = false;
   OnWorkerIncarnation(result->incarnation, now);
+  DecideUnprovenReport(renewal_number, now);
   lapsed_runs_.clear();
   worker_ready_ = worker_report_ && !worker_shut_down_;
   std::set<RunId> listed;
--- a/packages/direct/test/fake_worker_port.h
+++ b/packages/direct/test/fake_worker_port.h
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "coltsfoottide/direct/worker_port.h"
+#include "coltsfoottide/direct/worker_report.h"
 
 namespace coltsfoottide::direct {
 
@@ -18,6 +20,7 @@
     std::optional<core::TimePoint> lease_end;
   };
 
+  void UseIncarnation(const WorkerReport& report) override { used_ids.push_back(report.id); }
   void StartRun(const RunOrder& order, core::TimePoint lease_end,
                 core::Duration /*timeout*/) override {
     starts.push_back(order.id);
@@ -30,6 +33,8 @@
     latest_lease_end = std::max(latest_lease_end, lease_end.value_or(latest_lease_end));
   }
 
+  // Ids of the incarnations that calls were meant for, one after the other.
+  std::vector<std::string> used_ids;
   std::vector<RunId> starts;
   std::vector<RunId> stops;
   std::vector<RenewalCall> renewals;
--- a/packages/direct/test/late_calls_test.cc
+++ b/packages/direct/test/late_calls_test.cc
@@ -26,6 +26,7 @@
 // Records what the executor asks of its backend server and tells its entries.
 class RecordingWorker : public WorkerPort, public ReportSink {
  public:
+  void UseIncarnation(const WorkerReport& /*report*/) override {}
   void StartRun(const RunOrder& order, core::TimePoint lease_end,
                 core::Duration /*timeout*/) override {
     starts.push_back(order.id);
@@ -41,6 +42,7 @@
     reports.push_back(report);
   }
   void ReportCrash(const WorkerCrash& /*crash*/) override {}
+  void OnReportRefuted(const WorkerReport& /*report*/) override {}
 
   bool HasReported(const RunId& id, RunReport::Kind kind) const {
     return std::any_of(reports.begin(), reports.end(),
@@ -80,11 +82,13 @@
     return SampleOrder(job, 0).id;
   }
 
-  // The backend server is back as kSecondLife, by its own report.
+  // The backend server is back as kSecondLife, by its own report and answer.
   void Restart(core::TimePoint now) {
     WorkerReport report = SampleReport(1);
     report.incarnation = kSecondLife;
     executor_->OnWorkerReport(report, now);
+    executor_->OnLeaseRenewal(worker_.renewals.back(), LeaseRenewal{kSecondLife, {}, {}}, false,
+                              now);
   }
 
   // An entry falls silent and the calls that stop its run get no answer, while another
--- a/packages/direct/test/lease_bounds_test.cc
+++ b/packages/direct/test/lease_bounds_test.cc
@@ -26,6 +26,7 @@
     reports.emplace_back(owner, report);
   }
   void ReportCrash(const WorkerCrash& /*crash*/) override {}
+  void OnReportRefuted(const WorkerReport& /*report*/) override {}
   bool Has(const RunId& id, RunReport::Kind kind) const {
     return std::any_of(reports.begin(), reports.end(), [&](const auto& it) {
       return it.second.id == id && it.second.kind == kind;
@@ -211,6 +212,8 @@
     WorkerReport next = SampleReport(1);
     next.incarnation = 2000;
     executor_->OnWorkerReport(next, kStart + Ms(1200));
+    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, LeaseRenewal{2000, {}, {}},
+                              false, kStart + Ms(1201));
     CPPUNIT_ASSERT(port_.stops.size() > before);
   }
 
--- a/packages/direct/test/lost_answers_test.cc
+++ b/packages/direct/test/lost_answers_test.cc
@@ -66,6 +66,7 @@
   void set_lateness(core::Duration lateness) { lateness_ = lateness; }
   int renewal_calls() const { return renewal_calls_; }
 
+  void UseIncarnation(const WorkerReport& /*report*/) override {}
   void StartRun(const RunOrder& order, core::TimePoint /*lease_end*/,
                 core::Duration timeout) override {
     const RunId id = order.id;
@@ -96,6 +97,7 @@
     if (now_ - ordered_at_.at(report.id) <= Ms(150)) ++in_time_;
   }
   void ReportCrash(const WorkerCrash& /*crash*/) override {}
+  void OnReportRefuted(const WorkerReport& /*report*/) override {}
 
  private:
   struct RenewalCall {
--- a/packages/direct/test/simulated_server.h
+++ b/packages/direct/test/simulated_server.h
@@ -75,6 +75,7 @@
   };
 
   // WorkerPort
+  void UseIncarnation(const WorkerReport& /*report*/) override {}
   void StartRun(const RunOrder& order, core::TimePoint /*lease_end*/,
                 core::Duration /*timeout*/) override {
     events_.After(kCallTime, [this, id = order.id] { Start(id); });
@@ -107,6 +108,7 @@
     fleet_.on_report(owner, report);
   }
   void ReportCrash(const WorkerCrash& crash) override { fleet_.on_crash_reported(crash); }
+  void OnReportRefuted(const WorkerReport& /*report*/) override {}
 
   void Start(const RunId& id) {
     if (down_) {
