Tell the runs of a job that is submitted again from the earlier ones

The agent repeats the ends of the last 4 s; numbers of runs begin at 1 with each submission, so the entry took the end of the first submission's run for that of the present one and placed the task again, while the run went on.

Ruled out: runs taken as lost by the reset itself; without a first submission nothing overlaps.

The id of a run has the number of its submission now, in orders, stops, withdrawals, claims and reports. Ends of an earlier submission change nothing; its unfinished runs are stopped. At an agent an order takes the place of waiting ones of the same task, which are handed back, and a stop reaches only the run that is meant. Messages of earlier versions have submission 0 and mean what they did.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -440,6 +440,7 @@
                  {{"job", report.id.task.job},
                   {"task", std::to_string(report.id.task.index)},
                   {"run", std::to_string(report.id.number)},
+                  {"submission", std::to_string(report.id.submission)},
                   {"how", KindName(report.kind)},
                   {"remaining_ms", std::to_string(ToMs(report.remaining))},
                   {"free_millicores", std::to_string(state.free.cpu_millicores)},
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -10,6 +10,7 @@
 #include "coltsfoottide/daemon/endpoint.h"
 #include "coltsfoottide/daemon/logging.h"
 #include "coltsfoottide/daemon/metrics.h"
+#include "coltsfoottide/daemon/random_id.h"
 #include "coltsfoottide/direct/time_bounds.h"
 #include "coltsfoottide/platform/job_calls.h"
 #include "coltsfoottide/platform/operator_records.h"
@@ -54,6 +55,7 @@
   direct::JobDispatcher::Tuning tuning;
   tuning.silent_agent_timeout = kOwnerLease + direct::MaxLease(settings.lease) + settings.stop_time;
   tuning.seed = std::hash<std::string>()(settings.listen);
+  tuning.first_submission = static_cast<std::uint32_t>(MakeRandomId());
   return tuning;
 }
 
@@ -321,6 +323,7 @@
   logger_.Info(event, {{"job", id.task.job},
                        {"task", std::to_string(id.task.index)},
                        {"run", std::to_string(id.number)},
+                       {"submission", std::to_string(id.submission)},
                        {"agent", agent}});
 }
 
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -35,7 +35,7 @@
   direct_wire::OrderGroup* group = nullptr;
   for (direct_wire::OrderGroup& it : *frame.mutable_orders()) {
     const bool same = it.job() == order.id.task.job && it.step() == order.id.task.step &&
-                      it.expedited() == order.expedited;
+                      it.submission() == order.id.submission && it.expedited() == order.expedited;
     if (same) group = &it;
   }
   if (group == nullptr) {
@@ -48,6 +48,7 @@
     group->set_objective_in_us((order.objective - now).count());
     group->set_useful_for_us((order.useful_until - now).count());
     group->set_expedited(order.expedited);
+    group->set_submission(order.id.submission);
   }
   direct_wire::OrderGroup::Task* task = group->add_tasks();
   task->set_index(order.id.task.index);
@@ -57,7 +58,7 @@
 direct::RunOrder ReadOrder(const direct_wire::OrderGroup& group,
                            const direct_wire::OrderGroup::Task& task, core::TimePoint now) {
   direct::RunOrder order;
-  order.id = {{group.job(), group.step(), task.index()}, task.number()};
+  order.id = {{group.job(), group.step(), task.index()}, task.number(), group.submission()};
   order.payload = group.payload();
   order.need = ReadResources(group.need());
   order.estimate = core::Duration(group.estimate_us());
@@ -72,10 +73,11 @@
   message.set_step(id.task.step);
   message.set_index(id.task.index);
   message.set_number(id.number);
+  message.set_submission(id.submission);
 }
 
 direct::RunId ReadRunId(const direct_wire::RunId& message) {
-  return {{message.job(), message.step(), message.index()}, message.number()};
+  return {{message.job(), message.step(), message.index()}, message.number(), message.submission()};
 }
 
 void WriteReport(const direct::RunReport& report, direct_wire::RunReport& message) {
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -40,6 +40,9 @@
     core::Duration silent_agent_timeout;
     // Seed of the random choices; differs between entries.
     std::uint64_t seed = 0;
+    // Number of the first submission, see RunId. Random, so that the submissions of a job
+    // through different entries have different numbers.
+    std::uint32_t first_submission = 1;
   };
 
   // `far_factor`: see WorkerFleet.
@@ -110,6 +113,7 @@
     core::TimePoint time;
   };
 
+  std::unique_ptr<Job> MakeJob(JobRequest request);
   void Begin(std::unique_ptr<Job> owned, core::TimePoint now);
   bool Admit(Job& job, core::TimePoint now);
   core::Duration OwnQueueingDelay(const Job& job, core::Duration start_delay) const;
@@ -134,8 +138,9 @@
   // Runs that are queued or running at the agent as far as this entry knows.
   std::vector<RunId> RunsAt(const std::string& agent) const;
   Task* FindRun(const std::string& agent, const RunId& id, Job** job);
-  // Whether the task has had this or a later run at this entry. If FindRun does not find
-  // the run, it has been taken as over and must not continue.
+  // Whether the run is of a submission that has ended at this entry, or the task has had this
+  // or a later run. If FindRun does not find the run, it has been taken as over and must not
+  // continue.
   bool IsSuperseded(const RunId& id) const;
   void OnRunEnded(Job& job, Task& task, bool may_have_run, core::TimePoint now);
   void OnDone(Job& job, Task& task, core::TimePoint now);
@@ -160,6 +165,7 @@
   void RememberOutcome(const std::string& job, const JobOutcome& outcome, core::TimePoint now);
 
   Tuning tuning_;
+  std::uint32_t next_submission_;
   EntrySink& sink_;
   WorkerFleet fleet_;
   AdmissionControl admission_;
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -63,7 +63,7 @@
   // Raises the priority of a queued run whose job is nearly done.
   void OnExpedite(const RunId& id, core::TimePoint now);
   // The entry claims a run of an earlier agent process, and says what it needs if it
-  // can.
+  // can. The run has the id of the claim from then on.
   void OnClaim(const std::string& owner, const RunId& id, const std::optional<Resources>& need);
 
   // The entry has confirmed a message that this agent sent at `sent`.
@@ -215,6 +215,11 @@
   void ReportStraggler(Run& run, core::TimePoint now);
   bool AcceptsOrders() const;
   bool HasTask(const TaskId& task) const;
+  // The run that a backend server lists by this task and number.
+  std::map<RunId, Run>::iterator FindListed(const RunId& id);
+  // Hands back earlier orders of the task that have not started: the caller has submitted
+  // the job again.
+  void DropOrdersOfTask(const TaskId& task, core::TimePoint now);
   Resources FreeResources() const;
 
   Tuning tuning_;
--- a/packages/direct/include/coltsfoottide/direct/run_queue.h
+++ b/packages/direct/include/coltsfoottide/direct/run_queue.h
@@ -9,6 +9,7 @@
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/resources.h"
 #include "coltsfoottide/direct/run_order.h"
+#include "coltsfoottide/direct/task_id.h"
 
 namespace coltsfoottide::direct {
 
@@ -46,6 +47,8 @@
   std::vector<Item> TakeExpired(core::TimePoint now);
   // Removes and returns the runs of an owner.
   std::vector<Item> TakeOwnedBy(const std::string& owner);
+  // Removes and returns the runs of a task.
+  std::vector<Item> TakeTask(const TaskId& task);
   std::vector<Item> TakeAll();
 
   // Queued work in millicore-milliseconds: runs that can end in time or are
--- a/packages/direct/src/job.h
+++ b/packages/direct/src/job.h
@@ -16,6 +16,8 @@
 // A job in progress at an entry.
 struct Job {
   JobRequest request;
+  // See RunId.
+  std::uint32_t submission = 0;
   // By step and index.
   std::vector<std::vector<Task>> steps;
   // Whether a task has started or may have started.
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -40,26 +40,37 @@
   for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
     for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
       auto& task = job.steps[step][index];
-      visit(task, RunId{TaskId{job.request.id, step, index}, task.run_number});
+      visit(task, RunId{TaskId{job.request.id, step, index}, task.run_number, job.submission});
     }
   }
 }
 
-std::unique_ptr<Job> MakeJob(JobRequest request) {
-  auto job = std::make_unique<Job>();
-  for (const StepRequest& step : request.steps) job->steps.emplace_back(step.count);
-  job->request = std::move(request);
-  return job;
+// Whether the run may be of the job's present submission.
+bool IsOfSubmission(const RunId& id, const Job& job) {
+  return id.submission == 0 || id.submission == job.submission;
 }
 
 }  // namespace
 
 JobDispatcher::JobDispatcher(const Tuning& tuning, std::string data_centre, double far_factor,
                              EntrySink& sink)
-    : tuning_(tuning), sink_(sink), fleet_(std::move(data_centre), far_factor, tuning.seed) {}
+    : tuning_(tuning),
+      next_submission_(tuning.first_submission),
+      sink_(sink),
+      fleet_(std::move(data_centre), far_factor, tuning.seed) {}
 
 JobDispatcher::~JobDispatcher() = default;
 
+std::unique_ptr<Job> JobDispatcher::MakeJob(JobRequest request) {
+  auto job = std::make_unique<Job>();
+  for (const StepRequest& step : request.steps) job->steps.emplace_back(step.count);
+  job->request = std::move(request);
+  // Zero stands for an unknown submission.
+  if (next_submission_ == 0) ++next_submission_;
+  job->submission = next_submission_++;
+  return job;
+}
+
 void JobDispatcher::Submit(JobRequest request, core::TimePoint now) {
   while (!ended_.empty() && now - ended_.front().time > kOutcomeRetention) ended_.pop_front();
   for (const EndedJob& it : ended_) {
@@ -183,7 +194,7 @@
   ++task.run_number;
   ++runs_at_[choice->agent];
   fleet_.Get(choice->agent).OnOrder(request.need, request.estimate);
-  const RunId id{TaskId{job.request.id, step, index}, task.run_number};
+  const RunId id{TaskId{job.request.id, step, index}, task.run_number, job.submission};
   placed.push_back(PlacedTask{id, *choice});
   sink_.SendOrder(choice->agent,
                   RunOrder{id, job.request.payload, request.need, request.estimate,
@@ -224,7 +235,8 @@
 
 Task* JobDispatcher::FindRun(const std::string& agent, const RunId& id, Job** job) {
   const auto it = jobs_.find(id.task.job);
-  if (it == jobs_.end() || id.task.step >= it->second->steps.size()) return nullptr;
+  if (it == jobs_.end() || !IsOfSubmission(id, *it->second)) return nullptr;
+  if (id.task.step >= it->second->steps.size()) return nullptr;
   std::vector<Task>& tasks = it->second->steps[id.task.step];
   if (id.task.index >= tasks.size()) return nullptr;
   Task& task = tasks[id.task.index];
@@ -235,7 +247,9 @@
 
 bool JobDispatcher::IsSuperseded(const RunId& id) const {
   const auto it = jobs_.find(id.task.job);
-  if (it == jobs_.end() || id.task.step >= it->second->steps.size()) return false;
+  if (it == jobs_.end()) return id.submission != 0;
+  if (!IsOfSubmission(id, *it->second)) return true;
+  if (id.task.step >= it->second->steps.size()) return false;
   const std::vector<Task>& tasks = it->second->steps[id.task.step];
   return id.task.index < tasks.size() && id.number <= tasks[id.task.index].run_number;
 }
@@ -366,11 +380,14 @@
   const std::vector<RunId> earlier_runs = RunsAt(hello.agent);
   std::set<RunId> listed;
   for (const RunReport& it : hello.runs) {
-    listed.insert(it.id);
     Job* job = nullptr;
     const Task* task = FindRun(hello.agent, it.id, &job);
-    if (it.IsUnfinished() && task != nullptr) {
-      sink_.SendClaim(hello.agent, it.id, job->request.steps[it.id.task.step].need);
+    if (task != nullptr) {
+      const RunId id{it.id.task, it.id.number, job->submission};
+      listed.insert(id);
+      if (it.IsUnfinished()) {
+        sink_.SendClaim(hello.agent, id, job->request.steps[id.task.step].need);
+      }
     }
     OnReport(hello.agent, it, now);
     // The job was answered while the agent was unreachable; its run must be
@@ -473,7 +490,7 @@
       if (choice->start_delay > core::Duration::zero()) continue;
       --withdrawals_left_;
       ++task.moves;
-      Withdraw(task, RunId{TaskId{job.request.id, step, index}, task.run_number});
+      Withdraw(task, RunId{TaskId{job.request.id, step, index}, task.run_number, job.submission});
     }
   }
 }
@@ -548,7 +565,7 @@
   jobs_.erase(it);
   if (!job->resubmission) return;
   auto next = MakeJob(std::move(*job->resubmission));
-  // The numbers of the runs of a task also rise across submissions.
+  // A backend server refuses a run whose number it has had.
   for (std::size_t step = 0; step < std::min(next->steps.size(), job->steps.size()); ++step) {
     const std::size_t n = std::min(next->steps[step].size(), job->steps[step].size());
     for (std::size_t index = 0; index < n; ++index) {
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -188,6 +188,21 @@
   return it != runs_.end() && it->first.task == task;
 }
 
+std::map<RunId, RunExecutor::Run>::iterator RunExecutor::FindListed(const RunId& id) {
+  const auto it = runs_.lower_bound(id.AsListed());
+  const bool found = it != runs_.end() && it->first.AsListed() == id.AsListed();
+  return found ? it : runs_.end();
+}
+
+void RunExecutor::DropOrdersOfTask(const TaskId& task, core::TimePoint now) {
+  ReportNotRun(queue_.TakeTask(task), now);
+  std::erase_if(deferred_, [&](const DeferredOrder& it) {
+    if (it.order.id.task != task) return false;
+    ReportFinal(it.owner, RunReport{it.order.id, RunReport::Kind::kNotRun, {}}, now);
+    return true;
+  });
+}
+
 void RunExecutor::OnOrder(const std::string& owner, RunOrder order, core::TimePoint now) {
   // An agent that stood still reads orders that are older than their permission.
   if (!AcceptsOrders() || IsSilent(owner, now)) {
@@ -197,8 +212,9 @@
   if (queue_.Contains(order.id) || (runs_.contains(order.id) && runs_[order.id].owner == owner)) {
     return;
   }
+  DropOrdersOfTask(order.id.task, now);
   if (HasTask(order.id.task)) {
-    // The caller has submitted the job again through another entry.
+    // The caller has submitted the job again.
     for (auto& [id, run] : runs_) {
       if (id.task == order.id.task) StopRun(run, now);
     }
@@ -227,7 +243,8 @@
     deferred_.erase(deferred);
     return;
   }
-  const auto it = runs_.find(id);
+  // An entry that does not know the submission has the id from a backend server's list.
+  const auto it = id.submission == 0 ? FindListed(id) : runs_.find(id);
   if (it != runs_.end()) StopRun(it->second, now);
 }
 
@@ -250,12 +267,18 @@
 
 void RunExecutor::OnClaim(const std::string& owner, const RunId& id,
                           const std::optional<Resources>& need) {
-  const auto it = runs_.find(id);
+  const auto it = FindListed(id);
   if (it == runs_.end() || !it->second.owner.empty()) return;
-  it->second.owner = owner;
-  if (!need) return;
-  it->second.order.need = *need;
-  it->second.need_known = true;
+  auto node = runs_.extract(it);
+  node.key() = id;
+  Run& run = node.mapped();
+  run.order.id = id;
+  run.owner = owner;
+  if (need) {
+    run.order.need = *need;
+    run.need_known = true;
+  }
+  runs_.insert(std::move(node));
 }
 
 void RunExecutor::OnOwnerConfirmed(const std::string& owner, core::TimePoint sent) {
@@ -599,12 +622,12 @@
   worker_ready_ = worker_report_ && !worker_shut_down_;
   std::set<RunId> listed;
   for (const EndedRun& it : result->ended) {
-    listed.insert(it.id);
+    listed.insert(it.id.AsListed());
     OnEnded(it, now);
   }
   for (const RunningRun& it : result->running) {
-    listed.insert(it.id);
-    if (first && !runs_.contains(it.id)) {
+    listed.insert(it.id.AsListed());
+    if (first && FindListed(it.id) == runs_.end()) {
       Run& run = runs_[it.id];
       run.order.id = it.id;
       run.state = RunState::kRunning;
@@ -627,7 +650,7 @@
 void RunExecutor::OnEnded(const EndedRun& ended, core::TimePoint now) {
   if (ended.number <= ended_cursor_) return;
   ended_cursor_ = ended.number;
-  const auto it = runs_.find(ended.id);
+  const auto it = FindListed(ended.id);
   const RunReport::Kind kind = ended.outcome == EndedRun::Outcome::kDone ? RunReport::Kind::kDone
                                : ended.outcome == EndedRun::Outcome::kFailed
                                    ? RunReport::Kind::kFailed
@@ -647,11 +670,12 @@
   } else if (kind == RunReport::Kind::kFailed) {
     health_.OnFailure();
   }
-  EndRun(ended.id, kind, now);
+  const RunId id = it->first;
+  EndRun(id, kind, now);
 }
 
 void RunExecutor::OnRunning(const RunningRun& running, core::TimePoint now) {
-  const auto it = runs_.find(running.id);
+  const auto it = FindListed(running.id);
   if (it == runs_.end()) {
     // This agent has given the run up, so it must not continue.
     worker_.StopRun(running.id);
@@ -697,7 +721,9 @@
   constexpr int kMissedAnswersUntilLost = 3;
   std::vector<RunId> ended;
   for (auto& [id, run] : runs_) {
-    if (listed.contains(id) || last_answered_renewal_ < run.visible_from_renewal) continue;
+    if (listed.contains(id.AsListed()) || last_answered_renewal_ < run.visible_from_renewal) {
+      continue;
+    }
     const bool stopped = run.state == RunState::kStopping && run.stop_answered;
     const bool running = run.state == RunState::kRunning;
     if (!stopped && !running) continue;
--- a/packages/direct/src/run_queue.cc
+++ b/packages/direct/src/run_queue.cc
@@ -96,6 +96,10 @@
   return TakeIf([&owner](const Item& it) { return it.owner == owner; });
 }
 
+std::vector<RunQueue::Item> RunQueue::TakeTask(const TaskId& task) {
+  return TakeIf([&task](const Item& it) { return it.order.id.task == task; });
+}
+
 std::vector<RunQueue::Item> RunQueue::TakeAll() {
   return TakeIf([](const Item&) { return true; });
 }
--- a/packages/direct/test/simulated_server.h
+++ b/packages/direct/test/simulated_server.h
@@ -134,7 +134,7 @@
                                  [&id](const Running& run) { return run.id == id; });
     if (it == running_.end()) return;
     running_.erase(it);
-    ended_.push_back({++last_end_, id, outcome.value_or(EndedRun::Outcome::kOther)});
+    ended_.push_back({++last_end_, id.AsListed(), outcome.value_or(EndedRun::Outcome::kOther)});
     AnswerHolds();
   }
 
@@ -143,7 +143,8 @@
     answer.incarnation = incarnation_;
     for (const Running& it : running_) {
       const auto part = (events_.now() - it.start) * 100 / (it.end - it.start);
-      answer.running.push_back({it.id, static_cast<int>(std::min<std::int64_t>(part, 99))});
+      answer.running.push_back(
+          {it.id.AsListed(), static_cast<int>(std::min<std::int64_t>(part, 99))});
     }
     answer.ended = ended_;
     for (const Hold& it : std::exchange(holds_, {})) {
