Hand back what waits at the agents of an evacuated data centre

Ruled out: entries that learn of the evacuation late; all orders were sent before the ack.

Entries tell agents which data centres are evacuated, before the first orders on a connection and after each change, with the position in the operator's records. An agent follows the newest position: it hands back queued and deferred orders, refuses new ones, also of entries that do not know yet, and reports itself as draining. An agent that takes no orders for any reason hands back those that wait; a start refused for lack of room returned to the queue before.

EntryLinksTest::AgentsLearnOfEvacuationsBeforeTheyGetOrders.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -318,6 +318,7 @@
   link.last_heard = now;
   if (frame.has_hello()) OnHello(name, link, frame.hello());
   if (frame.has_entry_list() && link.connected()) OnEntryList(name, frame.entry_list(), now);
+  if (frame.has_evacuation()) OnEvacuation(frame.evacuation(), now);
   if (frame.echo_us() != 0) {
     const core::TimePoint sent{core::Duration(static_cast<std::int64_t>(frame.echo_us()))};
     executor_->OnOwnerConfirmed(link.owner, sent);
@@ -342,6 +343,12 @@
   state_changed_ = state_changed_ || work;
 }
 
+void DirectAgentRuntime::OnEvacuation(const direct_wire::Evacuation& message, core::TimePoint now) {
+  executor_->OnEvacuation({message.data_centres().begin(), message.data_centres().end()},
+                          message.position(), now);
+  LogWorkerState();
+}
+
 void DirectAgentRuntime::OnEntryList(const std::string& name, const direct_wire::EntryList& list,
                                      core::TimePoint now) {
   std::vector<direct::EntryAddress> listed;
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -445,9 +445,17 @@
                                           {"source", source},
                                           {"position", std::to_string(view_.next_offset())},
                                           {"age_ms", ConfigurationAge()}});
+  SendEvacuationToAgents();
   SendViewToPeers();
 }
 
+void DirectEntryRuntime::SendEvacuationToAgents() {
+  direct_wire::Evacuation message;
+  for (const std::string& it : view_.evacuated()) message.add_data_centres(it);
+  message.set_position(view_.next_offset());
+  links_.BroadcastEvacuation(message);
+}
+
 void DirectEntryRuntime::SendViewToPeers() {
   const auto configuration = view_.configuration();
   if (!configuration) return;
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -89,6 +89,7 @@
                            core::TimePoint now) override;
 
   void SendViewToPeers();
+  void SendEvacuationToAgents();
   void OnViewChanged(const std::string& source);
   void OnStoreSnapshot(const platform::StoreClient::Batch& batch, core::TimePoint complete_at);
   void OnStoreRecords(const platform::StoreClient::Batch& batch, core::TimePoint complete_at);
--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -74,6 +74,20 @@
   }
 }
 
+void EntryLinks::BroadcastEvacuation(const direct_wire::Evacuation& evacuation) {
+  const bool changed =
+      !evacuation_ ||
+      !std::equal(evacuation.data_centres().begin(), evacuation.data_centres().end(),
+                  evacuation_->data_centres().begin(), evacuation_->data_centres().end());
+  evacuation_ = evacuation;
+  if (!changed) return;
+  for (const auto& [agent, id] : agents_) SendEvacuation(links_.at(id));
+}
+
+void EntryLinks::SendEvacuation(Link& link) {
+  if (evacuation_) *link.connection->outbox().mutable_evacuation() = *evacuation_;
+}
+
 void EntryLinks::BroadcastCrashingRoute(const direct_wire::CrashingRoute& message) {
   for (auto& [id, link] : links_) {
     if (link.is_agent || !link.introduced) continue;
@@ -221,6 +235,7 @@
   }
   link.is_agent = true;
   agents_[hello.name()] = id;
+  SendEvacuation(link);
   direct::AgentHello decoded;
   decoded.agent = hello.name();
   decoded.incarnation = hello.incarnation();
--- a/packages/daemon/src/entry_links.h
+++ b/packages/daemon/src/entry_links.h
@@ -47,6 +47,10 @@
   // later.
   void BroadcastConfiguration(const direct_wire::Configuration& configuration);
 
+  // Tells all agents which data centres are evacuated, if that has changed, and those that
+  // connect later.
+  void BroadcastEvacuation(const direct_wire::Evacuation& evacuation);
+
   // Tells all connected entries of the route.
   void BroadcastCrashingRoute(const direct_wire::CrashingRoute& message);
 
@@ -98,6 +102,7 @@
   void WriteEntries(Link& link);
   void LogKnown(std::string_view source, const std::string& name);
   void SendConfiguration(Link& link);
+  void SendEvacuation(Link& link);
   void OnFrame(std::uint64_t id, const direct_wire::Frame& frame);
   void OnHello(std::uint64_t id, const direct_wire::Hello& hello);
   void OnEntryList(const std::string& peer, const direct_wire::EntryList& list,
@@ -124,6 +129,7 @@
   std::map<std::string, core::TimePoint> dial_due_;
   std::uint64_t last_link_ = 0;
   std::optional<direct_wire::Configuration> configuration_;
+  std::optional<direct_wire::Evacuation> evacuation_;
 };
 
 }  // namespace coltsfoottide::daemon
--- a/packages/daemon/test/entry_links_test.cc
+++ b/packages/daemon/test/entry_links_test.cc
@@ -73,6 +73,12 @@
     events.on_frame = [this](const direct_wire::Frame& frame) {
       for (const auto& it : frame.crashing_routes()) crashing_routes.push_back(it.route());
       if (frame.orders_size() > 0) echo_with_orders = frame.echo_us();
+      if (frame.has_evacuation()) {
+        ++evacuations;
+        evacuated.assign(frame.evacuation().data_centres().begin(),
+                         frame.evacuation().data_centres().end());
+        evacuated_with_orders = evacuated_with_orders || frame.orders_size() > 0;
+      }
     };
     events.on_closed = [this] { closed = true; };
     connection = std::make_unique<FrameConnection>("127.0.0.1", port, events);
@@ -90,6 +96,9 @@
   bool closed = false;
   std::vector<std::string> crashing_routes;
   std::optional<std::uint64_t> echo_with_orders;
+  int evacuations = 0;
+  std::vector<std::string> evacuated;
+  bool evacuated_with_orders = false;
   std::unique_ptr<FrameConnection> connection;
 };
 
@@ -100,6 +109,7 @@
   CPPUNIT_TEST(PeerThatChangesItsNameIsClosed);
   CPPUNIT_TEST(HelloWithoutANameIsClosed);
   CPPUNIT_TEST(OrdersThatFollowAHelloCarryItsEcho);
+  CPPUNIT_TEST(AgentsLearnOfEvacuationsBeforeTheyGetOrders);
   CPPUNIT_TEST(EntriesTellEachOtherOfCrashingRoutes);
   CPPUNIT_TEST(DialThatFailsAtOnceIsRepeated);
   CPPUNIT_TEST(EndIsReportedAfterConstruction);
@@ -164,6 +174,31 @@
     CPPUNIT_ASSERT_EQUAL(kStampUs, *peer.echo_with_orders);
   }
 
+  // Guards against starts in an evacuated data centre by an agent that has just connected, and
+  // against a change that agents never learn of.
+  void AgentsLearnOfEvacuationsBeforeTheyGetOrders() {
+    direct_wire::Evacuation evacuation;
+    evacuation.add_data_centres("b");
+    evacuation.set_position(7);
+    links_->BroadcastEvacuation(evacuation);
+    listener_.on_connected = [this](const std::string& agent) {
+      links_->FrameTo(agent)->add_orders();
+    };
+    Peer peer(port_);
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.open; }));
+    peer.SendHello("10.0.0.1");
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.evacuations == 1; }));
+    CPPUNIT_ASSERT(peer.evacuated_with_orders);
+    CPPUNIT_ASSERT((peer.evacuated == std::vector<std::string>{"b"}));
+    // A later position alone is no change.
+    evacuation.set_position(8);
+    links_->BroadcastEvacuation(evacuation);
+    evacuation.clear_data_centres();
+    links_->BroadcastEvacuation(evacuation);
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.evacuations == 2; }));
+    CPPUNIT_ASSERT(peer.evacuated.empty());
+  }
+
   // Guards against an entry that has to lose backend servers of its own to learn what
   // others know: what it missed comes with the hello, the rest as it happens.
   void EntriesTellEachOtherOfCrashingRoutes() {
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -66,6 +66,12 @@
   // can. The run has the id of the claim from then on.
   void OnClaim(const std::string& owner, const RunId& id, const std::optional<Resources>& need);
 
+  // The data centres that are evacuated by the operator's records up to `position`, by the
+  // view of an entry. A view with a lower position than the last one changes nothing. In an
+  // evacuated data centre no run is started; the queued ones are reported as not run.
+  void OnEvacuation(const std::set<std::string>& data_centres, std::uint64_t position,
+                    core::TimePoint now);
+
   // The entry has confirmed a message that this agent sent at `sent`.
   void OnOwnerConfirmed(const std::string& owner, core::TimePoint sent);
 
@@ -204,6 +210,8 @@
   void AbandonIncarnation(core::TimePoint now);
   void ReportFinal(const std::string& owner, const RunReport& report, core::TimePoint now);
   void ReportNotRun(const std::vector<RunQueue::Item>& items, core::TimePoint now);
+  // Reports all orders that have not started as not run.
+  void HandBackOrders(core::TimePoint now);
   void SendDueRenewals(core::TimePoint now);
   void SendLateStops(core::TimePoint now);
   void OnUnansweredStart(Run& run, core::TimePoint now);
@@ -213,6 +221,7 @@
   void OnRunning(const RunningRun& running, core::TimePoint now);
   void EndUnlistedRuns(const std::set<RunId>& listed, core::TimePoint now);
   void ReportStraggler(Run& run, core::TimePoint now);
+  bool IsEvacuated() const;
   bool AcceptsOrders() const;
   bool HasTask(const TaskId& task) const;
   // The run that a backend server lists by this task and number.
@@ -233,6 +242,9 @@
   WorkerHealth health_;
   RunQueue queue_;
   std::map<RunId, Run> runs_;
+  std::set<std::string> evacuated_;
+  // Position in the operator's records of the view from which `evacuated_` is.
+  std::uint64_t evacuation_position_ = 0;
   // Orders for tasks of which an earlier run is still being stopped.
   std::vector<DeferredOrder> deferred_;
   std::map<RunId, LateStop> late_stops_;
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -129,7 +129,6 @@
   worker_report_ = report;
   worker_ready_ = true;
   worker_shut_down_ = false;
-  if (report.draining) ReportNotRun(queue_.TakeAll(), now);
   SendLateStops(now);
   StartQueued(now);
   SendDueRenewals(now);
@@ -179,8 +178,21 @@
   worker_report_.reset();
 }
 
+void RunExecutor::OnEvacuation(const std::set<std::string>& data_centres, std::uint64_t position,
+                               core::TimePoint now) {
+  if (position < evacuation_position_) return;
+  evacuation_position_ = position;
+  evacuated_ = data_centres;
+  StartQueued(now);
+}
+
+bool RunExecutor::IsEvacuated() const {
+  return worker_report_ && evacuated_.contains(worker_report_->description.data_centre);
+}
+
 bool RunExecutor::AcceptsOrders() const {
-  return worker_ready_ && worker_report_ && !worker_report_->draining && !draining_;
+  return worker_ready_ && worker_report_ && !worker_report_->draining && !draining_ &&
+         !IsEvacuated();
 }
 
 bool RunExecutor::HasTask(const TaskId& task) const {
@@ -316,7 +328,9 @@
 void RunExecutor::StartQueued(core::TimePoint now) {
   // The timer that drops such orders may be late itself.
   DropOrdersOfSilentOwners(now);
-  if (!AcceptsOrders() || earlier_runs_pending_ || now < no_start_before_) return;
+  // A start that was refused for lack of resources may have returned to the queue since.
+  if (!AcceptsOrders()) return HandBackOrders(now);
+  if (earlier_runs_pending_ || now < no_start_before_) return;
   std::vector<RunQueue::Item> held;
   while (!queue_.empty()) {
     auto item = queue_.TakeNext(FreeResources(), now);
@@ -742,16 +756,18 @@
   ReportNotRun(queue_.TakeAll(), now);
 }
 
-void RunExecutor::BeginDrain(core::TimePoint now) {
-  draining_ = true;
+void RunExecutor::HandBackOrders(core::TimePoint now) {
   ReportNotRun(queue_.TakeAll(), now);
-  std::vector<DeferredOrder> deferred = std::move(deferred_);
-  deferred_.clear();
-  for (const DeferredOrder& it : deferred) {
+  for (const DeferredOrder& it : std::exchange(deferred_, {})) {
     ReportFinal(it.owner, RunReport{it.order.id, RunReport::Kind::kNotRun, {}}, now);
   }
 }
 
+void RunExecutor::BeginDrain(core::TimePoint now) {
+  draining_ = true;
+  HandBackOrders(now);
+}
+
 void RunExecutor::Advance(core::TimePoint now) {
   health_.Advance(now);
   ReportNotRun(queue_.TakeExpired(now), now);
@@ -785,7 +801,7 @@
   WorkerState state;
   if (!worker_report_) return state;
   state.ready = worker_ready_;
-  state.draining = worker_report_->draining || draining_;
+  state.draining = worker_report_->draining || draining_ || IsEvacuated();
   state.free = FreeResources();
   state.queued_work = queue_.OnTimeWork(now);
   state.late_work = queue_.LateWork(now);
