Refuse an agent's hello that arrives after that of a later connection

Users saw tasks run twice at the same time (TWICE) in their own runs of real processes, several tasks of one agent at one moment.

Cause: an entry took the hello that it read last for the latest. A late one lacks the runs that were ordered after it, which the entry then took as over and placed again. Ruled out for such runs: reports of another writer and jobs that are submitted again, as neither occurs in them. Whether it is what the users saw is suspected, not shown.

Agents number their hellos; an entry refuses one that is not later than the latest of that agent, or is of an earlier process.

EntryLinksTest::HelloOfAnEarlierConnectionIsRefused fails without the check.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -369,6 +369,7 @@
   own.set_sender(direct_wire::Hello::AGENT);
   own.set_name(name_);
   own.set_incarnation(incarnation_);
+  own.set_connection(++last_hello_);
   own.set_runs_known(executor_->runs_known());
   for (const direct::RunReport& it : executor_->RunsFor(link.owner)) {
     WriteReport(it, *own.add_runs());
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -106,6 +106,8 @@
   std::string name_;
   std::uint16_t link_port_ = 0;
   std::uint64_t incarnation_ = 0;
+  // Number of the latest hello to any entry.
+  std::uint64_t last_hello_ = 0;
   std::unique_ptr<platform::WorkerClient> worker_;
   std::unique_ptr<direct::RunExecutor> executor_;
   std::unique_ptr<http::Server> server_;
--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -230,10 +230,17 @@
     listener_.OnPeerConnected(link.connection->outbox(), BootNow());
     return;
   }
+  link.is_agent = true;
+  if (!agent_connections_.OnHello(hello.name(), hello.incarnation(), hello.connection(),
+                                  BootNow())) {
+    logger_.Warn("hello outdated", {{"agent", hello.name()},
+                                    {"incarnation", std::to_string(hello.incarnation())},
+                                    {"connection", std::to_string(hello.connection())}});
+    return OnClosed(id, "outdated");
+  }
   if (const auto old = agents_.find(hello.name()); old != agents_.end() && old->second != id) {
     OnClosed(old->second, "replaced");
   }
-  link.is_agent = true;
   agents_[hello.name()] = id;
   SendEvacuation(link);
   direct::AgentHello decoded;
@@ -315,6 +322,7 @@
   SendStamps(now);
   SendEchoes(has_runs, now);
   SendChangedEntries(now);
+  agent_connections_.Forget(now);
   for (const std::string& it : entries_.Forget(now)) {
     dial_due_.erase(it);
     logger_.Info("entry forgotten", {{"entry", it}});
--- a/packages/daemon/src/entry_links.h
+++ b/packages/daemon/src/entry_links.h
@@ -12,6 +12,7 @@
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/daemon/endpoint.h"
 #include "coltsfoottide/daemon/runtime.h"
+#include "coltsfoottide/direct/connection_order.h"
 #include "coltsfoottide/direct/entry_directory.h"
 #include "coltsfoottide/schema/direct.pb.h"
 #include "frame_connection.h"
@@ -120,6 +121,7 @@
   std::vector<std::unique_ptr<FrameConnection>> closed_;
   // Link id by the name of the agent.
   std::map<std::string, std::uint64_t> agents_;
+  direct::ConnectionOrder agent_connections_;
   direct::EntryDirectory entries_;
   const std::string data_centre_;
   // Whether the list of connected entries differs from the last one sent.
--- a/packages/daemon/test/entry_links_test.cc
+++ b/packages/daemon/test/entry_links_test.cc
@@ -84,8 +84,10 @@
     connection = std::make_unique<FrameConnection>("127.0.0.1", port, events);
   }
 
-  void SendHello(const std::string& name, std::uint64_t stamp_us = 0) const {
+  void SendHello(const std::string& name, std::uint64_t stamp_us = 0,
+                 std::uint64_t number = 0) const {
     direct_wire::Hello& hello = *connection->outbox().mutable_hello();
+    hello.set_connection(number);
     hello.set_sender(direct_wire::Hello::AGENT);
     hello.set_name(name);
     connection->outbox().set_stamp_us(stamp_us);
@@ -109,6 +111,7 @@
   CPPUNIT_TEST(PeerThatChangesItsNameIsClosed);
   CPPUNIT_TEST(HelloWithoutANameIsClosed);
   CPPUNIT_TEST(OrdersThatFollowAHelloCarryItsEcho);
+  CPPUNIT_TEST(HelloOfAnEarlierConnectionIsRefused);
   CPPUNIT_TEST(AgentsLearnOfEvacuationsBeforeTheyGetOrders);
   CPPUNIT_TEST(EntriesTellEachOtherOfCrashingRoutes);
   CPPUNIT_TEST(DialThatFailsAtOnceIsRepeated);
@@ -174,6 +177,23 @@
     CPPUNIT_ASSERT_EQUAL(kStampUs, *peer.echo_with_orders);
   }
 
+  // The network has held up what an agent sent on a connection that it has closed since.
+  // Guards against ending the runs that this hello does not list: they were ordered on the
+  // next connection and go on.
+  void HelloOfAnEarlierConnectionIsRefused() {
+    Peer earlier(port_);
+    Peer latest(port_);
+    CPPUNIT_ASSERT(RunUntil([&] { return earlier.open && latest.open; }));
+    latest.SendHello("10.0.0.1", 0, 2);
+    CPPUNIT_ASSERT(RunUntil([&] { return listener_.connected.size() == 1; }));
+    earlier.SendHello("10.0.0.1", 0, 1);
+    CPPUNIT_ASSERT(RunUntil([&] { return earlier.closed; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, listener_.connected.size());
+    CPPUNIT_ASSERT(listener_.lost.empty());
+    CPPUNIT_ASSERT(!latest.closed);
+    CPPUNIT_ASSERT(links_->FrameTo("10.0.0.1") != nullptr);
+  }
+
   // Guards against starts in an evacuated data centre by an agent that has just connected, and
   // against a change that agents never learn of.
   void AgentsLearnOfEvacuationsBeforeTheyGetOrders() {
--- a/scripts/lib/relay.py
+++ b/scripts/lib/relay.py
@@ -1,8 +1,9 @@
 """A TCP relay that simulates faults of the network between two processes.
 
 It can black-hole its open connections, which then stay open and carry nothing
-while new ones work; reset them; delay the data; and hold the data back in one
-direction or both, as a network partition does.
+while new ones work; reset them; delay the data; hold the data back in one
+direction or both, as a network partition does; and deliver data late, after the
+client has closed the connection and opened others.
 """
 
 import select
@@ -32,6 +33,7 @@
         self.port = port
         self.delay = 0.0
         self.cut = frozenset()
+        self._late_until, self._late_by = 0.0, 0.0
         self._target = target
         self._lock = threading.Lock()
         self._open = set()
@@ -55,6 +57,11 @@
                 it.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 it.close()
 
+    def hold_up(self, window, late_by):
+        """Data to the target on connections that are opened within `window` seconds arrives
+        `late_by` seconds late, also if the client closes the connection meanwhile."""
+        self._late_until, self._late_by = time.monotonic() + window, late_by
+
     def close(self):
         self._listener.close()
         with self._lock:
@@ -82,14 +89,19 @@
             pair = (near, far)
             with self._lock:
                 self._open.add(pair)
+            held_up = time.monotonic() < self._late_until
             for source, sink, direction in ((near, far, "in"), (far, near, "out")):
-                threading.Thread(target=self._forward, args=(pair, source, sink, direction),
+                threading.Thread(target=self._forward,
+                                 args=(pair, source, sink, direction, held_up),
                                  daemon=True).start()
 
-    def _forward(self, pair, source, sink, direction):
+    def _forward(self, pair, source, sink, direction, held_up):
         try:
             while True:
                 data = source.recv(65536)
+                if held_up and direction == "in":
+                    time.sleep(self._late_by)
+                    held_up = False
                 if self.delay:
                     time.sleep(self.delay)
                 while direction in self.cut:
@@ -102,7 +114,9 @@
                     break
                 sink.sendall(data)
         except OSError:
-            pass
+            # What is on its way to the target still arrives.
+            if held_up and direction == "out":
+                return
         with self._lock:
             if pair not in self._open:
                 return
