Add returning callers, an evacuation, late data and foreign reports to the soak

Before the random faults callers that were refused now come back while connections are reset, and one of two data centres is evacuated (no start there after 5 s). New random faults: late, foreign, evacuate.

--- a/scripts/lib/platform_standin.py
+++ b/scripts/lib/platform_standin.py
@@ -118,6 +118,7 @@
         self.name, self.address, self.port = name, address, port
         self.report_to = report_to
         self.public_address = f"{address}:{port}"
+        self.data_centre = "a"
         self.cpu = 24000
         # Share of the requests without an answer; starts among them are applied
         # 0.3 to 2 s late.
@@ -270,7 +271,8 @@
                 continue
             self.sequence += 1
             state = "draining" if self.draining else "ready"
-            body = {"Service": "review", "Address": self.public_address, "Zone": "a",
+            body = {"Service": "review", "Address": self.public_address,
+                    "Zone": self.data_centre,
                     "Version": "v1", "Slots": 8, "State": state,
                     "Room": {"Cpu": self.cpu, "MemMb": 4096, "Gpu": 0},
                     "Labels": ["a", "r1"], "ClockMs": self.clock_ms(), "Sequence": self.sequence,
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -2,7 +2,9 @@
 callers and backend servers.
 
 The direct roles run as separate processes on loopback addresses of their own.
-Faults are injected from outside, in overlapping series drawn from the seed.
+Before the random faults an entry dies, callers that were refused come back, and a data
+centre is evacuated. Then faults are injected from outside, in overlapping series drawn
+from the seed.
 """
 
 import argparse
@@ -25,6 +27,9 @@
 LINK_PORT, CALL_PORT, READY_PORT = 17010, 17011, 17012
 REPORT_PORT, BACKEND_PORT, STORE_PORT = 17013, 17014, 17015
 RETRY_DELAY_S, CALL_TIMEOUT_S = 1.3, 2.5
+# A caller that is refused comes back after the time in Retry-After, or at the latest after
+# this time.
+MAX_RETRY_AFTER_S = 3.0
 # Of a task, in thousandths of a core.
 TASK_CPU = 6000
 START_LIMIT_S = 20.0
@@ -38,6 +43,12 @@
 # Before the random faults an entry dies ENTRY_DEATH_S after it was given tasks that outlast
 # the pause after which their callers submit them again.
 LONG_TASK_MS, ENTRY_DEATH_S = 1800, 0.2
+# Before the random faults tasks of FILLER_MS fill all backend servers, so that the jobs
+# behind them, of RETURNING_TASKS tasks, are refused and come back.
+FILLER_MS, RETURNING_TASKS, RETURNING_MS, RETURNING_ESTIMATE_MS = 2600, 4, 400, 60
+# After this time no task may start in an evacuated data centre. EVACUATED_TASKS tasks of
+# EVACUATED_MS need longer than that; a chain of further steps lets their job wait for them.
+EVACUATE_S, EVACUATED_TASKS, EVACUATED_MS, EVACUATED_CHAIN = 5.0, 150, 900, 6
 # Names of entries that another writer may leave in the store: not an address, a port out of
 # range, deeply nested, and an address to which no connection can be opened.
 ODD_ENTRIES = ["0::1", "127.0.0.1:99999", "[" * 200, "127.255.255.255"]
@@ -52,11 +63,15 @@
         self.active_runs, self.completed_tasks, self.started = {}, {}, set()
         self.errors, self.starts, self.answers = [], 0, []
         self.crashes, self.late_starts = {}, {}
+        # Backend servers at which no task may start after a time.
+        self.closed = {}
 
     def start(self, backend, task, run):
         with self.lock:
             self.starts += 1
             self.started.add(task.split(".")[0])
+            if time.monotonic() > self.closed.get(backend, float("inf")):
+                self.errors.append(f"{task}: run {run} started at evacuated {backend}")
             if self.active_runs.get(task):
                 self.errors.append(
                     f"{task}: run {run} at {backend} overlaps {self.active_runs[task]}")
@@ -106,9 +121,10 @@
                          for n, ip in enumerate(entries)]
         seeds = [f"{address(7, n)}:{READY_PORT}" for n in range(ENTRIES)]
         common = {"entries": seeds, "log_url": f"http://{store}:{STORE_PORT}", "lease_ms": 1000,
-                  "stop_ms": 50, "drain_limit_ms": 6000, "data_centre": "a"}
+                  "stop_ms": 50, "drain_limit_ms": 6000}
         self.entries = [self._process(build, folder, f"entry{n}", {
-            **common, "role": "direct-entry", "listen": f"{ip}:{LINK_PORT}",
+            **common, "role": "direct-entry", "data_centre": "ab"[n % 2],
+            "listen": f"{ip}:{LINK_PORT}",
             "advertise": f"{address(7, n)}:{LINK_PORT}",
             "http_listen": f"{ip}:{CALL_PORT}", "ready_listen": f"{ip}:{READY_PORT}"},
             f"{ip}:{READY_PORT}") for n, ip in enumerate(entries)]
@@ -119,14 +135,18 @@
                                     seed + n, self.history)
             relay = Relay(BACKEND_PORT, (target, BACKEND_PORT), relayed)
             backend.public_address = f"{relayed}:{BACKEND_PORT}"
+            backend.data_centre = "ab"[n % 2]
             self.backends.append(backend)
             self.backend_relays.append(relay)
             self.agents.append(self._process(build, folder, f"agent{n}", {
-                **common, "role": "direct-agent", "listen": f"{ip}:{LINK_PORT}",
+                **common, "role": "direct-agent", "data_centre": backend.data_centre,
+                "listen": f"{ip}:{LINK_PORT}",
                 "http_listen": f"{ip}:{REPORT_PORT}",
                 "backend_url": f"http://{relayed}:{BACKEND_PORT}"}, f"{ip}:{REPORT_PORT}"))
         self.entry_hosts = entries
         self.running = True
+        # Jobs that were refused and whose callers come back, see run_returning_callers.
+        self.returning = []
         # Jobs with a crashing task are faults too: none is submitted after the others,
         # and the last one must have ended before the time to settle begins.
         self.crashing_jobs, self.may_crash = 0, True
@@ -148,18 +168,29 @@
         config = {"Version": version, "Routes": [route], "Services": [], "Limits": {}}
         self.store.append("keyed.op", "config", json.dumps(config).encode())
 
-    def call_once(self, host, job, tasks, ms, crashing):
-        steps = [{"Count": tasks, "Cpu": TASK_CPU, "MemMb": 64, "EstimateMs": ms}]
+    def call_once(self, host, job, tasks, ms, crashing, estimate=None, chain=0,
+                  timeout=CALL_TIMEOUT_S):
+        """Returns the status, or 0 without an answer, the body, and the time to wait before
+        the next attempt, or None if there is to be none. `chain`: number of further steps of
+        one task, one after the other."""
+        step = {"Cpu": TASK_CPU, "MemMb": 64, "EstimateMs": estimate or ms}
+        steps = [{"Count": tasks, **step}]
+        steps += [{"Count": 1, "After": [n], **step} for n in range(chain)]
         spec = f"{ms} {TASK_CPU}" + (f" {tasks - 1}" if crashing else "")
         body = json.dumps({"Spec": spec, "BestEffort": True, "Steps": steps})
-        link = http.client.HTTPConnection(host, CALL_PORT, timeout=CALL_TIMEOUT_S)
+        link = http.client.HTTPConnection(host, CALL_PORT, timeout=timeout)
         try:
             link.request("POST", f"/j/{job}", body, {
-                "Host": "h", "X-Deadline-Ms": str(int(CALL_TIMEOUT_S * 1000))})
+                "Host": "h", "X-Deadline-Ms": str(int(timeout * 1000))})
             reply = link.getresponse()
-            return reply.status, reply.read()
+            delay = None
+            if reply.status in (502, 504):
+                delay = RETRY_DELAY_S
+            elif reply.status in (429, 503) and not crashing:
+                delay = min(float(reply.headers.get("Retry-After") or 1.0), MAX_RETRY_AFTER_S)
+            return reply.status, reply.read(), delay
         except (OSError, http.client.HTTPException):
-            return 0, b""
+            return 0, b"", RETRY_DELAY_S
         finally:
             link.close()
 
@@ -192,13 +223,93 @@
         job = f"{0xffff:04x}{number:012x}"
         statuses = []
         for host in self.entry_hosts:
-            status, body = self.call_once(host, job, 1, LONG_TASK_MS, False)
+            status, body, delay = self.call_once(host, job, 1, LONG_TASK_MS, False)
             statuses.append(status)
-            if status not in (0, 502, 504):
+            if delay is None:
                 break
-            time.sleep(RETRY_DELAY_S)
+            time.sleep(delay)
         self.history.answer(job, 1, statuses, body, False, False)
 
+    def submit_until_served(self, number):
+        """Submits a small job to the first entry until it is served."""
+        job = f"{0xfffd:04x}{number:012x}"
+        statuses = []
+        for _ in range(4):
+            status, body, delay = self.call_once(
+                self.entry_hosts[0], job, RETURNING_TASKS, RETURNING_MS, False,
+                RETURNING_ESTIMATE_MS)
+            statuses.append(status)
+            if delay is None:
+                break
+            self.returning.append(job)
+            time.sleep(delay)
+        self.history.answer(job, RETURNING_TASKS, statuses, body, False, False)
+
+    def returned_runs(self):
+        return sum(bool(self.history.active_runs.get(f"{it}.0.0.{n}"))
+                   for it in set(self.returning) for n in range(RETURNING_TASKS))
+
+    def run_returning_callers(self):
+        """Callers come back to the entry that has refused them, and its connections to agents
+        are reset while their jobs run."""
+        slots = BACKENDS * self.backends[0].cpu // TASK_CPU
+        self.returning = []
+        filler = threading.Thread(
+            target=self.call_once, daemon=True, kwargs={"timeout": 2 * CALL_TIMEOUT_S},
+            args=(self.entry_hosts[0], f"{0xfffc:016x}", slots, FILLER_MS, False))
+        filler.start()
+        time.sleep(0.3)
+        callers = [threading.Thread(target=self.submit_until_served, args=(n,), daemon=True)
+                   for n in range(CALLERS)]
+        for it in callers:
+            it.start()
+        # Several tasks of jobs that have come back run.
+        deadline = time.monotonic() + 2 * CALL_TIMEOUT_S
+        while time.monotonic() < deadline and self.returned_runs() < 2 * RETURNING_TASKS:
+            time.sleep(0.005)
+        for _ in range(3):
+            self.entry_relays[0].reset()
+            time.sleep(0.1)
+        for it in [filler, *callers]:
+            it.join()
+        if not self.returning:
+            raise FleetError("no caller was refused while all backend servers were busy")
+
+    def run_evacuation(self):
+        """One of two data centres is evacuated while tasks wait there."""
+        caller = threading.Thread(
+            target=self.call_once, daemon=True,
+            kwargs={"chain": EVACUATED_CHAIN, "timeout": 10 * CALL_TIMEOUT_S},
+            args=(self.entry_hosts[0], f"{0xfffb:016x}", EVACUATED_TASKS, EVACUATED_MS, False))
+        caller.start()
+        time.sleep(1.0)
+        self.store.append("keyed.op", "evacuate/b", b"{}")
+        closed_from = time.monotonic() + EVACUATE_S
+        for it in self.backends:
+            if it.data_centre == "b":
+                self.history.closed[it.name] = closed_from
+        time.sleep(EVACUATE_S + 1.0)
+        self.history.closed.clear()
+        self.store.append("keyed.op", "evacuate/b", b"")
+        caller.join()
+
+    def report_as_another_writer(self, rng):
+        """A report of a backend server that is none of this installation's."""
+        body = {"Service": rng.choice(["archive", "review"]), "Address": "127.0.0.1:9",
+                "Zone": rng.choice("ab"), "Version": "v1", "Slots": 8, "State": "ready",
+                "Room": {"Cpu": 16000, "MemMb": 4096, "Gpu": 0}, "Labels": ["a", "r9"],
+                "ClockMs": 1000, "Sequence": rng.randrange(1, 1000),
+                "born": int(time.time() * 1000) + rng.choice([-10**6, 0, 10**6])}
+        link = http.client.HTTPConnection(rng.choice(self.backends).report_to, timeout=0.5)
+        try:
+            link.request("PUT", "/instances/i-7f3a91c2", json.dumps(body))
+            link.getresponse().read()
+        except (OSError, http.client.HTTPException):
+            # The agent may be stopped or down.
+            pass
+        finally:
+            link.close()
+
     def wait_served(self):
         """Waits until each entry places tasks at all backend servers."""
         tasks = BACKENDS * self.backends[0].cpu // TASK_CPU
@@ -235,12 +346,12 @@
             crashing = rng.random() < CRASHING_SHARE and self.begin_crashing_job()
             statuses = []
             for _ in range(4):
-                status, body = self.call_once(
+                status, body, delay = self.call_once(
                     rng.choice(self.entry_hosts), job, tasks, ms, crashing)
                 statuses.append(status)
-                if status not in (0, 502, 504) or not self.running:
+                if delay is None or not self.running:
                     break
-                time.sleep(RETRY_DELAY_S)
+                time.sleep(delay)
             if crashing:
                 self.end_crashing_job()
             refused_only = all(it in (429, 503) for it in statuses)
@@ -253,7 +364,7 @@
     def inject_fault(self, rng, series):
         kind = rng.choice(["kill", "kill", "pause", "pause", "term", "hup", "store", "lose",
                             "crash", "silence", "drain", "config", "cut", "half_cut", "delay",
-                            "reset"])
+                            "reset", "late", "foreign", "evacuate"])
         # Each process belongs to one series, so that no signal is sent to a process
         # that another series has stopped. Faults of different series overlap.
         process = rng.choice((self.entries + self.agents)[series::FAULT_SERIES])
@@ -286,6 +397,16 @@
             rng.choice(self.backend_relays + self.entry_relays).black_hole()
         elif kind == "reset":
             rng.choice(self.backend_relays + self.entry_relays).reset()
+        elif kind == "late":
+            relay = rng.choice(self.entry_relays)
+            relay.reset()
+            relay.hold_up(0.2 * duration, rng.uniform(0.5, 2.0))
+        elif kind == "foreign":
+            self.report_as_another_writer(rng)
+        elif kind == "evacuate":
+            self.store.append("keyed.op", "evacuate/b", b"{}")
+            time.sleep(duration)
+            self.store.append("keyed.op", "evacuate/b", b"")
         elif kind in ("cut", "half_cut"):
             directions = {"in", "out"} if kind == "cut" else {rng.choice(["in", "out"])}
             relay = rng.choice(self.backend_relays + self.entry_relays)
@@ -326,6 +447,8 @@
             self.append_odd_records()
             self.wait_served()
             self.run_entry_death()
+            self.run_returning_callers()
+            self.run_evacuation()
             callers = [threading.Thread(target=self.run_caller, args=(n, seed * 1000 + n),
                                         daemon=True) for n in range(CALLERS)]
             for it in callers:
