Remember a cancelled job, and tell the other entries of it

One cause: a cancel was an event of one connection, remembered nowhere, and the same call as for callers that have disconnected, whose jobs may be submitted again.

Abandon and Cancel are two decisions now. A cancel is remembered for 10 s, also of a job that is not known, and a request that arrives later is answered as cancelled. Entries tell each other of cancels as they come, and of recent ones when they connect.

Three JobDispatcherTests of disconnected callers call Abandon in place of Cancel; their checks are the same. CancelledJobDoesNotRunWhenItsRequestArrivesAgain and CancelThatOvertakesItsJobHolds fail without the memory; EntryLinksTest::EntriesTellEachOtherOfCancels has no message to wait for in the code before.

--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -191,6 +191,8 @@
   } else if (request.method == "DELETE" && !job.empty()) {
     const bool known = dispatcher_.InProgress(job);
     dispatcher_.Cancel(job, BootNow());
+    // The job may be in progress at another entry, or its request may arrive there late.
+    links_.BroadcastCancel(job);
     caller_server_->Respond(
         request.id, known ? platform::EncodeOutcome({direct::JobOutcome::Kind::kCancelled, "", {}})
                           : platform::EncodeUnknownJob());
@@ -241,7 +243,7 @@
   logger_.Info("caller gone",
                {{"job", job}, {"callers_left", std::to_string(submission.requests.size())}});
   if (!submission.requests.empty()) return;
-  dispatcher_.Cancel(job, BootNow());
+  dispatcher_.Abandon(job, BootNow());
 }
 
 void DirectEntryRuntime::Answer(const std::string& job, const direct::JobOutcome& outcome) {
@@ -391,6 +393,12 @@
   for (const auto& [route, found] : dispatcher_.RecentCrashingRoutes(now)) {
     WriteCrashingRoute(route, now - found, *frame.add_crashing_routes());
   }
+  for (const std::string& it : dispatcher_.RecentCancels(now)) frame.add_cancels(it);
+}
+
+void DirectEntryRuntime::OnPeerCancel(const std::string& job, core::TimePoint now) {
+  if (dispatcher_.InProgress(job)) logger_.Info("job cancelled by a peer", {{"job", job}});
+  dispatcher_.Cancel(job, now);
 }
 
 void DirectEntryRuntime::OnPeerCrashingRoute(const direct_wire::CrashingRoute& message,
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -85,6 +85,7 @@
   void OnAgentLost(const std::string& agent, core::TimePoint last_heard) override;
   void OnPeerConnected(direct_wire::Frame& frame, core::TimePoint now) override;
   void OnPeerCrashingRoute(const direct_wire::CrashingRoute& message, core::TimePoint now) override;
+  void OnPeerCancel(const std::string& job, core::TimePoint now) override;
   void OnPeerConfiguration(const std::string& entry, const direct_wire::Configuration& message,
                            core::TimePoint now) override;
 
--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -95,6 +95,12 @@
   }
 }
 
+void EntryLinks::BroadcastCancel(const std::string& job) {
+  for (auto& [id, link] : links_) {
+    if (!link.is_agent && link.introduced) link.connection->outbox().add_cancels(job);
+  }
+}
+
 void EntryLinks::SendConfiguration(Link& link) {
   if (configuration_) *link.connection->outbox().mutable_configuration() = *configuration_;
 }
@@ -198,6 +204,7 @@
     for (const direct_wire::CrashingRoute& route : frame.crashing_routes()) {
       listener_.OnPeerCrashingRoute(route, now);
     }
+    for (const std::string& job : frame.cancels()) listener_.OnPeerCancel(job, now);
     return;
   }
   listener_.OnAgentFrame(std::string(it->second.name), frame, now);
--- a/packages/daemon/src/entry_links.h
+++ b/packages/daemon/src/entry_links.h
@@ -55,6 +55,9 @@
   // Tells all connected entries of the route.
   void BroadcastCrashingRoute(const direct_wire::CrashingRoute& message);
 
+  // Tells all connected entries that a caller has cancelled the job.
+  void BroadcastCancel(const std::string& job);
+
   // The frame that is sent to the agent at the end of this iteration of the
   // event loop; null if the agent is not connected.
   direct_wire::Frame* FrameTo(const std::string& agent);
--- a/packages/daemon/src/entry_links_listener.h
+++ b/packages/daemon/src/entry_links_listener.h
@@ -35,6 +35,8 @@
   // such tasks.
   virtual void OnPeerCrashingRoute(const direct_wire::CrashingRoute& message,
                                    core::TimePoint now) = 0;
+  // A caller has cancelled the job at another entry.
+  virtual void OnPeerCancel(const std::string& job, core::TimePoint now) = 0;
   // Another entry has sent its configuration.
   virtual void OnPeerConfiguration(const std::string& entry,
                                    const direct_wire::Configuration& configuration,
--- a/packages/daemon/test/entry_links_test.cc
+++ b/packages/daemon/test/entry_links_test.cc
@@ -50,6 +50,10 @@
   }
   void OnPeerConnected(direct_wire::Frame& frame, core::TimePoint /*now*/) override {
     frame.add_crashing_routes()->set_route("known");
+    frame.add_cancels("recent");
+  }
+  void OnPeerCancel(const std::string& job, core::TimePoint /*now*/) override {
+    cancels.push_back(job);
   }
   void OnPeerCrashingRoute(const direct_wire::CrashingRoute& message,
                            core::TimePoint /*now*/) override {
@@ -63,6 +67,7 @@
   std::vector<std::string> connected;
   std::vector<std::string> lost;
   std::vector<std::string> crashing_routes;
+  std::vector<std::string> cancels;
 };
 
 // A peer that sends frames as it likes.
@@ -72,6 +77,7 @@
     events.on_open = [this] { open = true; };
     events.on_frame = [this](const direct_wire::Frame& frame) {
       for (const auto& it : frame.crashing_routes()) crashing_routes.push_back(it.route());
+      cancels.insert(cancels.end(), frame.cancels().begin(), frame.cancels().end());
       if (frame.orders_size() > 0) echo_with_orders = frame.echo_us();
       if (frame.has_evacuation()) {
         ++evacuations;
@@ -97,6 +103,7 @@
   bool open = false;
   bool closed = false;
   std::vector<std::string> crashing_routes;
+  std::vector<std::string> cancels;
   std::optional<std::uint64_t> echo_with_orders;
   int evacuations = 0;
   std::vector<std::string> evacuated;
@@ -114,6 +121,7 @@
   CPPUNIT_TEST(HelloOfAnEarlierConnectionIsRefused);
   CPPUNIT_TEST(AgentsLearnOfEvacuationsBeforeTheyGetOrders);
   CPPUNIT_TEST(EntriesTellEachOtherOfCrashingRoutes);
+  CPPUNIT_TEST(EntriesTellEachOtherOfCancels);
   CPPUNIT_TEST(DialThatFailsAtOnceIsRepeated);
   CPPUNIT_TEST(EndIsReportedAfterConstruction);
   CPPUNIT_TEST(ClosedConnectionReportsNoEarlierError);
@@ -238,6 +246,24 @@
     CPPUNIT_ASSERT_EQUAL(std::string("new"), peer.crashing_routes[1]);
   }
 
+  // Guards against a job that goes on because its cancel has reached another entry (review/5),
+  // also one that was cut off meanwhile.
+  void EntriesTellEachOtherOfCancels() {
+    Peer peer(port_);
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.open; }));
+    direct_wire::Hello& hello = *peer.connection->outbox().mutable_hello();
+    hello.set_sender(direct_wire::Hello::ENTRY);
+    hello.set_name("10.0.0.3");
+    peer.connection->outbox().add_cancels("of the peer");
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.cancels.size() == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("recent"), peer.cancels[0]);
+    CPPUNIT_ASSERT(RunUntil([&] { return listener_.cancels.size() == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("of the peer"), listener_.cancels[0]);
+    links_->BroadcastCancel("new");
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.cancels.size() == 2; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), peer.cancels[1]);
+  }
+
   // Guards against an entry that ends when a connection attempt fails at once, here since
   // TCP does not connect to a broadcast address, in production also for want of a route or
   // of a descriptor.
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -50,13 +50,22 @@
   ~JobDispatcher();
 
   // Accepts or refuses a job. One with the id of a job in progress joins it;
-  // one whose id has recently completed or failed gets the same answer.
+  // one whose id has recently completed, failed or been cancelled gets the same
+  // answer.
   void Submit(JobRequest request, core::TimePoint now);
 
-  // Cancels a job at its callers' request or because they have disconnected:
-  // answers it as cancelled and stops its runs.
+  // Cancels a job at its callers' request: answers it as cancelled, stops its
+  // runs, and answers submissions with this id that arrive later in the same
+  // way, also if the job is not known here.
   void Cancel(const std::string& job, core::TimePoint now);
 
+  // Jobs that have been cancelled lately, for entries that connect.
+  std::vector<std::string> RecentCancels(core::TimePoint now) const;
+
+  // The callers of a job have disconnected: stops its runs. The job may be
+  // submitted again.
+  void Abandon(const std::string& job, core::TimePoint now);
+
   bool InProgress(const std::string& job) const;
 
   void OnWorkerDescription(const std::string& agent, const WorkerDescription& description);
@@ -163,6 +172,7 @@
   void AdvanceJob(Job& job, core::TimePoint now);
   void MoveQueuedRuns(Job& job, core::TimePoint now);
   void RememberOutcome(const std::string& job, const JobOutcome& outcome, core::TimePoint now);
+  void ForgetOutcomes(core::TimePoint now);
 
   Tuning tuning_;
   std::uint32_t next_submission_;
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -72,7 +72,7 @@
 }
 
 void JobDispatcher::Submit(JobRequest request, core::TimePoint now) {
-  while (!ended_.empty() && now - ended_.front().time > kOutcomeRetention) ended_.pop_front();
+  ForgetOutcomes(now);
   for (const EndedJob& it : ended_) {
     if (it.job == request.id) return sink_.Answer(it.job, it.outcome);
   }
@@ -203,6 +203,23 @@
 }
 
 void JobDispatcher::Cancel(const std::string& id, core::TimePoint now) {
+  Abandon(id, now);
+  ForgetOutcomes(now);
+  const bool ended =
+      std::any_of(ended_.begin(), ended_.end(), [&id](const EndedJob& it) { return it.job == id; });
+  if (!ended) ended_.push_back({id, {JobOutcome::Kind::kCancelled, "cancelled", {}}, now});
+}
+
+std::vector<std::string> JobDispatcher::RecentCancels(core::TimePoint now) const {
+  std::vector<std::string> jobs;
+  for (const EndedJob& it : ended_) {
+    const bool recent = now - it.time <= kOutcomeRetention;
+    if (recent && it.outcome.kind == JobOutcome::Kind::kCancelled) jobs.push_back(it.job);
+  }
+  return jobs;
+}
+
+void JobDispatcher::Abandon(const std::string& id, core::TimePoint now) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   const JobOutcome cancelled{JobOutcome::Kind::kCancelled, "cancelled", {}};
@@ -575,6 +592,10 @@
   Begin(std::move(next), now);
 }
 
+void JobDispatcher::ForgetOutcomes(core::TimePoint now) {
+  while (!ended_.empty() && now - ended_.front().time > kOutcomeRetention) ended_.pop_front();
+}
+
 void JobDispatcher::RememberOutcome(const std::string& job, const JobOutcome& outcome,
                                     core::TimePoint now) {
   const bool final =
--- a/packages/direct/test/job_dispatcher_test.cc
+++ b/packages/direct/test/job_dispatcher_test.cc
@@ -24,9 +24,12 @@
   CPPUNIT_TEST(RefusesAJobThatTheBacklogMakesTooLate);
   CPPUNIT_TEST(NotRunIsAnsweredOnlyAfterAllOrdersAreWithdrawn);
   CPPUNIT_TEST(StartedJobIsNeverRefusedAsNotRun);
-  CPPUNIT_TEST(CancelStopsRunsAndFreesTheId);
+  CPPUNIT_TEST(AbandonedJobStopsItsRunsAndFreesTheId);
   CPPUNIT_TEST(ResubmissionRunsAfterTheStoppedRun);
-  CPPUNIT_TEST(CancelOfAWaitingSecondSubmissionIsAnswered);
+  CPPUNIT_TEST(CancelledJobDoesNotRunWhenItsRequestArrivesAgain);
+  CPPUNIT_TEST(CancelThatOvertakesItsJobHolds);
+  CPPUNIT_TEST(CancelOfAnEndedJobChangesNoAnswer);
+  CPPUNIT_TEST(AbandonedSecondSubmissionIsAnswered);
   CPPUNIT_TEST(RefusedCallersReturnAfterTheBacklog);
   CPPUNIT_TEST(JobThatMayHaveRunReservesNoRetry);
   CPPUNIT_TEST(DuplicateOfAnEndedJobGetsItsAnswer);
@@ -196,10 +199,10 @@
   }
 
   // Guards against runs that continue after their caller has disconnected.
-  void CancelStopsRunsAndFreesTheId() {
+  void AbandonedJobStopsItsRunsAndFreesTheId() {
     dispatcher_->Submit(SampleJob("j", 2), kStart);
     Report(0, RunReport::Kind::kStarted);
-    dispatcher_->Cancel("j", kStart + Ms(5));
+    dispatcher_->Abandon("j", kStart + Ms(5));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sink_.stops.size());
     CPPUNIT_ASSERT(!dispatcher_->InProgress("j"));
     Report(0, RunReport::Kind::kLost);
@@ -207,12 +210,12 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, dispatcher_->size());
   }
 
-  // Guards against two runs of a task at a time when a caller submits a
-  // cancelled job again at once.
+  // Guards against two runs of a task at a time when a caller has disconnected
+  // and submits the job again at once.
   void ResubmissionRunsAfterTheStoppedRun() {
     dispatcher_->Submit(SampleJob("j", 1), kStart);
     Report(0, RunReport::Kind::kStarted);
-    dispatcher_->Cancel("j", kStart + Ms(5));
+    dispatcher_->Abandon("j", kStart + Ms(5));
     dispatcher_->Submit(SampleJob("j", 1), kStart + Ms(10));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.orders.size());
     Report(0, RunReport::Kind::kLost);
@@ -220,14 +223,47 @@
     CPPUNIT_ASSERT(sink_.orders[1].id.number > sink_.orders[0].id.number);
   }
 
+  // Guards against starts seconds after the cancel was acknowledged (review/4).
+  void CancelledJobDoesNotRunWhenItsRequestArrivesAgain() {
+    dispatcher_->Submit(SampleJob("j", 1), kStart);
+    Report(0, RunReport::Kind::kStarted);
+    dispatcher_->Cancel("j", kStart + Ms(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.stops.size());
+    dispatcher_->Submit(SampleJob("j", 1), kStart + Ms(6));
+    Report(0, RunReport::Kind::kLost);
+    dispatcher_->Submit(SampleJob("j", 1), kStart + Ms(4000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.orders.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sink_.answers.size());
+    CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kCancelled);
+  }
+
+  // The same if the cancel is read first, or the job is known to another entry only.
+  void CancelThatOvertakesItsJobHolds() {
+    dispatcher_->Cancel("j", kStart);
+    dispatcher_->Submit(SampleJob("j", 1), kStart + Ms(20));
+    CPPUNIT_ASSERT(sink_.orders.empty());
+    CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kCancelled);
+    CPPUNIT_ASSERT((dispatcher_->RecentCancels(kStart) == std::vector<std::string>{"j"}));
+    CPPUNIT_ASSERT(dispatcher_->RecentCancels(kStart + Ms(11000)).empty());
+  }
+
+  // Guards against two answers to one job.
+  void CancelOfAnEndedJobChangesNoAnswer() {
+    dispatcher_->Submit(SampleJob("j", 1), kStart);
+    Report(0, RunReport::Kind::kDone);
+    dispatcher_->Cancel("j", kStart + Ms(70));
+    dispatcher_->Submit(SampleJob("j", 1), kStart + Ms(2000));
+    CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kCompleted);
+  }
+
   // A second submission waits for a stop and its caller disconnects. Guards
   // against never answering it.
-  void CancelOfAWaitingSecondSubmissionIsAnswered() {
+  void AbandonedSecondSubmissionIsAnswered() {
     dispatcher_->Submit(SampleJob("j", 1), kStart);
     Report(0, RunReport::Kind::kStarted);
-    dispatcher_->Cancel("j", kStart + Ms(5));
+    dispatcher_->Abandon("j", kStart + Ms(5));
     dispatcher_->Submit(SampleJob("j", 1), kStart + Ms(10));
-    dispatcher_->Cancel("j", kStart + Ms(15));
+    dispatcher_->Abandon("j", kStart + Ms(15));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sink_.answers.size());
     CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kCancelled);
     Report(0, RunReport::Kind::kLost);
