Share the collecting sink of three tests, and log which incarnation an agent uses

The line `backend server state` has `id` and `life` again, also when only the incarnation changes. Two functions that hand orders back are named so.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -223,11 +223,18 @@
 }
 
 void DirectAgentRuntime::LogWorkerState() {
+  const auto& report = executor_->worker_report();
   const direct::WorkerState state = executor_->State(BootNow());
-  if (state.ready == logged_state_.ready && state.draining == logged_state_.draining) return;
+  const std::string life = report ? std::to_string(report->incarnation) : "";
+  const bool same = life == logged_life_ && state.ready == logged_state_.ready &&
+                    state.draining == logged_state_.draining;
+  if (same) return;
+  logged_life_ = life;
   logged_state_ = state;
   state_changed_ = true;
-  logger_.Info("backend server state", {{"ready", state.ready ? "yes" : "no"},
+  logger_.Info("backend server state", {{"id", report ? report->id : ""},
+                                        {"life", life},
+                                        {"ready", state.ready ? "yes" : "no"},
                                         {"draining", state.draining ? "yes" : "no"}});
 }
 
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -74,7 +74,7 @@
   void MakeWorkerClient();
   void OnRequest(const http::Request& request);
   void OnWorkerReport(const std::string& id, const std::string& body);
-  // Logs whether the backend server takes work, after each change.
+  // Logs the backend server's incarnation and whether it takes work, after each change.
   void LogWorkerState();
 
   void AddConfiguredEntry(const std::string& name);
@@ -126,6 +126,7 @@
   core::TimePoint log_due_;
   // As last logged by LogWorkerState().
   direct::WorkerState logged_state_;
+  std::string logged_life_;
   QTimer tick_;
   GracefulStop stop_;
   // The worker's state has changed since it was last sent to every entry.
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -90,6 +90,9 @@
   // of milliseconds.
   void Advance(core::TimePoint now);
 
+  // The last report that was taken over; nothing before the first one, and after the
+  // incarnation that sent it has ended.
+  const std::optional<WorkerReport>& worker_report() const { return worker_report_; }
   // The description in the last report, empty before the first one. The
   // reference is valid until the next report.
   const WorkerDescription& Description() const;
@@ -211,7 +214,7 @@
   void ReportFinal(const std::string& owner, const RunReport& report, core::TimePoint now);
   void ReportNotRun(const std::vector<RunQueue::Item>& items, core::TimePoint now);
   // Reports all orders that have not started as not run.
-  void HandBackOrders(core::TimePoint now);
+  void HandBackAllOrders(core::TimePoint now);
   void SendDueRenewals(core::TimePoint now);
   void SendLateStops(core::TimePoint now);
   void OnUnansweredStart(Run& run, core::TimePoint now);
@@ -228,7 +231,7 @@
   std::map<RunId, Run>::iterator FindListed(const RunId& id);
   // Hands back earlier orders of the task that have not started: the caller has submitted
   // the job again.
-  void DropOrdersOfTask(const TaskId& task, core::TimePoint now);
+  void HandBackOrdersOf(const TaskId& task, core::TimePoint now);
   Resources FreeResources() const;
 
   Tuning tuning_;
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -206,7 +206,7 @@
   return found ? it : runs_.end();
 }
 
-void RunExecutor::DropOrdersOfTask(const TaskId& task, core::TimePoint now) {
+void RunExecutor::HandBackOrdersOf(const TaskId& task, core::TimePoint now) {
   ReportNotRun(queue_.TakeTask(task), now);
   std::erase_if(deferred_, [&](const DeferredOrder& it) {
     if (it.order.id.task != task) return false;
@@ -224,7 +224,7 @@
   if (queue_.Contains(order.id) || (runs_.contains(order.id) && runs_[order.id].owner == owner)) {
     return;
   }
-  DropOrdersOfTask(order.id.task, now);
+  HandBackOrdersOf(order.id.task, now);
   if (HasTask(order.id.task)) {
     // The caller has submitted the job again.
     for (auto& [id, run] : runs_) {
@@ -329,7 +329,7 @@
   // The timer that drops such orders may be late itself.
   DropOrdersOfSilentOwners(now);
   // A start that was refused for lack of resources may have returned to the queue since.
-  if (!AcceptsOrders()) return HandBackOrders(now);
+  if (!AcceptsOrders()) return HandBackAllOrders(now);
   if (earlier_runs_pending_ || now < no_start_before_) return;
   std::vector<RunQueue::Item> held;
   while (!queue_.empty()) {
@@ -756,7 +756,7 @@
   ReportNotRun(queue_.TakeAll(), now);
 }
 
-void RunExecutor::HandBackOrders(core::TimePoint now) {
+void RunExecutor::HandBackAllOrders(core::TimePoint now) {
   ReportNotRun(queue_.TakeAll(), now);
   for (const DeferredOrder& it : std::exchange(deferred_, {})) {
     ReportFinal(it.owner, RunReport{it.order.id, RunReport::Kind::kNotRun, {}}, now);
@@ -765,7 +765,7 @@
 
 void RunExecutor::BeginDrain(core::TimePoint now) {
   draining_ = true;
-  HandBackOrders(now);
+  HandBackAllOrders(now);
 }
 
 void RunExecutor::Advance(core::TimePoint now) {
--- a/packages/direct/test/evacuation_test.cc
+++ b/packages/direct/test/evacuation_test.cc
@@ -1,10 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <memory>
-#include <vector>
 
-#include "coltsfoottide/direct/report_sink.h"
+#include "collected_reports.h"
 #include "coltsfoottide/direct/run_executor.h"
 #include "direct_samples.h"
 #include "fake_worker_port.h"
@@ -16,22 +14,6 @@
 constexpr char kOtherOwner[] = "entry-2";
 constexpr std::uint64_t kPosition = 10;
 
-class CollectedReports : public ReportSink {
- public:
-  void Report(const std::string& /*owner*/, const RunReport& report) override {
-    reports.push_back(report);
-  }
-  void ReportCrash(const WorkerCrash& /*crash*/) override {}
-  void OnReportRefuted(const WorkerReport& /*report*/) override {}
-
-  std::ptrdiff_t Count(RunReport::Kind kind) const {
-    return std::count_if(reports.begin(), reports.end(),
-                         [kind](const RunReport& it) { return it.kind == kind; });
-  }
-
-  std::vector<RunReport> reports;
-};
-
 // An agent in a data centre that the operator evacuates.
 class EvacuationTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EvacuationTest);
@@ -63,7 +45,7 @@
     return order.id;
   }
   RunId StartRun(std::uint32_t index) {
-    const RunId id = Order(index, kStart);
+    RunId id = Order(index, kStart);
     executor_->OnStartResult(id, StartResult::kStarted, kStart + Ms(1));
     return id;
   }
@@ -81,13 +63,13 @@
     Order(2, kStart);
     Order(3, kStart, kOtherOwner);
     executor_->OnEvacuation({"a"}, kPosition, kStart + Ms(10));
-    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, reports_.Count(RunReport::Kind::kNotRun));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reports_.Count(RunReport::Kind::kNotRun));
     EndRun(1, first, kStart + Ms(60));
     EndRun(2, second, kStart + Ms(61));
     executor_->Advance(kStart + Ms(80));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.starts.size());
     CPPUNIT_ASSERT(port_.stops.empty());
-    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, reports_.Count(RunReport::Kind::kDone));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reports_.Count(RunReport::Kind::kDone));
   }
 
   // Guards against starts for an entry that is cut off from the store.
@@ -95,7 +77,7 @@
     executor_->OnEvacuation({"a"}, kPosition, kStart);
     Order(0, kStart + Ms(1), kOtherOwner);
     CPPUNIT_ASSERT(port_.starts.empty());
-    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, reports_.Count(RunReport::Kind::kNotRun));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kNotRun));
     CPPUNIT_ASSERT(executor_->State(kStart + Ms(1)).draining);
   }
 
@@ -106,7 +88,7 @@
     executor_->OnEvacuation({"a"}, kPosition, kStart + Ms(1));
     executor_->OnStartResult(id, StartResult::kNoResources, kStart + Ms(2));
     executor_->Advance(kStart + Ms(20));
-    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, reports_.Count(RunReport::Kind::kNotRun));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kNotRun));
     CPPUNIT_ASSERT(executor_->idle());
   }
 
@@ -117,8 +99,8 @@
     again.id.number = 2;
     executor_->OnOrder(kOtherOwner, again, kStart + Ms(2));
     executor_->OnEvacuation({"a"}, kPosition, kStart + Ms(3));
-    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, reports_.Count(RunReport::Kind::kNotRun));
-    CPPUNIT_ASSERT(reports_.reports.back().id == again.id);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kNotRun));
+    CPPUNIT_ASSERT(reports_.reports.back().second.id == again.id);
   }
 
   // Guards against an entry with an older view that takes the evacuation back.
--- a/packages/direct/test/foreign_report_test.cc
+++ b/packages/direct/test/foreign_report_test.cc
@@ -1,11 +1,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <memory>
 #include <optional>
 #include <vector>
 
-#include "coltsfoottide/direct/report_sink.h"
+#include "collected_reports.h"
 #include "coltsfoottide/direct/run_executor.h"
 #include "direct_samples.h"
 #include "fake_worker_port.h"
@@ -17,24 +16,6 @@
 constexpr std::int64_t kPresent = 1000;
 constexpr std::int64_t kForeign = 5000;
 
-class CollectedReports : public ReportSink {
- public:
-  void Report(const std::string& /*owner*/, const RunReport& report) override {
-    reports.push_back(report);
-  }
-  void ReportCrash(const WorkerCrash& /*crash*/) override { ++crashes; }
-  void OnReportRefuted(const WorkerReport& report) override { refuted.push_back(report.id); }
-
-  bool Has(RunReport::Kind kind) const {
-    return std::any_of(reports.begin(), reports.end(),
-                       [kind](const RunReport& it) { return it.kind == kind; });
-  }
-
-  std::vector<RunReport> reports;
-  std::vector<std::string> refuted;
-  int crashes = 0;
-};
-
 // Reports at an agent that are not of its backend server's present incarnation: of another
 // writer, or delayed.
 class ForeignReportTest : public CppUnit::TestFixture {
@@ -90,7 +71,7 @@
     CPPUNIT_ASSERT(!executor_->OnWorkerReport(ForeignReport(), kStart + Ms(20)));
     Answer(kPresent, kStart + Ms(30));
     Answer(kPresent, kStart + Ms(40));
-    CPPUNIT_ASSERT(!reports_.Has(RunReport::Kind::kLost));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, reports_.Count(RunReport::Kind::kLost));
     CPPUNIT_ASSERT_EQUAL(0, reports_.crashes);
     CPPUNIT_ASSERT((port_.used_ids == std::vector<std::string>{"i-1"}));
     CPPUNIT_ASSERT((reports_.refuted == std::vector<std::string>{"i-2"}));
@@ -130,10 +111,10 @@
   void ReportIsTakenOverOnceThePresentIncarnationIsGone() {
     StartListedRun();
     executor_->OnWorkerReport(ForeignReport(), kStart + Ms(20));
-    CPPUNIT_ASSERT(!reports_.Has(RunReport::Kind::kLost));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, reports_.Count(RunReport::Kind::kLost));
     executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt, true,
                               kStart + Ms(30));
-    CPPUNIT_ASSERT(reports_.Has(RunReport::Kind::kLost));
+    CPPUNIT_ASSERT(reports_.Count(RunReport::Kind::kLost) > 0);
     CPPUNIT_ASSERT_EQUAL(1, reports_.crashes);
     CPPUNIT_ASSERT((port_.used_ids == std::vector<std::string>{"i-1", "i-2"}));
     CPPUNIT_ASSERT(executor_->State(kStart + Ms(30)).ready);
@@ -147,7 +128,7 @@
     next.incarnation = kForeign;
     executor_->OnWorkerReport(next, kStart + Ms(20));
     Answer(kForeign, kStart + Ms(30));
-    CPPUNIT_ASSERT(reports_.Has(RunReport::Kind::kLost));
+    CPPUNIT_ASSERT(reports_.Count(RunReport::Kind::kLost) > 0);
     CPPUNIT_ASSERT(reports_.refuted.empty());
     CPPUNIT_ASSERT(executor_->State(kStart + Ms(30)).ready);
   }
@@ -160,7 +141,7 @@
     for (int ms = 40; ms <= 400; ms += 20) executor_->Advance(kStart + Ms(ms));
     executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt, false,
                               kStart + Ms(410));
-    CPPUNIT_ASSERT(!reports_.Has(RunReport::Kind::kLost));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, reports_.Count(RunReport::Kind::kLost));
     CPPUNIT_ASSERT((port_.used_ids == std::vector<std::string>{"i-1"}));
   }
 
--- a/packages/direct/test/resubmitted_job_test.cc
+++ b/packages/direct/test/resubmitted_job_test.cc
@@ -1,13 +1,12 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "collected_reports.h"
 #include "coltsfoottide/direct/job_dispatcher.h"
-#include "coltsfoottide/direct/report_sink.h"
 #include "coltsfoottide/direct/run_executor.h"
 #include "direct_samples.h"
 #include "fake_worker_port.h"
@@ -20,23 +19,6 @@
 constexpr char kOwner[] = "entry-1";
 constexpr char kOtherOwner[] = "entry-2";
 
-class CollectedReports : public ReportSink {
- public:
-  void Report(const std::string& owner, const RunReport& report) override {
-    reports.emplace_back(owner, report);
-  }
-  void ReportCrash(const WorkerCrash& /*crash*/) override {}
-  void OnReportRefuted(const WorkerReport& /*report*/) override {}
-
-  bool Has(const std::string& owner, const RunId& id, RunReport::Kind kind) const {
-    return std::any_of(reports.begin(), reports.end(), [&](const auto& it) {
-      return it.first == owner && it.second.id == id && it.second.kind == kind;
-    });
-  }
-
-  std::vector<std::pair<std::string, RunReport>> reports;
-};
-
 // A job is submitted again after it has been refused or given up. The numbers of its runs
 // begin at 1 again.
 class ResubmittedJobTest : public CppUnit::TestFixture {
