Let the soak wait until a restarted entry serves before it fills the backend servers

Traced by the entry's log: the job that fills them was sent 0.6 s after the entry had restarted, was refused for want of a settled configuration, and the jobs behind it found free backend servers. The scene waits for both entries to serve now; its checks are the same.

--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -310,13 +310,14 @@
         finally:
             link.close()
 
-    def wait_served(self):
-        """Waits until each entry places tasks at all backend servers."""
+    def wait_served(self, attempt):
+        """Waits until each entry places tasks at all backend servers. `attempt` differs between
+        calls, so that no answer to a job of an earlier one is repeated."""
         tasks = BACKENDS * self.backends[0].cpu // TASK_CPU
         for number, host in enumerate(self.entry_hosts):
             deadline = time.monotonic() + START_LIMIT_S
             for n in itertools.count():
-                job = f"{0xfffe:04x}{number:06x}{n:06x}"
+                job = f"{0xfffe:04x}{attempt:02x}{number:04x}{n:06x}"
                 if self.call_once(host, job, tasks, 10, False)[0] == 200:
                     break
                 if time.monotonic() > deadline:
@@ -445,8 +446,10 @@
             for it in self.entries:
                 it.wait_ready()
             self.append_odd_records()
-            self.wait_served()
+            self.wait_served(0)
             self.run_entry_death()
+            # A restarted entry refuses until its configuration is settled.
+            self.wait_served(1)
             self.run_returning_callers()
             self.run_evacuation()
             callers = [threading.Thread(target=self.run_caller, args=(n, seed * 1000 + n),
