Check in tests of restarts which incarnation was taken over

It asserts now that the agent uses the incarnation of that report. Three comments say more plainly what they mean. No program changes.

--- a/packages/direct/test/resubmitted_job_test.cc
+++ b/packages/direct/test/resubmitted_job_test.cc
@@ -173,7 +173,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.starts.size());
   }
 
-  // An entry stops a run of which its hello has told, after it has placed the task here anew.
+  // An entry places a task at an agent again and then stops the task's earlier run there.
   // Guards against stopping the new run in its place.
   void StopOfAnEarlierSubmissionStopsNothing() {
     executor_->OnOrder(kOwner, OrderOf(2), kStart);
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -107,6 +107,8 @@
     next.incarnation = 2000;
     executor_->OnWorkerReport(next, now);
     AnswerAsNextIncarnation(now);
+    CPPUNIT_ASSERT(executor_->worker_report());
+    CPPUNIT_ASSERT_EQUAL(next.incarnation, executor_->worker_report()->incarnation);
   }
   RunId StartAtNextIncarnation(core::TimePoint now) {
     RunId id = Order(1, now);
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -145,7 +145,7 @@
                 "backend_url": f"http://{relayed}:{BACKEND_PORT}"}, f"{ip}:{REPORT_PORT}"))
         self.entry_hosts = entries
         self.running = True
-        # Jobs that were refused and whose callers come back, see run_returning_callers.
+        # Jobs that were refused and are submitted again, see run_returning_callers.
         self.returning = []
         # Jobs with a crashing task are faults too: none is submitted after the others,
         # and the last one must have ended before the time to settle begins.
@@ -263,7 +263,7 @@
                    for n in range(CALLERS)]
         for it in callers:
             it.start()
-        # Several tasks of jobs that have come back run.
+        # Until several tasks of jobs that were submitted again are running.
         deadline = time.monotonic() + 2 * CALL_TIMEOUT_S
         while time.monotonic() < deadline and self.returned_runs() < 2 * RETURNING_TASKS:
             time.sleep(0.005)
