--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -106,7 +106,8 @@
       std::min(caller_limits.max_connections, MaxCallerConnections(DescriptorLimit()));
   auto callers = open(settings_.http_listen, caller_limits,
                       {[this](const http::Request& request) { OnRequest(request); },
-                       [this](std::uint64_t id) { OnAbandoned(id); }});
+                       [this](std::uint64_t id) { OnAbandoned(id); },
+                       [this](std::uint64_t id) { OnInputEnded(id); }});
   if (auto* error = std::get_if<http::ServerError>(&callers)) return RuntimeError{error->message};
   caller_server_ = std::move(std::get<std::unique_ptr<http::Server>>(callers));
   auto probes =
@@ -233,6 +234,12 @@
   dispatcher_.Submit(std::move(std::get<direct::JobRequest>(decoded)), now);
 }
 
+void DirectEntryRuntime::OnInputEnded(std::uint64_t request) {
+  const auto it = jobs_by_request_.find(request);
+  if (it == jobs_by_request_.end()) return;
+  logger_.Info("caller input ended", {{"job", it->second}});
+}
+
 void DirectEntryRuntime::OnAbandoned(std::uint64_t request) {
   const auto it = jobs_by_request_.find(request);
   if (it == jobs_by_request_.end()) return;
@@ -333,6 +340,17 @@
   if (auto* frame = links_.FrameTo(agent)) WriteRunId(id, *frame->add_expedites());
 }
 
+void DirectEntryRuntime::OnRunTakenAsOver(const std::string& agent, const direct::RunId& id,
+                                          const std::string& reason) {
+  metrics_.Add("runs_taken_as_over", 1);
+  logger_.Warn("run taken as over", {{"job", id.task.job},
+                                     {"task", std::to_string(id.task.index)},
+                                     {"run", std::to_string(id.number)},
+                                     {"submission", std::to_string(id.submission)},
+                                     {"agent", agent},
+                                     {"reason", reason}});
+}
+
 void DirectEntryRuntime::OnCrashVerdict(const direct::CrashVerdict& verdict, std::size_t crashes) {
   const direct::TaskId& task = verdict.task;
   metrics_.Add("crashing_tasks", 1);
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -56,6 +56,8 @@
   void SendStop(const std::string& agent, const direct::RunId& id) override;
   void SendWithdraw(const std::string& agent, const direct::RunId& id) override;
   void SendExpedite(const std::string& agent, const direct::RunId& id) override;
+  void OnRunTakenAsOver(const std::string& agent, const direct::RunId& id,
+                        const std::string& reason) override;
   void OnCrashVerdict(const direct::CrashVerdict& verdict, std::size_t crashes) override;
   void OnCrashingRoute(const std::string& route) override;
   void OnIsolationChanged(const std::string& route, const std::set<std::string>& agents) override;
@@ -66,6 +68,7 @@
   void OnRequest(const http::Request& request);
   void OnJobCall(const http::Request& request, const direct::Route& route, const std::string& job);
   void Submit(const http::Request& request, const direct::Route& route, const std::string& job);
+  void OnInputEnded(std::uint64_t request);
   void OnAbandoned(std::uint64_t request);
   void OnReadinessProbe(const http::Request& request);
   bool ready(core::TimePoint now);
--- a/packages/direct/include/coltsfoottide/direct/entry_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/entry_sink.h
@@ -30,6 +30,10 @@
   virtual void SendWithdraw(const std::string& agent, const RunId& id) = 0;
   // Raises the priority of a queued run whose job is nearly done.
   virtual void SendExpedite(const std::string& agent, const RunId& id) = 0;
+  // The run is taken as over without its end having been seen, and the task may be placed
+  // again; for logs.
+  virtual void OnRunTakenAsOver(const std::string& agent, const RunId& id,
+                                const std::string& reason) = 0;
   // The task is not started again after this many crashes, for logs.
   virtual void OnCrashVerdict(const CrashVerdict& verdict, std::size_t crashes) = 0;
   // A task of the route was found to crash backend servers. Must be sent to all other
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -303,6 +303,7 @@
       OnFailed(*job, *task, now);
       break;
     case RunReport::Kind::kLost:
+      sink_.OnRunTakenAsOver(agent, report.id, "lost");
       OnRunEnded(*job, *task, true, now);
       break;
     case RunReport::Kind::kNotRun:
@@ -419,6 +420,7 @@
     Job* job = nullptr;
     Task* task = listed.contains(it) ? nullptr : FindRun(hello.agent, it, &job);
     if (task == nullptr) continue;
+    sink_.OnRunTakenAsOver(hello.agent, it, "not listed");
     OnRunEnded(*job, *task, true, now);
     RemoveIfEnded(it.task.job, now);
   }
@@ -469,14 +471,12 @@
 }
 
 void JobDispatcher::AdvanceJob(Job& job, core::TimePoint now) {
-  for (std::vector<Task>& tasks : job.steps) {
-    for (Task& it : tasks) {
-      if (it.state == Task::State::kUnreachable && now >= it.ended_by) {
-        it.avoided_agents.insert(it.agent);
-        OnRunEnded(job, it, true, now);
-      }
-    }
-  }
+  ForEachTask(job, [this, &job, now](Task& task, const RunId& id) {
+    if (task.state != Task::State::kUnreachable || now < task.ended_by) return;
+    sink_.OnRunTakenAsOver(task.agent, id, "agent silent");
+    task.avoided_agents.insert(task.agent);
+    OnRunEnded(job, task, true, now);
+  });
   if (job.finished) return;
   if (now >= job.request.deadline) {
     const bool not_run = !job.MayHaveRun() && !HasRuns(job);
--- a/packages/direct/test/recording_entry_sink.h
+++ b/packages/direct/test/recording_entry_sink.h
@@ -36,6 +36,10 @@
   void SendExpedite(const std::string& agent, const RunId& id) override {
     expedites.push_back({agent, id});
   }
+  void OnRunTakenAsOver(const std::string& agent, const RunId& id,
+                        const std::string& /*reason*/) override {
+    taken_as_over.push_back({agent, id});
+  }
   void OnCrashVerdict(const CrashVerdict& verdict, std::size_t /*crashes*/) override {
     crash_verdicts.push_back(verdict);
   }
@@ -54,6 +58,7 @@
   std::vector<Sent> withdrawals;
   std::vector<Sent> expedites;
   std::vector<Sent> claims;
+  std::vector<Sent> taken_as_over;
   std::vector<CrashVerdict> crash_verdicts;
   std::vector<std::string> crashing_routes;
   std::vector<std::pair<std::string, std::set<std::string>>> isolations;
--- a/packages/direct/test/simulated_fleet.h
+++ b/packages/direct/test/simulated_fleet.h
@@ -211,6 +211,8 @@
         it.OnExpedite(id, now);
       });
     }
+    void OnRunTakenAsOver(const std::string& /*agent*/, const RunId& /*id*/,
+                          const std::string& /*reason*/) override {}
     void OnCrashVerdict(const CrashVerdict& /*verdict*/, std::size_t /*crashes*/) override {}
     void OnCrashingRoute(const std::string& route) override {
       for (const auto& it : fleet.entries_) {
--- a/packages/direct/test/sustained_overload_test.cc
+++ b/packages/direct/test/sustained_overload_test.cc
@@ -167,6 +167,8 @@
   void SendExpedite(const std::string& agent, const RunId& id) override {
     servers_.at(agent).queue.Expedite(id);
   }
+  void OnRunTakenAsOver(const std::string& /*agent*/, const RunId& /*id*/,
+                        const std::string& /*reason*/) override {}
   void OnCrashVerdict(const CrashVerdict& /*verdict*/, std::size_t /*crashes*/) override {}
   void OnCrashingRoute(const std::string& /*route*/) override {}
   void OnIsolationChanged(const std::string& /*route*/,
--- a/packages/http/include/coltsfoottide/http/server.h
+++ b/packages/http/include/coltsfoottide/http/server.h
@@ -72,7 +72,9 @@
 struct ServerCallbacks {
   std::function<void(Request request)> on_request;
   // The caller has disconnected before the response.
-  std::function<void(std::uint64_t id)> on_abandoned;
+  std::function<void(std::uint64_t id)> on_abandoned = nullptr;
+  // The caller has ended its input and may still read the response.
+  std::function<void(std::uint64_t id)> on_input_ended = nullptr;
 };
 
 // Listens on an IP address and port (0: chosen by the system). Must be called,
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -242,6 +242,7 @@
   if (state_ == State::kInProgress && input_ended && half_closed_ && half_closed_->valid()) {
     state_ = State::kHalfClosed;
     half_closed_->Probe([this] { OnPeerClosed(); });
+    events_.on_input_ended(*this);
     return;
   }
   const State last = std::exchange(state_, State::kClosed);
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -24,6 +24,8 @@
   struct Events {
     // The peer closed the connection before the response to the last request.
     std::function<void(Connection&)> on_abandoned;
+    // The peer has ended its input during the last request and may still read.
+    std::function<void(Connection&)> on_input_ended;
     // The response to the last request has been handed to the kernel.
     std::function<void(Connection&)> on_written;
     std::function<void(Connection&)> on_closed;
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -95,6 +95,9 @@
       pending_.erase(it.request_id());
       if (callbacks_.on_abandoned) callbacks_.on_abandoned(it.request_id());
     };
+    events.on_input_ended = [this](Connection& it) {
+      if (callbacks_.on_input_ended) callbacks_.on_input_ended(it.request_id());
+    };
     events.on_written = [this](Connection& it) { pending_.erase(it.request_id()); };
     return events;
   }
