--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -303,7 +303,7 @@
       OnFailed(*job, *task, now);
       break;
     case RunReport::Kind::kLost:
-      sink_.OnRunTakenAsOver(agent, report.id, "lost");
+      if (task->state != Task::State::kStopping) sink_.OnRunTakenAsOver(agent, report.id, "lost");
       OnRunEnded(*job, *task, true, now);
       break;
     case RunReport::Kind::kNotRun:
