--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -108,18 +108,18 @@
 
 
 class Soak:
-    def __init__(self, build, folder, seed, slot):
+    def __init__(self, build, folder, seed, slot, entries=ENTRIES):
         def address(group, n):
             return f"127.{group}.{slot}.{n + 1}"
 
         self.seed_rng, self.history = random.Random(seed), History()
         store = address(6, 0)
         self.store = Store(store, STORE_PORT)
-        entries = [address(5, n) for n in range(ENTRIES)]
+        hosts = [address(5, n) for n in range(entries)]
         # The relays through which agents and other entries reach an entry.
         self.entry_relays = [Relay(LINK_PORT, (ip, LINK_PORT), address(7, n))
-                         for n, ip in enumerate(entries)]
-        seeds = [f"{address(7, n)}:{READY_PORT}" for n in range(ENTRIES)]
+                         for n, ip in enumerate(hosts)]
+        seeds = [f"{address(7, n)}:{READY_PORT}" for n in range(entries)]
         common = {"entries": seeds, "log_url": f"http://{store}:{STORE_PORT}", "lease_ms": 1000,
                   "stop_ms": 50, "drain_limit_ms": 6000}
         self.entries = [self._process(build, folder, f"entry{n}", {
@@ -127,7 +127,7 @@
             "listen": f"{ip}:{LINK_PORT}",
             "advertise": f"{address(7, n)}:{LINK_PORT}",
             "http_listen": f"{ip}:{CALL_PORT}", "ready_listen": f"{ip}:{READY_PORT}"},
-            f"{ip}:{READY_PORT}") for n, ip in enumerate(entries)]
+            f"{ip}:{READY_PORT}") for n, ip in enumerate(hosts)]
         self.backends, self.backend_relays, self.agents = [], [], []
         for n in range(BACKENDS):
             ip, target, relayed = address(4, n), address(3, n), address(8, n)
@@ -143,7 +143,7 @@
                 "listen": f"{ip}:{LINK_PORT}",
                 "http_listen": f"{ip}:{REPORT_PORT}",
                 "backend_url": f"http://{relayed}:{BACKEND_PORT}"}, f"{ip}:{REPORT_PORT}"))
-        self.entry_hosts = entries
+        self.entry_hosts = hosts
         self.running = True
         # Jobs that were refused and are submitted again, see run_returning_callers.
         self.returning = []
