--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -32,6 +32,10 @@
 constexpr std::chrono::milliseconds kBalancerRemovalDelay{2500};
 constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
 constexpr core::Duration kGaugeInterval = std::chrono::seconds(1);
+// Time after it has started or stood still for which an entry waits until all others that it
+// knows are connected. In the first part of it the ends of earlier connections are read.
+constexpr core::Duration kMinEntriesWait = std::chrono::milliseconds(200);
+constexpr core::Duration kEntriesWait = std::chrono::seconds(1);
 std::string WithoutPort(const std::string& host) { return host.substr(0, host.find(':')); }
 
 const char* KindName(direct::JobOutcome::Kind kind) {
@@ -67,9 +71,14 @@
       metrics_(metrics),
       metrics_server_(metrics),
       dispatcher_(MakeTuning(settings), settings.data_centre, settings.far_factor, *this),
-      initial_view_(BootNow()),
+      running_since_(BootNow()),
+      initial_view_(running_since_),
       links_(static_cast<std::uint64_t>(BootNow().time_since_epoch().count()), settings.data_centre,
-             *this, logger) {}
+             *this, logger),
+      claims_(
+          ParseEndpoint(settings.advertise.empty() ? settings.listen : settings.advertise)->address,
+          static_cast<std::uint32_t>(MakeRandomId()), *this),
+      claim_registry_({kDisconnectedClaimLimit, kSilentClaimLimit}, *this) {}
 
 DirectEntryRuntime::~DirectEntryRuntime() = default;
 
@@ -145,6 +154,7 @@
 }
 
 void DirectEntryRuntime::OnRequest(const http::Request& request) {
+  CheckPause(BootNow());
   const auto configuration = view_.configuration();
   const auto refuse = [this, &request](int status, const std::string& reason,
                                        core::Duration retry_after) {
@@ -187,11 +197,17 @@
   } else if (request.method == "POST" && !job.empty()) {
     Submit(request, route, job);
   } else if (request.method == "GET") {
-    caller_server_->Respond(request.id, dispatcher_.InProgress(job) ? platform::EncodeRunning()
-                                                                    : platform::EncodeUnknownJob());
+    const bool in_progress = dispatcher_.InProgress(job) || claims_.IsPending(job);
+    caller_server_->Respond(request.id,
+                            in_progress ? platform::EncodeRunning() : platform::EncodeUnknownJob());
   } else if (request.method == "DELETE" && !job.empty()) {
-    const bool known = dispatcher_.InProgress(job);
+    const bool pending = claims_.IsPending(job);
+    const bool known = dispatcher_.InProgress(job) || pending;
     dispatcher_.Cancel(job, BootNow());
+    if (pending) {
+      claims_.Withdraw(job);
+      Answer(job, {direct::JobOutcome::Kind::kCancelled, "cancelled", {}});
+    }
     // The job may be in progress at another entry, or its request may arrive there late.
     links_.BroadcastCancel(job);
     caller_server_->Respond(
@@ -231,7 +247,11 @@
   submission.route = route.name;
   submission.submitted = now;
   jobs_by_request_[request.id] = job;
-  dispatcher_.Submit(std::move(std::get<direct::JobRequest>(decoded)), now);
+  if (claims_.IsPending(job)) return;
+  if (dispatcher_.Knows(job, now)) {
+    return dispatcher_.Submit(std::move(std::get<direct::JobRequest>(decoded)), now);
+  }
+  claims_.Claim(std::move(std::get<direct::JobRequest>(decoded)), now);
 }
 
 void DirectEntryRuntime::OnInputEnded(std::uint64_t request) {
@@ -249,10 +269,102 @@
   std::erase(submission.requests, request);
   logger_.Info("caller gone",
                {{"job", job}, {"callers_left", std::to_string(submission.requests.size())}});
-  if (!submission.requests.empty()) return;
+  if (!submission.requests.empty() || submission.awaited_elsewhere) return;
+  if (claims_.IsPending(job)) {
+    claims_.Withdraw(job);
+    submissions_.erase(job);
+    return;
+  }
   dispatcher_.Abandon(job, BootNow());
 }
 
+void DirectEntryRuntime::CheckPause(core::TimePoint now) {
+  const core::TimePoint last_active = std::exchange(last_active_, now).value_or(now);
+  const core::Duration pause = now - last_active;
+  if (pause > kPeerJitter) claim_registry_.OnPause(now);
+  if (pause < kRunLimit) return;
+  logger_.Warn("process stood still",
+               {{"ms", std::to_string(ToMs(pause))}, {"jobs", std::to_string(dispatcher_.size())}});
+  running_since_ = now;
+  claims_.SetComplete(false, now);
+  dispatcher_.YieldAll(now);
+}
+
+void DirectEntryRuntime::OnJobRemoved(const std::string& job,
+                                      const std::optional<direct::JobOutcome>& outcome) {
+  claims_.Release(job, outcome);
+}
+
+void DirectEntryRuntime::OnClaimNeeded(direct::JobRequest request, core::TimePoint now) {
+  claims_.Claim(std::move(request), now);
+}
+
+void DirectEntryRuntime::SendClaim(const std::string& entry, const direct::JobClaim& claim) {
+  if (entry == links_.name()) return claim_registry_.OnClaim(entry, claim, BootNow());
+  if (auto* frame = links_.FrameToEntry(entry)) {
+    WriteJobClaim(claim, *frame->add_claim_steps()->mutable_claim());
+  }
+}
+
+void DirectEntryRuntime::SendRelease(const std::string& entry,
+                                     const direct::ClaimRelease& release) {
+  if (entry == links_.name()) return claim_registry_.OnRelease(entry, release, BootNow());
+  if (auto* frame = links_.FrameToEntry(entry)) {
+    WriteRelease(release, *frame->add_claim_steps()->mutable_release());
+  }
+}
+
+void DirectEntryRuntime::SendVerdict(const std::string& entry,
+                                     const direct::ClaimVerdict& verdict) {
+  if (entry == links_.name()) return claims_.OnVerdict(entry, verdict, BootNow());
+  if (auto* frame = links_.FrameToEntry(entry)) WriteVerdict(verdict, *frame->add_claim_verdicts());
+}
+
+void DirectEntryRuntime::SendReturn(const std::string& entry, const direct::JobReturn& message) {
+  if (entry == links_.name()) return claims_.OnReturn(entry, message, BootNow());
+  if (auto* frame = links_.FrameToEntry(entry)) WriteReturn(message, *frame->add_job_returns());
+}
+
+void DirectEntryRuntime::OnGranted(direct::JobRequest request, core::TimePoint now) {
+  const std::string job = request.id;
+  dispatcher_.Submit(std::move(request), now);
+  // The outcome was remembered, so that no run was placed.
+  if (!dispatcher_.HasJob(job)) claims_.Release(job, std::nullopt);
+}
+
+void DirectEntryRuntime::OnOutcome(const std::string& job, const direct::JobOutcome& outcome) {
+  Answer(job, outcome);
+}
+
+void DirectEntryRuntime::OnClaimLost(const std::string& job, const std::string& holder,
+                                     core::TimePoint now) {
+  metrics_.Add("claims_lost", 1);
+  logger_.Warn("claim lost", {{"job", job}, {"holder", holder}});
+  dispatcher_.Yield(job, now);
+}
+
+void DirectEntryRuntime::OnReturn(const direct::JobReturn& message, core::TimePoint now) {
+  const auto it = submissions_.find(message.job);
+  if (it == submissions_.end()) return;
+  if (!std::exchange(it->second.awaited_elsewhere, true)) {
+    logger_.Warn("job submitted to another entry",
+                 {{"job", message.job},
+                  {"entry", message.entry},
+                  {"elapsed_ms", std::to_string(ToMs(now - it->second.submitted))}});
+  }
+  dispatcher_.ExtendDeadline(message.job, now + message.wait);
+}
+
+void DirectEntryRuntime::OnHeld(const std::string& job, const std::string& holder) {
+  metrics_.Add("jobs_held_elsewhere", 1);
+  logger_.Warn("job is at another entry", {{"job", job}, {"entry", holder}});
+}
+
+void DirectEntryRuntime::OnUnanswered(const std::string& entry) {
+  metrics_.Add("claims_unanswered", 1);
+  logger_.Warn("claim not answered", {{"entry", entry}});
+}
+
 void DirectEntryRuntime::Answer(const std::string& job, const direct::JobOutcome& outcome) {
   const auto it = submissions_.find(job);
   if (it == submissions_.end()) return;
@@ -381,11 +493,13 @@
 }
 
 void DirectEntryRuntime::OnAgentConnected(const direct::AgentHello& hello, core::TimePoint now) {
+  CheckPause(now);
   dispatcher_.OnAgentHello(hello, now);
 }
 
 void DirectEntryRuntime::OnAgentFrame(const std::string& agent, const direct_wire::Frame& frame,
                                       core::TimePoint now) {
+  CheckPause(now);
   if (frame.has_description()) {
     dispatcher_.OnWorkerDescription(agent, ReadDescription(frame.description()));
   }
@@ -401,10 +515,17 @@
 }
 
 void DirectEntryRuntime::OnAgentLost(const std::string& agent, core::TimePoint last_heard) {
+  CheckPause(BootNow());
   dispatcher_.OnAgentLost(agent, last_heard);
 }
 
-void DirectEntryRuntime::OnPeerConnected(direct_wire::Frame& frame, core::TimePoint now) {
+void DirectEntryRuntime::OnPeerConnected(const std::string& entry, bool records_claims,
+                                         direct_wire::Frame& frame, core::TimePoint now) {
+  CheckPause(now);
+  // An earlier connection to it is not reported as lost if this one replaces it.
+  claim_registry_.OnDisconnected(entry, now);
+  claim_registry_.OnHeard(entry, now);
+  if (records_claims) claims_.OnConnected(entry, now);
   for (const auto& [route, last_crash] : dispatcher_.IsolatedRoutes(now)) {
     WriteIsolatedRoute(route, now - last_crash, *frame.add_crashing_routes());
   }
@@ -414,6 +535,33 @@
   for (const std::string& it : dispatcher_.RecentCancels(now)) frame.add_cancels(it);
 }
 
+void DirectEntryRuntime::OnPeerLost(const std::string& entry, core::TimePoint now) {
+  CheckPause(now);
+  claim_registry_.OnDisconnected(entry, now);
+  claims_.OnDisconnected(entry, now);
+}
+
+void DirectEntryRuntime::OnPeerFrame(const std::string& entry, const direct_wire::Frame& frame,
+                                     core::TimePoint now) {
+  CheckPause(now);
+  claim_registry_.OnHeard(entry, now);
+  claims_.OnHeard(entry);
+  for (const direct_wire::ClaimStep& it : frame.claim_steps()) {
+    if (it.has_claim()) claim_registry_.OnClaim(entry, ReadJobClaim(it.claim()), now);
+    if (it.has_release()) claim_registry_.OnRelease(entry, ReadRelease(it.release()), now);
+  }
+  for (const direct_wire::ClaimVerdict& it : frame.claim_verdicts()) {
+    if (const auto verdict = ReadVerdict(it)) {
+      claims_.OnVerdict(entry, *verdict, now);
+    } else {
+      logger_.Warn("verdict ignored", {{"entry", entry}, {"job", it.job()}});
+    }
+  }
+  for (const direct_wire::JobReturn& it : frame.job_returns()) {
+    claims_.OnReturn(entry, ReadReturn(it), now);
+  }
+}
+
 void DirectEntryRuntime::OnPeerCancel(const std::string& job, core::TimePoint now) {
   if (dispatcher_.InProgress(job)) logger_.Info("job cancelled by a peer", {{"job", job}});
   dispatcher_.Cancel(job, now);
@@ -563,8 +711,14 @@
 
 void DirectEntryRuntime::Tick() {
   const core::TimePoint now = BootNow();
+  CheckPause(now);
   links_.Advance([this](const std::string& agent) { return dispatcher_.HasRunsAt(agent); }, now);
   if (!announced_ && !stopping_ && operator_topic_->reachable()) Announce();
+  const core::Duration age = now - running_since_;
+  const bool connected = age > kMinEntriesWait && links_.all_entries_connected();
+  claims_.SetComplete(connected || age > kEntriesWait, now);
+  claim_registry_.Advance(now);
+  claims_.Advance(now);
   dispatcher_.Advance(now);
   SetGauges(now);
 }
@@ -575,6 +729,8 @@
   gauges_due_ = now + kGaugeInterval;
   const auto configuration = view_.configuration();
   metrics_.Set("jobs_in_progress", dispatcher_.size());
+  metrics_.Set("claims", claims_.size());
+  metrics_.Set("claims_recorded", claim_registry_.size());
   metrics_.Set("agents_connected", links_.connected_agents());
   metrics_.Set("entries_known", links_.known_entries());
   metrics_.Set("links", links_.links());
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -11,8 +11,12 @@
 
 #include "coltsfoottide/daemon/runtime.h"
 #include "coltsfoottide/daemon/settings.h"
+#include "coltsfoottide/direct/claim_registry.h"
+#include "coltsfoottide/direct/claim_registry_sink.h"
 #include "coltsfoottide/direct/entry_sink.h"
 #include "coltsfoottide/direct/initial_view.h"
+#include "coltsfoottide/direct/job_claims.h"
+#include "coltsfoottide/direct/job_claims_sink.h"
 #include "coltsfoottide/direct/job_dispatcher.h"
 #include "coltsfoottide/direct/operator_view.h"
 #include "coltsfoottide/http/server.h"
@@ -31,7 +35,11 @@
 // An entry for jobs that are not stored: accepts them from callers over HTTP,
 // dispatches their tasks to agents, and follows the operator's records in the
 // store. Runs on the Qt thread only.
-class DirectEntryRuntime : public Runtime, private direct::EntrySink, private EntryLinksListener {
+class DirectEntryRuntime : public Runtime,
+                           private direct::EntrySink,
+                           private direct::JobClaimsSink,
+                           private direct::ClaimRegistrySink,
+                           private EntryLinksListener {
  public:
   DirectEntryRuntime(const Settings& settings, Logger& logger, Metrics& metrics);
   ~DirectEntryRuntime() override;
@@ -44,12 +52,17 @@
   // The HTTP requests that wait for the outcome of one job.
   struct Submission {
     std::vector<std::uint64_t> requests;
+    // The caller waits at another entry, to which the outcome goes.
+    bool awaited_elsewhere = false;
     std::string route;
     core::TimePoint submitted;
   };
 
   // EntrySink
   void Answer(const std::string& job, const direct::JobOutcome& outcome) override;
+  void OnJobRemoved(const std::string& job,
+                    const std::optional<direct::JobOutcome>& outcome) override;
+  void OnClaimNeeded(direct::JobRequest request, core::TimePoint now) override;
   void SendOrder(const std::string& agent, const direct::RunOrder& order) override;
   void OnPlaced(const std::string& job, const std::vector<direct::PlacedTask>& placed,
                 core::TimePoint now) override;
@@ -64,6 +77,24 @@
   void SendClaim(const std::string& agent, const direct::RunId& id,
                  const direct::Resources& need) override;
 
+  // JobClaimsSink
+  void SendClaim(const std::string& entry, const direct::JobClaim& claim) override;
+  void SendRelease(const std::string& entry, const direct::ClaimRelease& release) override;
+  void OnGranted(direct::JobRequest request, core::TimePoint now) override;
+  void OnOutcome(const std::string& job, const direct::JobOutcome& outcome) override;
+  void OnClaimLost(const std::string& job, const std::string& holder, core::TimePoint now) override;
+  void OnReturn(const direct::JobReturn& message, core::TimePoint now) override;
+  void OnHeld(const std::string& job, const std::string& holder) override;
+  void OnUnanswered(const std::string& entry) override;
+
+  // ClaimRegistrySink
+  void SendVerdict(const std::string& entry, const direct::ClaimVerdict& verdict) override;
+  void SendReturn(const std::string& entry, const direct::JobReturn& message) override;
+
+  // Gives up all jobs if this process has stood still. Must be called before anything else in
+  // each event that places or continues runs.
+  void CheckPause(core::TimePoint now);
+
   std::optional<RuntimeError> OpenServers();
   void OnRequest(const http::Request& request);
   void OnJobCall(const http::Request& request, const direct::Route& route, const std::string& job);
@@ -86,7 +117,11 @@
   void OnAgentFrame(const std::string& agent, const direct_wire::Frame& frame,
                     core::TimePoint now) override;
   void OnAgentLost(const std::string& agent, core::TimePoint last_heard) override;
-  void OnPeerConnected(direct_wire::Frame& frame, core::TimePoint now) override;
+  void OnPeerConnected(const std::string& entry, bool records_claims, direct_wire::Frame& frame,
+                       core::TimePoint now) override;
+  void OnPeerLost(const std::string& entry, core::TimePoint now) override;
+  void OnPeerFrame(const std::string& entry, const direct_wire::Frame& frame,
+                   core::TimePoint now) override;
   void OnPeerCrashingRoute(const direct_wire::CrashingRoute& message, core::TimePoint now) override;
   void OnPeerCancel(const std::string& job, core::TimePoint now) override;
   void OnPeerConfiguration(const std::string& entry, const direct_wire::Configuration& message,
@@ -110,12 +145,16 @@
   MetricsServer metrics_server_;
   direct::JobDispatcher dispatcher_;
   direct::OperatorView view_;
+  // When this process has started, or has last stood still.
+  core::TimePoint running_since_;
   direct::InitialView initial_view_;
   // Whether `view_` was settled at the last call of ViewSettled().
   bool view_was_settled_ = false;
   std::unique_ptr<http::Server> caller_server_;
   std::unique_ptr<http::Server> readiness_server_;
   EntryLinks links_;
+  direct::JobClaims claims_;
+  direct::ClaimRegistry claim_registry_;
   std::unique_ptr<platform::StoreClient> store_;
   std::unique_ptr<TopicFollower> operator_topic_;
   std::unique_ptr<TopicFollower> entry_topic_;
@@ -124,6 +163,8 @@
   QTimer tick_;
   GracefulStop stop_;
   core::TimePoint gauges_due_;
+  // When this process last did anything.
+  std::optional<core::TimePoint> last_active_;
   bool stopping_ = false;
   // This entry's address is in the store, or is being appended to it.
   bool announced_ = false;
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -29,6 +29,15 @@
   return core::Duration(static_cast<std::int64_t>(std::min(us, max)));
 }
 
+// Only these outcomes are told to other entries.
+std::optional<direct::JobOutcome> ReadOutcome(std::uint32_t kind, const std::string& reason) {
+  using Kind = direct::JobOutcome::Kind;
+  for (const Kind it : {Kind::kCompleted, Kind::kFailed}) {
+    if (kind == static_cast<std::uint32_t>(it)) return direct::JobOutcome{it, reason, {}};
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 void AddOrder(const direct::RunOrder& order, core::TimePoint now, direct_wire::Frame& frame) {
@@ -103,6 +112,67 @@
   return ReadResources(frame.claim_needs(position));
 }
 
+void WriteJobClaim(const direct::JobClaim& claim, direct_wire::JobClaim& message) {
+  message.set_job(claim.job);
+  message.set_number(claim.number);
+  message.set_held(claim.held);
+  message.set_wait_us(WriteDuration(claim.wait));
+}
+
+direct::JobClaim ReadJobClaim(const direct_wire::JobClaim& message) {
+  return {message.job(), message.number(), message.held(), ReadDuration(message.wait_us())};
+}
+
+void WriteVerdict(const direct::ClaimVerdict& verdict, direct_wire::ClaimVerdict& message) {
+  message.set_job(verdict.job);
+  message.set_number(verdict.number);
+  message.set_kind(static_cast<std::uint32_t>(verdict.kind));
+  message.set_holder(verdict.holder);
+  if (verdict.kind != direct::ClaimVerdict::Kind::kEnded) return;
+  message.set_outcome(static_cast<std::uint32_t>(verdict.outcome.kind));
+  message.set_reason(verdict.outcome.reason);
+}
+
+std::optional<direct::ClaimVerdict> ReadVerdict(const direct_wire::ClaimVerdict& message) {
+  using Kind = direct::ClaimVerdict::Kind;
+  direct::ClaimVerdict verdict{message.job(), message.number(), Kind::kHeld, message.holder(), {}};
+  if (message.kind() > static_cast<std::uint32_t>(Kind::kEnded)) return std::nullopt;
+  verdict.kind = static_cast<Kind>(message.kind());
+  if (verdict.kind != Kind::kEnded) return verdict;
+  const auto outcome = ReadOutcome(message.outcome(), message.reason());
+  if (!outcome) return std::nullopt;
+  verdict.outcome = *outcome;
+  return verdict;
+}
+
+void WriteRelease(const direct::ClaimRelease& release, direct_wire::ClaimRelease& message) {
+  message.set_job(release.job);
+  message.set_number(release.number);
+  if (!release.outcome) return;
+  message.set_ended(true);
+  message.set_outcome(static_cast<std::uint32_t>(release.outcome->kind));
+  message.set_reason(release.outcome->reason);
+}
+
+direct::ClaimRelease ReadRelease(const direct_wire::ClaimRelease& message) {
+  direct::ClaimRelease release{message.job(), message.number(), std::nullopt};
+  if (message.ended()) release.outcome = ReadOutcome(message.outcome(), message.reason());
+  return release;
+}
+
+void WriteReturn(const direct::JobReturn& job, direct_wire::JobReturn& message) {
+  message.set_job(job.job);
+  message.set_number(job.number);
+  message.set_entry(job.entry);
+  message.set_held(job.held);
+  message.set_wait_us(WriteDuration(job.wait));
+}
+
+direct::JobReturn ReadReturn(const direct_wire::JobReturn& message) {
+  return {message.job(), message.number(), message.entry(), message.held(),
+          ReadDuration(message.wait_us())};
+}
+
 void WriteCrash(const direct::WorkerCrash& crash, core::TimePoint now,
                 direct_wire::WorkerCrash& message) {
   message.set_incarnation(crash.incarnation);
--- a/packages/daemon/src/direct_messages.h
+++ b/packages/daemon/src/direct_messages.h
@@ -4,6 +4,10 @@
 #include <string>
 
 #include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/claim_release.h"
+#include "coltsfoottide/direct/claim_verdict.h"
+#include "coltsfoottide/direct/job_claim.h"
+#include "coltsfoottide/direct/job_return.h"
 #include "coltsfoottide/direct/run_order.h"
 #include "coltsfoottide/direct/run_report.h"
 #include "coltsfoottide/direct/worker_crash.h"
@@ -33,6 +37,16 @@
                 direct_wire::WorkerCrash& message);
 direct::WorkerCrash ReadCrash(const direct_wire::WorkerCrash& message, core::TimePoint now);
 
+void WriteJobClaim(const direct::JobClaim& claim, direct_wire::JobClaim& message);
+direct::JobClaim ReadJobClaim(const direct_wire::JobClaim& message);
+void WriteVerdict(const direct::ClaimVerdict& verdict, direct_wire::ClaimVerdict& message);
+// None if the kind or the outcome is unknown.
+std::optional<direct::ClaimVerdict> ReadVerdict(const direct_wire::ClaimVerdict& message);
+void WriteRelease(const direct::ClaimRelease& release, direct_wire::ClaimRelease& message);
+direct::ClaimRelease ReadRelease(const direct_wire::ClaimRelease& message);
+void WriteReturn(const direct::JobReturn& job, direct_wire::JobReturn& message);
+direct::JobReturn ReadReturn(const direct_wire::JobReturn& message);
+
 // `age`: time since the last task of the route was found.
 void WriteCrashingRoute(const std::string& route, core::Duration age,
                         direct_wire::CrashingRoute& message);
--- a/packages/daemon/src/direct_timing.h
+++ b/packages/daemon/src/direct_timing.h
@@ -22,6 +22,19 @@
 // which the lease ends, may be 2% slow.
 inline constexpr core::Duration kRunLimit = std::chrono::milliseconds(1200);
 
+// Interval of the messages of an entry to another one that has nothing else to say.
+inline constexpr core::Duration kPeerStampInterval = std::chrono::milliseconds(700);
+
+// Delay of such a message by a process that is slow.
+inline constexpr core::Duration kPeerJitter = std::chrono::milliseconds(250);
+
+// When the runs of an entry are over: since its connection to another entry has closed, and
+// since that has last heard of it. The second adds the time for which the entry may have gone
+// on after its last message.
+inline constexpr core::Duration kDisconnectedClaimLimit = kRunLimit + std::chrono::milliseconds(50);
+inline constexpr core::Duration kSilentClaimLimit =
+    kPeerStampInterval + kPeerJitter + kDisconnectedClaimLimit;
+
 // Longest interval between two states that an agent sends to an entry: while
 // it has runs of that entry, and while it has none.
 inline constexpr core::Duration kBusyInterval = std::chrono::milliseconds(150);
--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -22,9 +22,7 @@
 // Shortest interval between two lists of entries on a connection: when many
 // entries start at once, each list covers several of them.
 constexpr core::Duration kEntryListInterval = std::chrono::milliseconds(200);
-// Interval of stamps between entries, and the silence after which such a
-// connection is replaced: three stamps.
-constexpr core::Duration kPeerStampInterval = std::chrono::milliseconds(700);
+// Silence after which a connection between entries is replaced: three stamps.
 constexpr core::Duration kPeerSilence = std::chrono::milliseconds(2300);
 // Longest delay of an echo that no other message carries: while the agent has
 // runs of this entry, and while it has none. Far below kOwnerLease.
@@ -138,6 +136,11 @@
   return &link.connection->outbox();
 }
 
+direct_wire::Frame* EntryLinks::FrameToEntry(const std::string& entry) {
+  const auto it = peers_.find(entry);
+  return it == peers_.end() ? nullptr : &links_.at(it->second).connection->outbox();
+}
+
 EntryLinks::Link& EntryLinks::AddLink(std::uint64_t id) {
   Link& link = links_[id];
   link.last_heard = BootNow();
@@ -180,6 +183,7 @@
   hello.set_name(name_);
   hello.set_incarnation(incarnation_);
   hello.set_data_centre(data_centre_);
+  hello.set_records_claims(true);
   WriteEntries(link);
   if (link.dialed) SendConfiguration(link);
 }
@@ -197,6 +201,7 @@
   const auto it = links_.find(id);
   if (it == links_.end()) return;
   if (!it->second.is_agent) {
+    if (it->second.introduced) listener_.OnPeerFrame(std::string(it->second.name), frame, now);
     if (frame.has_configuration() && it->second.introduced) {
       listener_.OnPeerConfiguration(it->second.name, frame.configuration(), now);
     }
@@ -234,7 +239,12 @@
     entries_.OnConnected({hello.name(), hello.data_centre()}, BootNow());
     entries_changed_ = true;
     if (!link.dialed) SendConfiguration(link);
-    listener_.OnPeerConnected(link.connection->outbox(), BootNow());
+    if (const auto old = peers_.find(link.name); old != peers_.end() && old->second != id) {
+      OnClosed(old->second, "replaced");
+    }
+    peers_[link.name] = id;
+    listener_.OnPeerConnected(std::string(link.name), hello.records_claims(),
+                              link.connection->outbox(), BootNow());
     return;
   }
   link.is_agent = true;
@@ -278,6 +288,10 @@
                                 {"silent_ms", std::to_string(ToMs(BootNow() - link.last_heard))}});
     listener_.OnAgentLost(link.name, link.last_heard);
   }
+  if (const auto peer = peers_.find(link.name); peer != peers_.end() && peer->second == id) {
+    peers_.erase(peer);
+    listener_.OnPeerLost(link.name, BootNow());
+  }
   const bool linked = std::any_of(links_.begin(), links_.end(), [&link](const auto& other) {
     return !other.second.is_agent && other.second.name == link.name;
   });
--- a/packages/daemon/src/entry_links.h
+++ b/packages/daemon/src/entry_links.h
@@ -62,12 +62,18 @@
   // event loop; null if the agent is not connected.
   direct_wire::Frame* FrameTo(const std::string& agent);
 
+  // The frame that is sent to the other entry at the end of this iteration of the event loop;
+  // null if the entry is not connected.
+  direct_wire::Frame* FrameToEntry(const std::string& entry);
+
   // Replaces silent connections and dials entries. `has_runs` tells whether an
   // agent has runs, in which case a shorter limit for silence applies.
   void Advance(const std::function<bool(const std::string& agent)>& has_runs, core::TimePoint now);
 
   std::size_t connected_agents() const { return agents_.size(); }
   std::size_t known_entries() const { return entries_.size(); }
+  // Whether every known entry is connected.
+  bool all_entries_connected() const { return peers_.size() >= entries_.size(); }
   std::size_t links() const { return links_.size(); }
 
  private:
@@ -124,6 +130,8 @@
   std::vector<std::unique_ptr<FrameConnection>> closed_;
   // Link id by the name of the agent.
   std::map<std::string, std::uint64_t> agents_;
+  // The latest introduced link by the name of the other entry.
+  std::map<std::string, std::uint64_t> peers_;
   direct::ConnectionOrder agent_connections_;
   direct::EntryDirectory entries_;
   const std::string data_centre_;
--- a/packages/daemon/src/entry_links_listener.h
+++ b/packages/daemon/src/entry_links_listener.h
@@ -28,9 +28,16 @@
   // The connection has closed or was replaced; the last frame arrived at
   // `last_heard`.
   virtual void OnAgentLost(const std::string& agent, core::TimePoint last_heard) = 0;
-  // Another entry has connected, or is being connected to. Adds to `frame` what it should
-  // know.
-  virtual void OnPeerConnected(direct_wire::Frame& frame, core::TimePoint now) = 0;
+  // Another entry has connected, or is being connected to, possibly in place of an earlier
+  // connection. Adds to `frame` what it should know. `records_claims`: whether it answers
+  // claims.
+  virtual void OnPeerConnected(const std::string& entry, bool records_claims,
+                               direct_wire::Frame& frame, core::TimePoint now) = 0;
+  // The last connection to the entry has closed.
+  virtual void OnPeerLost(const std::string& entry, core::TimePoint now) = 0;
+  // A frame of an entry that is connected; called before the calls for its parts.
+  virtual void OnPeerFrame(const std::string& entry, const direct_wire::Frame& frame,
+                           core::TimePoint now) = 0;
   // Another entry has found a task that crashes backend servers, or isolates a route with
   // such tasks.
   virtual void OnPeerCrashingRoute(const direct_wire::CrashingRoute& message,
--- a/packages/daemon/test/entry_links_test.cc
+++ b/packages/daemon/test/entry_links_test.cc
@@ -48,7 +48,13 @@
   void OnAgentLost(const std::string& agent, core::TimePoint /*last_heard*/) override {
     lost.push_back(agent);
   }
-  void OnPeerConnected(direct_wire::Frame& frame, core::TimePoint /*now*/) override {
+  void OnPeerLost(const std::string& entry, core::TimePoint /*now*/) override {
+    lost.push_back(entry);
+  }
+  void OnPeerFrame(const std::string& /*entry*/, const direct_wire::Frame& /*frame*/,
+                   core::TimePoint /*now*/) override {}
+  void OnPeerConnected(const std::string& /*entry*/, bool /*records_claims*/,
+                       direct_wire::Frame& frame, core::TimePoint /*now*/) override {
     frame.add_crashing_routes()->set_route("known");
     frame.add_cancels("recent");
   }
--- /dev/null
+++ b/packages/direct/include/coltsfoottide/direct/claim_registry.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/job_outcome.h"
+
+namespace coltsfoottide::direct {
+
+class ClaimRegistrySink;
+struct ClaimRelease;
+struct ClaimVerdict;
+struct JobClaim;
+
+// Records which entry coordinates each job, for the jobs whose record this entry keeps (see
+// JobClaims). A job has one coordinator; further claimants wait until it has released the job
+// or its runs have certainly ended. Outcomes are remembered for some seconds. Does no I/O.
+class ClaimRegistry {
+ public:
+  // When the claims of an entry lapse: the runs of its jobs are over by then.
+  struct Tuning {
+    // Since its connection has closed.
+    core::Duration disconnected_limit;
+    // Since something has last arrived from it.
+    core::Duration silent_limit;
+  };
+
+  ClaimRegistry(const Tuning& tuning, ClaimRegistrySink& sink) : tuning_(tuning), sink_(sink) {}
+
+  void OnClaim(const std::string& entry, const JobClaim& claim, core::TimePoint now);
+  void OnRelease(const std::string& entry, const ClaimRelease& release, core::TimePoint now);
+
+  // Something has arrived from the entry.
+  void OnHeard(const std::string& entry, core::TimePoint now) { heard_[entry] = now; }
+  // The connection to the entry has closed. Its claims lapse unless it renews them.
+  void OnDisconnected(const std::string& entry, core::TimePoint now);
+
+  // This process has stood still, so that what others have sent meanwhile is not read yet.
+  void OnPause(core::TimePoint now);
+
+  // Lets due claims lapse and forgets outcomes. Must be called every few tens of milliseconds.
+  void Advance(core::TimePoint now);
+
+  // Number of recorded jobs, with those whose outcome is remembered.
+  std::size_t size() const { return records_.size(); }
+
+ private:
+  struct Claimant {
+    std::string entry;
+    std::uint32_t number = 0;
+    // Coordinates the job, as it has said itself.
+    bool held = false;
+    core::Duration wait{};
+  };
+  struct Record {
+    Claimant holder;
+    // Set while the holder is not connected.
+    std::optional<core::TimePoint> lapses;
+    std::deque<Claimant> waiting;
+    std::optional<JobOutcome> outcome;
+  };
+  struct Ended {
+    std::string job;
+    core::TimePoint time;
+  };
+
+  void Queue(const std::string& job, Record& record, const Claimant& claimant);
+  // Tells the holder that the other one claims the job as well.
+  void SendReturn(const std::string& job, const Claimant& holder, const Claimant& other);
+  // The holder says that it coordinates the job: others that do must end their runs.
+  void DismissHeld(const std::string& job, Record& record);
+  // Gives the job to the next claimant, or removes its record.
+  void PassOn(const std::string& job);
+  bool HasLapsed(const Record& record, core::TimePoint now) const;
+  void SendVerdict(const std::string& job, const Claimant& claimant, ClaimVerdict verdict);
+
+  const Tuning tuning_;
+  ClaimRegistrySink& sink_;
+  std::map<std::string, Record> records_;
+  // Jobs that others wait for, or whose holder is not connected.
+  std::set<std::string> watched_;
+  std::deque<Ended> ended_;
+  // By entry, while it is connected.
+  std::map<std::string, core::TimePoint> heard_;
+};
+
+}  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/entry_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/entry_sink.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "coltsfoottide/direct/crash_verdict.h"
 #include "coltsfoottide/direct/job_outcome.h"
+#include "coltsfoottide/direct/job_request.h"
 #include "coltsfoottide/direct/placed_task.h"
 #include "coltsfoottide/direct/run_id.h"
 #include "coltsfoottide/direct/run_order.h"
@@ -20,6 +22,11 @@
   // Sends the outcome of a job to its callers. Called once for each execution,
   // and again for a submission that repeats a job which has just ended.
   virtual void Answer(const std::string& job, const JobOutcome& outcome) = 0;
+  // No run of the job is left, and none follows. `outcome`: if submissions of the job that
+  // arrive later get the same answer.
+  virtual void OnJobRemoved(const std::string& job, const std::optional<JobOutcome>& outcome) = 0;
+  // The job has been submitted again, and has to be claimed before it is coordinated here.
+  virtual void OnClaimNeeded(JobRequest request, core::TimePoint now) = 0;
   virtual void SendOrder(const std::string& agent, const RunOrder& order) = 0;
   // Reports the orders of one placement decision and their reasons, for logs.
   virtual void OnPlaced(const std::string& job, const std::vector<PlacedTask>& placed,
--- /dev/null
+++ b/packages/direct/include/coltsfoottide/direct/job_claims_sink.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <string>
+
+#include "coltsfoottide/core/time.h"
+
+namespace coltsfoottide::direct {
+
+struct ClaimRelease;
+struct JobClaim;
+struct JobOutcome;
+struct JobRequest;
+struct JobReturn;
+
+// Carries out the decisions of an entry's JobClaims. `entry` may be this entry itself, whose
+// ClaimRegistry may answer from within the call.
+class JobClaimsSink {
+ public:
+  virtual ~JobClaimsSink() = default;
+
+  virtual void SendClaim(const std::string& entry, const JobClaim& claim) = 0;
+  virtual void SendRelease(const std::string& entry, const ClaimRelease& release) = 0;
+
+  // This entry coordinates the job from now on.
+  virtual void OnGranted(JobRequest request, core::TimePoint now) = 0;
+  // The claim has ended without this entry having coordinated the job: the outcome of the
+  // entry that has, or that the caller's deadline has passed.
+  virtual void OnOutcome(const std::string& job, const JobOutcome& outcome) = 0;
+  // Another entry coordinates the job now. Must end all its runs here, and release the claim
+  // then.
+  virtual void OnClaimLost(const std::string& job, const std::string& holder,
+                           core::TimePoint now) = 0;
+  // The caller of a job that this entry coordinates waits at another entry.
+  virtual void OnReturn(const JobReturn& message, core::TimePoint now) = 0;
+
+  // For logs: another entry coordinates the job that is claimed.
+  virtual void OnHeld(const std::string& job, const std::string& holder) = 0;
+  // For logs: the entry has not answered a claim in time.
+  virtual void OnUnanswered(const std::string& entry) = 0;
+};
+
+}  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -67,6 +67,21 @@
   void Abandon(const std::string& job, core::TimePoint now);
 
   bool InProgress(const std::string& job) const;
+  // Whether the job is in progress or its runs are being stopped.
+  bool HasJob(const std::string& job) const { return jobs_.contains(job); }
+  // Whether the job is in progress, its runs are being stopped, or its outcome is remembered:
+  // a submission needs no new claim.
+  bool Knows(const std::string& job, core::TimePoint now) const;
+
+  // The caller of a job in progress waits until `deadline`, possibly at another entry.
+  void ExtendDeadline(const std::string& job, core::TimePoint deadline);
+
+  // Gives up a job that another entry coordinates now.
+  void Yield(const std::string& job, core::TimePoint now);
+
+  // Gives up all jobs: this process has stood still for so long that other entries may
+  // coordinate them now.
+  void YieldAll(core::TimePoint now);
 
   void OnWorkerDescription(const std::string& agent, const WorkerDescription& description);
   // `orders_seen` is the number of orders on the current connection that the
@@ -171,7 +186,6 @@
   void RemoveIfEnded(const std::string& id, core::TimePoint now);
   void AdvanceJob(Job& job, core::TimePoint now);
   void MoveQueuedRuns(Job& job, core::TimePoint now);
-  void RememberOutcome(const std::string& job, const JobOutcome& outcome, core::TimePoint now);
   void ForgetOutcomes(core::TimePoint now);
 
   Tuning tuning_;
--- a/packages/direct/include/coltsfoottide/direct/job_request.h
+++ b/packages/direct/include/coltsfoottide/direct/job_request.h
@@ -31,6 +31,8 @@
   core::TimePoint useful_until;
   // When the caller stops waiting.
   core::TimePoint deadline;
+  // Tasks of an earlier submission, through another entry, may have run.
+  bool may_have_run = false;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/time_bounds.h
+++ b/packages/direct/include/coltsfoottide/direct/time_bounds.h
@@ -25,4 +25,8 @@
 // its further submissions last.
 inline constexpr core::Duration kCrashRetention = std::chrono::seconds(30);
 
+// How long the outcome of a job is remembered: a duplicate of an answered submission may
+// arrive some seconds later.
+inline constexpr core::Duration kOutcomeRetention = std::chrono::seconds(10);
+
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/job.cc
+++ b/packages/direct/src/job.cc
@@ -11,6 +11,7 @@
     return it.may_have_run || stopping || it.state == State::kStarted ||
            it.state == State::kUnreachable || it.state == State::kDone;
   };
+  if (request.may_have_run) return true;
   return std::any_of(steps.begin(), steps.end(), [&](const std::vector<Task>& tasks) {
     return std::any_of(tasks.begin(), tasks.end(), uncertain);
   });
--- a/packages/direct/src/job.h
+++ b/packages/direct/src/job.h
@@ -32,6 +32,10 @@
   core::Duration expected_wait{};
   // The answer has been given; runs are being stopped.
   bool finished = false;
+  // Once finished, if submissions that arrive later get the same answer.
+  std::optional<JobOutcome> final_outcome;
+  // Another entry coordinates the job now: a resubmission needs a new claim.
+  bool claim_lost = false;
   // A submission with the same id that arrived while the runs of this one were
   // being stopped. It starts once they have ended.
   std::optional<JobRequest> resubmission;
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -14,9 +14,6 @@
 
 namespace {
 
-// A duplicate of an answered submission may arrive some seconds later.
-constexpr core::Duration kOutcomeRetention = std::chrono::seconds(10);
-
 // Work of all tasks of the step in millicore-milliseconds.
 std::uint64_t StepWork(const StepRequest& step) {
   return step.count * CpuWork(step.need, step.estimate);
@@ -77,7 +74,8 @@
     if (it.job == request.id) return sink_.Answer(it.job, it.outcome);
   }
   if (const auto it = jobs_.find(request.id); it != jobs_.end()) {
-    if (it->second->finished) it->second->resubmission = std::move(request);
+    if (!it->second->finished) return ExtendDeadline(request.id, request.deadline);
+    it->second->resubmission = std::move(request);
     return;
   }
   Begin(MakeJob(std::move(request)), now);
@@ -237,6 +235,36 @@
   return it != jobs_.end() && (!it->second->finished || it->second->resubmission);
 }
 
+bool JobDispatcher::Knows(const std::string& job, core::TimePoint now) const {
+  return jobs_.contains(job) ||
+         std::any_of(ended_.begin(), ended_.end(), [&job, now](const EndedJob& it) {
+           return it.job == job && now - it.time <= kOutcomeRetention;
+         });
+}
+
+void JobDispatcher::ExtendDeadline(const std::string& job, core::TimePoint deadline) {
+  const auto it = jobs_.find(job);
+  if (it == jobs_.end()) return;
+  JobRequest& request = it->second->request;
+  request.deadline = std::max(request.deadline, deadline);
+  request.useful_until = std::max(request.useful_until, deadline);
+}
+
+void JobDispatcher::Yield(const std::string& job, core::TimePoint now) {
+  const auto it = jobs_.find(job);
+  if (it == jobs_.end()) return;
+  const JobOutcome outcome{JobOutcome::Kind::kMayHaveRun, "another entry has the job", {}};
+  it->second->claim_lost = true;
+  if (!it->second->finished) Finish(*it->second, outcome, now);
+  RemoveIfEnded(job, now);
+}
+
+void JobDispatcher::YieldAll(core::TimePoint now) {
+  std::vector<std::string> ids;
+  for (const auto& [id, job] : jobs_) ids.push_back(id);
+  for (const std::string& it : ids) Yield(it, now);
+}
+
 void JobDispatcher::OnWorkerDescription(const std::string& agent,
                                         const WorkerDescription& description) {
   fleet_.Get(agent).OnDescription(description);
@@ -538,7 +566,12 @@
   job.finished = true;
   job.withdrawing = false;
   StopRuns(job);
-  RememberOutcome(job.request.id, outcome, now);
+  const bool final =
+      outcome.kind == JobOutcome::Kind::kCompleted || outcome.kind == JobOutcome::Kind::kFailed;
+  if (final) {
+    job.final_outcome = outcome;
+    ended_.push_back(EndedJob{job.request.id, outcome, now});
+  }
   sink_.Answer(job.request.id, outcome);
 }
 
@@ -580,7 +613,9 @@
   if (it == jobs_.end() || !it->second->finished || HasRuns(*it->second)) return;
   const std::unique_ptr<Job> job = std::move(it->second);
   jobs_.erase(it);
+  if (!job->resubmission || job->claim_lost) sink_.OnJobRemoved(id, job->final_outcome);
   if (!job->resubmission) return;
+  if (job->claim_lost) return sink_.OnClaimNeeded(std::move(*job->resubmission), now);
   auto next = MakeJob(std::move(*job->resubmission));
   // A backend server refuses a run whose number it has had.
   for (std::size_t step = 0; step < std::min(next->steps.size(), job->steps.size()); ++step) {
@@ -596,11 +631,4 @@
   while (!ended_.empty() && now - ended_.front().time > kOutcomeRetention) ended_.pop_front();
 }
 
-void JobDispatcher::RememberOutcome(const std::string& job, const JobOutcome& outcome,
-                                    core::TimePoint now) {
-  const bool final =
-      outcome.kind == JobOutcome::Kind::kCompleted || outcome.kind == JobOutcome::Kind::kFailed;
-  if (final) ended_.push_back(EndedJob{job, outcome, now});
-}
-
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/rendezvous_hash.cc
+++ b/packages/direct/src/rendezvous_hash.cc
@@ -1,7 +1,9 @@
 #include "coltsfoottide/direct/rendezvous_hash.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <utility>
 
 #include "coltsfoottide/core/stable_hash.h"
@@ -14,8 +16,10 @@
   std::vector<std::pair<std::uint64_t, std::string>> ranked;
   ranked.reserve(names.size());
   for (const std::string& it : names) ranked.emplace_back(core::StableHash(it, seed), it);
-  std::sort(ranked.rbegin(), ranked.rend());
-  ranked.resize(std::min(limit, ranked.size()));
+  const auto chosen_end =
+      ranked.begin() + static_cast<std::ptrdiff_t>(std::min(limit, ranked.size()));
+  std::partial_sort(ranked.begin(), chosen_end, ranked.end(), std::greater<>());
+  ranked.erase(chosen_end, ranked.end());
   std::vector<std::string> chosen;
   chosen.reserve(ranked.size());
   for (auto& [weight, name] : ranked) chosen.push_back(std::move(name));
--- a/packages/direct/test/recording_entry_sink.h
+++ b/packages/direct/test/recording_entry_sink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -20,6 +21,12 @@
   void Answer(const std::string& job, const JobOutcome& outcome) override {
     answers.emplace_back(job, outcome);
   }
+  void OnJobRemoved(const std::string& job, const std::optional<JobOutcome>& /*outcome*/) override {
+    removed.push_back(job);
+  }
+  void OnClaimNeeded(JobRequest request, core::TimePoint /*now*/) override {
+    to_claim.push_back(request.id);
+  }
   void SendOrder(const std::string& agent, const RunOrder& order) override {
     orders.push_back({agent, order.id});
   }
@@ -52,6 +59,8 @@
   }
 
   std::vector<std::pair<std::string, JobOutcome>> answers;
+  std::vector<std::string> removed;
+  std::vector<std::string> to_claim;
   std::vector<Sent> orders;
   std::vector<PlacedTask> placed;
   std::vector<Sent> stops;
--- a/packages/direct/test/resubmitted_job_test.cc
+++ b/packages/direct/test/resubmitted_job_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(LateReportOfAnEarlierSubmissionEndsNoRun);
   CPPUNIT_TEST(RunOfAnEarlierSubmissionIsStopped);
   CPPUNIT_TEST(SubmissionsThroughTwoEntriesDiffer);
+  CPPUNIT_TEST(ResubmissionAfterALostClaimIsClaimedAnew);
   CPPUNIT_TEST(QueuedOrderOfAnEarlierSubmissionIsHandedBack);
   CPPUNIT_TEST(OnlyTheLatestDeferredOrderIsKept);
   CPPUNIT_TEST(StopOfAnEarlierSubmissionStopsNothing);
@@ -56,6 +57,21 @@
     dispatcher.OnWorkerState(agent, IdleWorker(), 0, kStart);
   }
 
+  // Guards against an entry that starts a job again which another entry coordinates, because
+  // it was submitted while its runs were being stopped.
+  void ResubmissionAfterALostClaimIsClaimedAnew() {
+    dispatcher_->Submit(SampleJob("j", 1), kStart);
+    const RunId first = sink_.orders.at(0).id;
+    dispatcher_->OnReport("agent-1", {first, RunReport::Kind::kStarted, {}}, kStart + Ms(1));
+    dispatcher_->Yield("j", kStart + Ms(2));
+    CPPUNIT_ASSERT(sink_.answers.at(0).second.kind == JobOutcome::Kind::kMayHaveRun);
+    dispatcher_->Submit(SampleJob("j", 1), kStart + Ms(3));
+    dispatcher_->OnReport("agent-1", {first, RunReport::Kind::kLost, {}}, kStart + Ms(40));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.orders.size());
+    CPPUNIT_ASSERT(sink_.removed == std::vector<std::string>{"j"});
+    CPPUNIT_ASSERT(sink_.to_claim == std::vector<std::string>{"j"});
+  }
+
   // The job is placed, handed back, refused, and submitted again, which places it at the same
   // agent. Returns the runs of both submissions.
   std::pair<RunId, RunId> SubmitTwice() {
--- a/packages/direct/test/simulated_fleet.h
+++ b/packages/direct/test/simulated_fleet.h
@@ -188,6 +188,9 @@
       if (!answered.outcome) answered.answered = fleet.events_.now();
       answered.outcome = outcome;
     }
+    void OnJobRemoved(const std::string& /*job*/,
+                      const std::optional<JobOutcome>& /*outcome*/) override {}
+    void OnClaimNeeded(JobRequest /*request*/, core::TimePoint /*now*/) override {}
     void SendOrder(const std::string& agent, const RunOrder& order) override {
       fleet.ToAgent(*this, agent, [order](RunExecutor& it, const std::string& from, auto now) {
         it.OnOrder(from, order, now);
--- a/packages/direct/test/sustained_overload_test.cc
+++ b/packages/direct/test/sustained_overload_test.cc
@@ -155,6 +155,9 @@
       latest_refusal_ = std::max(latest_refusal_, now_ - submitted.at);
     }
   }
+  void OnJobRemoved(const std::string& /*job*/,
+                    const std::optional<JobOutcome>& /*outcome*/) override {}
+  void OnClaimNeeded(JobRequest /*request*/, core::TimePoint /*now*/) override {}
   void SendOrder(const std::string& agent, const RunOrder& order) override {
     Server& server = servers_.at(agent);
     ++server.orders;
