--- /dev/null
+++ b/packages/direct/benchmarks/job_claims_benchmark.cc
@@ -0,0 +1,82 @@
+#include <benchmark/benchmark.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coltsfoottide/direct/claim_release.h"
+#include "coltsfoottide/direct/claim_verdict.h"
+#include "coltsfoottide/direct/job_claim.h"
+#include "coltsfoottide/direct/job_claims.h"
+#include "coltsfoottide/direct/job_claims_sink.h"
+#include "coltsfoottide/direct/job_outcome.h"
+#include "coltsfoottide/direct/job_request.h"
+#include "coltsfoottide/direct/job_return.h"
+
+namespace coltsfoottide::direct {
+namespace {
+
+constexpr std::size_t kJobs = 1024;
+
+// Keeps the claims that have to be answered, and counts granted jobs.
+class ClaimCollector : public JobClaimsSink {
+ public:
+  void SendClaim(const std::string& entry, const JobClaim& claim) override {
+    claims.emplace_back(entry, claim);
+  }
+  void SendRelease(const std::string& /*entry*/, const ClaimRelease& release) override {
+    benchmark::DoNotOptimize(release.number);
+  }
+  void OnGranted(JobRequest /*request*/, core::TimePoint /*now*/) override { ++granted; }
+  void OnOutcome(const std::string& /*job*/, const JobOutcome& /*outcome*/) override {}
+  void OnClaimLost(const std::string& /*job*/, const std::string& /*holder*/,
+                   core::TimePoint /*now*/) override {}
+  void OnReturn(const JobReturn& /*message*/, core::TimePoint /*now*/) override {}
+  void OnHeld(const std::string& /*job*/, const std::string& /*holder*/) override {}
+  void OnUnanswered(const std::string& /*entry*/) override {}
+
+  std::vector<std::pair<std::string, JobClaim>> claims;
+  std::int64_t granted = 0;
+};
+
+// What an entry spends on the claim of one job; the argument is the number of entries.
+void ClaimAndRelease(benchmark::State& state) {
+  const core::TimePoint now{std::chrono::hours(1)};
+  ClaimCollector sink;
+  JobClaims claims("10.0.0.0", 1, sink);
+  for (std::int64_t i = 1; i < state.range(0); ++i) {
+    claims.OnConnected("10.0.0." + std::to_string(i), now);
+  }
+  claims.SetComplete(true, now);
+  std::vector<JobRequest> requests(kJobs);
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    requests[i].id = "job-" + std::to_string(i);
+    requests[i].deadline = now + std::chrono::seconds(5);
+  }
+  const JobOutcome outcome{JobOutcome::Kind::kCompleted, "", {}, {}};
+  std::size_t next = 0;
+  std::int64_t messages = 0;
+  for (auto _ : state) {
+    const JobRequest& request = requests[next++ % kJobs];
+    claims.Claim(request, now);
+    for (const auto& [entry, claim] : std::exchange(sink.claims, {})) {
+      claims.OnVerdict(
+          entry, {claim.job, claim.number, ClaimVerdict::Kind::kGranted, "10.0.0.0", {}}, now);
+      ++messages;
+    }
+    claims.Release(request.id, outcome);
+  }
+  if (sink.granted != state.iterations()) state.SkipWithError("a job was not granted");
+  state.counters["claims_per_job"] =
+      benchmark::Counter(static_cast<double>(messages), benchmark::Counter::kAvgIterations);
+}
+BENCHMARK(ClaimAndRelease)->Arg(3)->Arg(35)->Arg(200);
+
+}  // namespace
+}  // namespace coltsfoottide::direct
+
+BENCHMARK_MAIN();
