--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -32,6 +32,8 @@
 constexpr std::chrono::milliseconds kBalancerRemovalDelay{2500};
 constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
 constexpr core::Duration kGaugeInterval = std::chrono::seconds(1);
+// Several intervals of the timer.
+constexpr core::Duration kShortestPause = std::chrono::milliseconds(60);
 // Time after it has started or stood still for which an entry waits until all others that it
 // knows are connected. In the first part of it the ends of earlier connections are read.
 constexpr core::Duration kMinEntriesWait = std::chrono::milliseconds(200);
@@ -247,7 +249,7 @@
   submission.route = route.name;
   submission.submitted = now;
   jobs_by_request_[request.id] = job;
-  if (claims_.IsPending(job)) return;
+  if (claims_.IsPending(job)) return claims_.ExtendDeadline(job, accepted.deadline);
   if (dispatcher_.Knows(job, now)) {
     return dispatcher_.Submit(std::move(std::get<direct::JobRequest>(decoded)), now);
   }
@@ -281,7 +283,10 @@
 void DirectEntryRuntime::CheckPause(core::TimePoint now) {
   const core::TimePoint last_active = std::exchange(last_active_, now).value_or(now);
   const core::Duration pause = now - last_active;
-  if (pause > kPeerJitter) claim_registry_.OnPause(now);
+  if (pause > kShortestPause) {
+    claim_registry_.OnPause(now);
+    claims_.OnPause(now);
+  }
   if (pause < kRunLimit) return;
   logger_.Warn("process stood still",
                {{"ms", std::to_string(ToMs(pause))}, {"jobs", std::to_string(dispatcher_.size())}});
@@ -338,9 +343,9 @@
 
 void DirectEntryRuntime::OnClaimLost(const std::string& job, const std::string& holder,
                                      core::TimePoint now) {
+  if (!dispatcher_.Yield(job, now)) return;
   metrics_.Add("claims_lost", 1);
   logger_.Warn("claim lost", {{"job", job}, {"holder", holder}});
-  dispatcher_.Yield(job, now);
 }
 
 void DirectEntryRuntime::OnReturn(const direct::JobReturn& message, core::TimePoint now) {
@@ -522,8 +527,6 @@
 void DirectEntryRuntime::OnPeerConnected(const std::string& entry, bool records_claims,
                                          direct_wire::Frame& frame, core::TimePoint now) {
   CheckPause(now);
-  // An earlier connection to it is not reported as lost if this one replaces it.
-  claim_registry_.OnDisconnected(entry, now);
   claim_registry_.OnHeard(entry, now);
   if (records_claims) claims_.OnConnected(entry, now);
   for (const auto& [route, last_crash] : dispatcher_.IsolatedRoutes(now)) {
@@ -756,7 +759,8 @@
     caller_server_->BeginStop();
     GracefulStop::Plan plan;
     plan.limit = settings_.drain_limit - kBalancerRemovalDelay;
-    plan.idle = [this] { return caller_server_->pending() == 0; };
+    // Callers of jobs that are claimed may wait at other entries.
+    plan.idle = [this] { return caller_server_->pending() == 0 && claims_.size() == 0; };
     plan.on_end = [this, on_stopped] {
       logger_.Info("entry stopped", {{"unanswered", std::to_string(caller_server_->pending())}});
       on_stopped();
--- a/packages/daemon/src/entry_links_listener.h
+++ b/packages/daemon/src/entry_links_listener.h
@@ -33,7 +33,7 @@
   // claims.
   virtual void OnPeerConnected(const std::string& entry, bool records_claims,
                                direct_wire::Frame& frame, core::TimePoint now) = 0;
-  // The last connection to the entry has closed.
+  // The connection to the entry has closed, or another one replaces it.
   virtual void OnPeerLost(const std::string& entry, core::TimePoint now) = 0;
   // A frame of an entry that is connected; called before the calls for its parts.
   virtual void OnPeerFrame(const std::string& entry, const direct_wire::Frame& frame,
--- a/packages/direct/include/coltsfoottide/direct/claim_registry.h
+++ b/packages/direct/include/coltsfoottide/direct/claim_registry.h
@@ -59,7 +59,7 @@
   };
   struct Record {
     Claimant holder;
-    // Set while the holder is not connected.
+    // Set from when the holder's connection closes until it renews the claim.
     std::optional<core::TimePoint> lapses;
     std::deque<Claimant> waiting;
     std::optional<JobOutcome> outcome;
@@ -74,6 +74,8 @@
   void SendReturn(const std::string& job, const Claimant& holder, const Claimant& other);
   // The holder says that it coordinates the job: others that do must end their runs.
   void DismissHeld(const std::string& job, Record& record);
+  // Ends the claim of a holder whose runs are over.
+  void Lapse(const std::string& job);
   // Gives the job to the next claimant, or removes its record.
   void PassOn(const std::string& job);
   bool HasLapsed(const Record& record, core::TimePoint now) const;
--- a/packages/direct/include/coltsfoottide/direct/claim_verdict.h
+++ b/packages/direct/include/coltsfoottide/direct/claim_verdict.h
@@ -12,7 +12,8 @@
   enum class Kind {
     // The claimant is recorded as the coordinator.
     kGranted,
-    // Another entry is. Further verdicts follow once it has ended the job or is gone.
+    // Another entry is. If the claimant does not coordinate the job itself, further verdicts
+    // follow once the other one has ended the job or is gone.
     kHeld,
     // The job has ended; `outcome` is the answer to all submissions.
     kEnded,
--- a/packages/direct/include/coltsfoottide/direct/job_claims.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims.h
@@ -36,6 +36,9 @@
   // Whether the job is claimed and not granted yet.
   bool IsPending(const std::string& job) const;
 
+  // A further caller of a job that is pending waits until `deadline`.
+  void ExtendDeadline(const std::string& job, core::TimePoint deadline);
+
   // The callers of a job that is pending have gone.
   void Withdraw(const std::string& job);
 
@@ -50,6 +53,8 @@
   // or has forgotten, are sent to it.
   void OnConnected(const std::string& entry, core::TimePoint now);
   void OnDisconnected(const std::string& entry, core::TimePoint now);
+  // This process has stood still, so that answers that have arrived meanwhile are not read yet.
+  void OnPause(core::TimePoint now);
   // Something has arrived from the entry.
   void OnHeard(const std::string& entry) { unresponsive_.erase(entry); }
 
--- a/packages/direct/src/claim_registry.cc
+++ b/packages/direct/src/claim_registry.cc
@@ -42,7 +42,7 @@
     return SendVerdict(claim.job, claimant, {"", 0, Kind::kGranted, entry, {}});
   }
   Queue(claim.job, record, claimant);
-  if (HasLapsed(record, now)) return PassOn(claim.job);
+  if (HasLapsed(record, now)) return Lapse(claim.job);
   const Claimant holder = record.holder;
   const bool connected = !record.lapses;
   if (!claim.held) {
@@ -120,7 +120,21 @@
   const Claimant holder = record.holder;
   const std::deque<Claimant> waiting = record.waiting;
   SendVerdict(job, holder, {"", 0, ClaimVerdict::Kind::kGranted, holder.entry, {}});
-  for (const Claimant& it : waiting) SendReturn(job, holder, it);
+  for (const Claimant& it : waiting) {
+    if (!it.held) SendVerdict(job, it, {"", 0, ClaimVerdict::Kind::kHeld, holder.entry, {}});
+    SendReturn(job, holder, it);
+  }
+}
+
+void ClaimRegistry::Lapse(const std::string& job) {
+  const Record& record = records_.at(job);
+  const Claimant lapsed = record.holder;
+  const std::string next = record.waiting.empty() ? "" : record.waiting.front().entry;
+  PassOn(job);
+  // If the former holder only stood still, it reads that it no longer coordinates the job.
+  if (!next.empty() && next != lapsed.entry) {
+    SendVerdict(job, lapsed, {"", 0, ClaimVerdict::Kind::kHeld, next, {}});
+  }
 }
 
 bool ClaimRegistry::HasLapsed(const Record& record, core::TimePoint now) const {
@@ -156,13 +170,7 @@
       watched_.erase(job);
       continue;
     }
-    if (!HasLapsed(it->second, now)) continue;
-    const Claimant lapsed = it->second.holder;
-    const std::string next = contested ? it->second.waiting.front().entry : "";
-    PassOn(job);
-    if (!contested) continue;
-    // If the former holder only stood still, it reads that it no longer coordinates the job.
-    SendVerdict(job, lapsed, {"", 0, ClaimVerdict::Kind::kHeld, next, {}});
+    if (HasLapsed(it->second, now)) Lapse(job);
   }
   while (!ended_.empty() && now - ended_.front().time > kOutcomeRetention) {
     records_.erase(ended_.front().job);
--- a/packages/direct/src/job_claims.cc
+++ b/packages/direct/src/job_claims.cc
@@ -181,6 +181,12 @@
   }
 }
 
+void JobClaims::ExtendDeadline(const std::string& job, core::TimePoint deadline) {
+  const auto it = claims_.find(job);
+  if (it == claims_.end() || !it->second.request) return;
+  it->second.request->deadline = std::max(it->second.request->deadline, deadline);
+}
+
 void JobClaims::Withdraw(const std::string& job) {
   if (pending_.contains(job)) Release(job, std::nullopt);
 }
@@ -248,6 +254,14 @@
   });
 }
 
+void JobClaims::OnPause(core::TimePoint now) {
+  for (auto& [job, claim] : claims_) {
+    for (auto& [entry, answer] : claim.answers) {
+      if (answer.state == Answer::State::kNone) answer.asked_at = now;
+    }
+  }
+}
+
 void JobClaims::Renew(core::TimePoint now) {
   const auto take_due = [now](std::deque<Timer>& timers) {
     std::vector<Timer> due;
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -250,13 +250,14 @@
   request.useful_until = std::max(request.useful_until, deadline);
 }
 
-void JobDispatcher::Yield(const std::string& job, core::TimePoint now) {
+bool JobDispatcher::Yield(const std::string& job, core::TimePoint now) {
   const auto it = jobs_.find(job);
-  if (it == jobs_.end()) return;
+  if (it == jobs_.end() || it->second->claim_lost) return false;
   const JobOutcome outcome{JobOutcome::Kind::kMayHaveRun, "another entry has the job", {}};
   it->second->claim_lost = true;
   if (!it->second->finished) Finish(*it->second, outcome, now);
   RemoveIfEnded(job, now);
+  return true;
 }
 
 void JobDispatcher::YieldAll(core::TimePoint now) {
--- a/packages/direct/test/job_claims_test.cc
+++ b/packages/direct/test/job_claims_test.cc
@@ -250,6 +250,9 @@
   CPPUNIT_TEST(SimultaneousClaimsDoNotBlockEachOther);
   CPPUNIT_TEST(SecondSubmissionEndsAtItsDeadline);
   CPPUNIT_TEST(EntryAloneGrantsItself);
+  CPPUNIT_TEST(ClaimAtTheLapseOfAnotherIsAnswered);
+  CPPUNIT_TEST(AnswersThatAreNotReadYetAreWaitedFor);
+  CPPUNIT_TEST(LaterCallerIsWaitedFor);
   CPPUNIT_TEST(ReleasedClaimsLeaveNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -534,6 +537,53 @@
     CPPUNIT_ASSERT_EQUAL(std::string("entry-0"), entries_.Coordinators("j"));
   }
 
+  // Guards against two entries that coordinate a job, because a claim that arrives when an
+  // earlier one has lapsed passes the job to another waiting entry and is not answered.
+  void ClaimAtTheLapseOfAnotherIsAnswered() {
+    struct Verdicts : ClaimRegistrySink {
+      void SendVerdict(const std::string& entry, const ClaimVerdict& verdict) override {
+        kinds[entry] = verdict.kind;
+      }
+      void SendReturn(const std::string& /*entry*/, const JobReturn& /*message*/) override {}
+      std::map<std::string, ClaimVerdict::Kind> kinds;
+    } verdicts;
+    ClaimRegistry registry(kTuning, verdicts);
+    registry.OnClaim("dead", {"j", 1, false, Ms(5000)}, kStart);
+    registry.OnClaim("waiting", {"j", 2, false, Ms(5000)}, kStart);
+    registry.OnDisconnected("dead", kStart);
+    registry.OnClaim("late", {"j", 3, false, Ms(5000)}, kStart + Ms(1250));
+    CPPUNIT_ASSERT(verdicts.kinds.at("waiting") == ClaimVerdict::Kind::kGranted);
+    CPPUNIT_ASSERT(verdicts.kinds.contains("late"));
+    CPPUNIT_ASSERT(verdicts.kinds.at("late") == ClaimVerdict::Kind::kHeld);
+  }
+
+  // Guards against an entry that stood still and takes answers that it has not read yet for
+  // missing ones.
+  void AnswersThatAreNotReadYetAreWaitedFor() {
+    entries_.Reset(3);
+    const std::vector<std::string> rank = entries_.Rank("j");
+    entries_.Submit(rank[0], "j");
+    JobRequest request = SampleJob("j", 1);
+    request.deadline = entries_.now + Ms(5000);
+    JobClaims& claims = entries_.at(rank[2]).claims;
+    claims.Claim(request, entries_.now);
+    entries_.now += Ms(800);
+    claims.OnPause(entries_.now);
+    claims.Advance(entries_.now);
+    entries_.Deliver();
+    CPPUNIT_ASSERT_EQUAL(rank[0], entries_.Coordinators("j"));
+  }
+
+  // Guards against a caller that is given up at the deadline of an earlier one that waited for
+  // the same job.
+  void LaterCallerIsWaitedFor() {
+    entries_.Submit("entry-0", "j");
+    entries_.Submit("entry-1", "j");
+    entries_.at("entry-1").claims.ExtendDeadline("j", entries_.now + Ms(8000));
+    entries_.Advance(Ms(6000));
+    CPPUNIT_ASSERT(entries_.at("entry-1").claims.IsPending("j"));
+  }
+
   // Guards against records that grow with each job.
   void ReleasedClaimsLeaveNothing() {
     for (int i = 0; i < 100; ++i) {
