--- a/scripts/lib/leaving_callers.py
+++ b/scripts/lib/leaving_callers.py
@@ -17,7 +17,7 @@
 import time
 
 from fleet import FleetError
-from forwarder import KINDS, Forwarder
+from forwarder import KINDS
 from soak import CALL_PORT, RETRY_DELAY_S, Soak
 
 ENTRIES, CALLERS, TASKS, TASK_MS = 4, 4, 2, 2400
@@ -34,11 +34,6 @@
         self.rng = random.Random(options.seed)
         self.fleet = Soak(options.build.resolve(), folder, options.seed, options.slot, ENTRIES)
         self.history = self.fleet.history
-        self.hosts = {kind: [f"127.{9 + n}.{options.slot}.{e + 1}" for e in range(ENTRIES)]
-                      for n, kind in enumerate(KINDS)}
-        for kind, hosts in self.hosts.items():
-            for host, entry in zip(hosts, self.fleet.entry_hosts):
-                Forwarder((host, CALL_PORT), (entry, CALL_PORT), kind)
         self.errors = []
 
     def submit(self, host, job, leaves_after=None):
@@ -87,7 +82,8 @@
     def play(self, kind, trouble, number):
         first, second, failing, _ = self.rng.sample(range(ENTRIES), ENTRIES)
         callers = [threading.Thread(target=self.run_caller, daemon=True, args=(
-            self.hosts[kind], f"{number:08x}{n:08x}", first, second)) for n in range(CALLERS)]
+            self.fleet.balancers[kind], f"{number:08x}{n:08x}", first, second))
+            for n in range(CALLERS)]
         overlaps = len(self.history.errors)
         errors = len(self.errors)
         for it in callers:
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -1,10 +1,12 @@
 """Runs entries and agents under random faults and checks the histories of
 callers and backend servers.
 
-The direct roles run as separate processes on loopback addresses of their own.
-Before the random faults an entry dies, callers that were refused come back, and a data
-centre is evacuated. Then faults are injected from outside, in overlapping series drawn
-from the seed.
+The direct roles run as separate processes on loopback addresses of their own. Callers reach
+the entries directly and through load balancers. Some close their connection before they have
+an answer, and submit their job again through any entry.
+Before the random faults an entry dies, callers leave while their jobs run, callers that were
+refused come back, and a data centre is evacuated. Then faults are injected from outside, in
+overlapping series drawn from the seed.
 """
 
 import argparse
@@ -20,13 +22,17 @@
 import time
 
 from fleet import FleetError, Process, write_toml
+from forwarder import KINDS, Forwarder
 from platform_standin import Store, BackendServer
 from relay import Relay
 
-ENTRIES, BACKENDS, CALLERS, FAULT_SERIES = 2, 4, 8, 2
+ENTRIES, BACKENDS, CALLERS, FAULT_SERIES = 3, 4, 8, 2
 LINK_PORT, CALL_PORT, READY_PORT = 17010, 17011, 17012
 REPORT_PORT, BACKEND_PORT, STORE_PORT = 17013, 17014, 17015
 RETRY_DELAY_S, CALL_TIMEOUT_S = 1.3, 2.5
+# Of a job, all submissions but the last may be left: the caller closes its connection after
+# LEAVES_AFTER_S without an answer. This share of them is.
+SUBMISSIONS, LEAVING_SHARE, LEAVES_AFTER_S = 4, 0.4, (0.1, 1.0)
 # A caller that is refused comes back after the time in Retry-After, or at the latest after
 # this time.
 MAX_RETRY_AFTER_S = 3.0
@@ -43,6 +49,9 @@
 # Before the random faults an entry dies ENTRY_DEATH_S after it was given tasks that outlast
 # the pause after which their callers submit them again.
 LONG_TASK_MS, ENTRY_DEATH_S = 1800, 0.2
+# Before the random faults callers leave after EARLY_LEAVE_S, and are back elsewhere while their
+# tasks of LONG_TASK_MS would still run.
+EARLY_LEAVE_S = 0.1
 # Before the random faults tasks of FILLER_MS fill all backend servers, so that the jobs
 # behind them, of RETURNING_TASKS tasks, are refused and come back.
 FILLER_MS, RETURNING_TASKS, RETURNING_MS, RETURNING_ESTIMATE_MS = 2600, 4, 400, 60
@@ -62,6 +71,8 @@
         self.lock = threading.Lock()
         self.active_runs, self.completed_tasks, self.started = {}, {}, set()
         self.errors, self.starts, self.answers = [], 0, []
+        # Number of submissions that their callers have left.
+        self.left = 0
         self.crashes, self.late_starts = {}, {}
         # Backend servers at which no task may start after a time.
         self.closed = {}
@@ -92,6 +103,10 @@
             if how == "done":
                 self.completed_tasks.setdefault(task.split(".")[0], set()).add(task)
 
+    def leave(self):
+        with self.lock:
+            self.left += 1
+
     def answer(self, job, tasks, statuses, body, refused_only, crashing):
         status = statuses[-1]
         with self.lock:
@@ -144,6 +159,12 @@
                 "http_listen": f"{ip}:{REPORT_PORT}",
                 "backend_url": f"http://{relayed}:{BACKEND_PORT}"}, f"{ip}:{REPORT_PORT}"))
         self.entry_hosts = hosts
+        # Load balancers in front of the entries: their addresses by kind.
+        self.balancers = {kind: [address(9 + k, n) for n in range(entries)]
+                          for k, kind in enumerate(KINDS)}
+        for kind, addresses in self.balancers.items():
+            for it, ip in zip(addresses, hosts):
+                Forwarder((it, CALL_PORT), (ip, CALL_PORT), kind)
         self.running = True
         # Jobs that were refused and are submitted again, see run_returning_callers.
         self.returning = []
@@ -169,16 +190,17 @@
         self.store.append("keyed.op", "config", json.dumps(config).encode())
 
     def call_once(self, host, job, tasks, ms, crashing, estimate=None, chain=0,
-                  timeout=CALL_TIMEOUT_S):
+                  timeout=CALL_TIMEOUT_S, leaves_after=None):
         """Returns the status, or 0 without an answer, the body, and the time to wait before
         the next attempt, or None if there is to be none. `chain`: number of further steps of
-        one task, one after the other."""
+        one task, one after the other. `leaves_after`: the caller waits only for this time, which
+        the entry is not told."""
         step = {"Cpu": TASK_CPU, "MemMb": 64, "EstimateMs": estimate or ms}
         steps = [{"Count": tasks, **step}]
         steps += [{"Count": 1, "After": [n], **step} for n in range(chain)]
         spec = f"{ms} {TASK_CPU}" + (f" {tasks - 1}" if crashing else "")
         body = json.dumps({"Spec": spec, "BestEffort": True, "Steps": steps})
-        link = http.client.HTTPConnection(host, CALL_PORT, timeout=timeout)
+        link = http.client.HTTPConnection(host, CALL_PORT, timeout=leaves_after or timeout)
         try:
             link.request("POST", f"/j/{job}", body, {
                 "Host": "h", "X-Deadline-Ms": str(int(timeout * 1000))})
@@ -189,7 +211,9 @@
             elif reply.status in (429, 503) and not crashing:
                 delay = min(float(reply.headers.get("Retry-After") or 1.0), MAX_RETRY_AFTER_S)
             return reply.status, reply.read(), delay
-        except (OSError, http.client.HTTPException):
+        except (OSError, http.client.HTTPException) as error:
+            if leaves_after and isinstance(error, TimeoutError):
+                self.history.leave()
             return 0, b"", RETRY_DELAY_S
         finally:
             link.close()
@@ -222,7 +246,7 @@
         """Submits a job to the first entry, and again to the second one if there is no answer."""
         job = f"{0xffff:04x}{number:012x}"
         statuses = []
-        for host in self.entry_hosts:
+        for host in self.entry_hosts[:2]:
             status, body, delay = self.call_once(host, job, 1, LONG_TASK_MS, False)
             statuses.append(status)
             if delay is None:
@@ -337,8 +361,33 @@
         self.entries[0].start()
         self.entries[0].wait_ready()
 
+    def leave_long_job(self, number):
+        """Submits a job to the first entry, which does not notice that the caller leaves, and
+        again to the second one."""
+        job = f"{0xfffa:04x}{number:012x}"
+        statuses = []
+        for host, leaves_after in ((self.balancers["never"][0], EARLY_LEAVE_S),
+                                   (self.entry_hosts[1], None)):
+            status, body, delay = self.call_once(host, job, 1, LONG_TASK_MS, False,
+                                                 leaves_after=leaves_after)
+            statuses.append(status)
+            if delay is None:
+                break
+            time.sleep(delay)
+        self.history.answer(job, 1, statuses, body, False, False)
+
+    def run_leaving_callers(self):
+        """Two runs of a task overlap unless the second entry learns of the first one's."""
+        callers = [threading.Thread(target=self.leave_long_job, args=(n,), daemon=True)
+                   for n in range(CALLERS)]
+        for it in callers:
+            it.start()
+        for it in callers:
+            it.join()
+
     def run_caller(self, number, seed):
         rng = random.Random(seed)
+        ways = [self.entry_hosts, *self.balancers.values()]
         count = 0
         while self.running:
             count += 1
@@ -346,11 +395,17 @@
             tasks, ms = rng.choice([(2, 60), (3, 120), (1, 400), (1, 1800)])
             crashing = rng.random() < CRASHING_SHARE and self.begin_crashing_job()
             statuses = []
-            for _ in range(4):
+            for n in range(SUBMISSIONS):
+                leaves_after = None
+                if n + 1 < SUBMISSIONS and self.running and rng.random() < LEAVING_SHARE:
+                    leaves_after = rng.uniform(*LEAVES_AFTER_S)
                 status, body, delay = self.call_once(
-                    rng.choice(self.entry_hosts), job, tasks, ms, crashing)
+                    rng.choice(rng.choice(ways)), job, tasks, ms, crashing,
+                    leaves_after=leaves_after)
                 statuses.append(status)
-                if delay is None or not self.running:
+                # The job of a caller that has left is submitted again in any case.
+                left = leaves_after and status == 0
+                if delay is None or not (self.running or left):
                     break
                 time.sleep(delay)
             if crashing:
@@ -450,6 +505,7 @@
             self.run_entry_death()
             # A restarted entry refuses until its configuration is settled.
             self.wait_served(1)
+            self.run_leaving_callers()
             self.run_returning_callers()
             self.run_evacuation()
             callers = [threading.Thread(target=self.run_caller, args=(n, seed * 1000 + n),
@@ -508,8 +564,9 @@
     history = soak.history
     served = sum(1 for *_, statuses in history.answers if statuses[-1] == 200)
     print(f"soak: seed={options.seed} jobs={len(history.answers)} served={served} "
-          f"starts={history.starts} crashes={sum(history.crashes.values())} faults={json.dumps(counts, sort_keys=True)} "
-          f"errors={len(history.errors)}")
+          f"left={history.left} starts={history.starts} "
+          f"crashes={sum(history.crashes.values())} "
+          f"faults={json.dumps(counts, sort_keys=True)} errors={len(history.errors)}")
     for it in history.errors[:10]:
         print(f"  {it}")
     if bool(history.errors) != options.broken:
