--- a/packages/direct/include/coltsfoottide/direct/job_claims.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims.h
@@ -21,9 +21,14 @@
 // Makes sure that one entry at a time coordinates a job, although a caller whose connection
 // has broken submits it again through any entry, and the first one may not have noticed. An
 // entry claims each job before it places a task. Claims are recorded by the two entries that
-// rank highest for the job (see HighestRanked), so that what a job costs does not depend on
-// the number of entries, and one of the two may be dead, cut off or slow. While one does not
-// answer, the next in rank is asked as well. Does no I/O.
+// rank highest for the job (see HighestRanked), so that the messages of a job do not depend on
+// the number of entries. Does no I/O.
+//
+// A claim is granted when one of the two agrees and the other one agrees as well or does not
+// answer; then the next in rank is asked in its place. The claims of two entries meet at one
+// entry at least as long as one of the two that rank highest remembers the first claim: it is
+// told to both and sent again every half second, and moves when entries come or go. Entries
+// that are cut off from each other may both be granted a job.
 class JobClaims {
  public:
   // `self`: name of this entry. `first_number`: see JobClaim; random, so that claims of
@@ -49,8 +54,8 @@
   // `entry`: the one that records the claim.
   void OnReturn(const std::string& entry, const JobReturn& message, core::TimePoint now);
 
-  // Entries that record claims, without this one. Claims that the entry may not have received,
-  // or has forgotten, are sent to it.
+  // An entry that records claims has connected, possibly in place of an earlier connection.
+  // Claims that it may not have received, or has forgotten, are sent to it.
   void OnConnected(const std::string& entry, core::TimePoint now);
   void OnDisconnected(const std::string& entry, core::TimePoint now);
   // This process has stood still, so that answers that have arrived meanwhile are not read yet.
@@ -90,17 +95,18 @@
     core::TimePoint not_before;
     // By entry that records the claim.
     std::map<std::string, Answer> answers;
-    // See changes_.
+    // Value of changes_ when it was last made sure that the entries that rank highest are asked.
     std::uint64_t asked_at_change = 0;
   };
 
-  void Ask(const std::string& job, const std::vector<std::string>& entries, core::TimePoint now);
   struct Timer {
     core::TimePoint due;
     std::string job;
     std::uint32_t number = 0;
   };
 
+  // Sends the claim to the entries, which have to answer it.
+  void Ask(const std::string& job, const std::vector<std::string>& entries, core::TimePoint now);
   // Asks the entries that should record the claim and have not been asked.
   void AskMissing(const std::string& job, core::TimePoint now);
   // Marks the entries that have not answered the claim in time.
@@ -111,11 +117,13 @@
   bool IsGrantedByRecorder(const std::string& job, const ClaimState& claim) const;
   // Grants a pending job if the entries that answer agree.
   void Settle(const std::string& job, core::TimePoint now);
+  // Whether an answer of the entry is missing that is not waited for any longer.
   bool IsUnresponsive(const std::string& entry, const Answer& answer, core::TimePoint now) const;
   void SendReleases(const std::string& job, const ClaimState& claim,
                     const std::optional<JobOutcome>& outcome);
   // Releases a pending claim and claims the job anew, after the others that wait for it.
   void GiveWay(const std::string& job, core::TimePoint now);
+  // Withdraws a pending claim and answers its callers.
   void EndPending(const std::string& job, const JobOutcome& outcome);
 
   const std::string self_;
