--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -32,12 +32,6 @@
 constexpr std::chrono::milliseconds kBalancerRemovalDelay{2500};
 constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
 constexpr core::Duration kGaugeInterval = std::chrono::seconds(1);
-// Several intervals of the timer.
-constexpr core::Duration kShortestPause = std::chrono::milliseconds(60);
-// Time after it has started or stood still for which an entry waits until all others that it
-// knows are connected. In the first part of it the ends of earlier connections are read.
-constexpr core::Duration kMinEntriesWait = std::chrono::milliseconds(200);
-constexpr core::Duration kEntriesWait = std::chrono::seconds(1);
 std::string WithoutPort(const std::string& host) { return host.substr(0, host.find(':')); }
 
 const char* KindName(direct::JobOutcome::Kind kind) {
@@ -73,14 +67,13 @@
       metrics_(metrics),
       metrics_server_(metrics),
       dispatcher_(MakeTuning(settings), settings.data_centre, settings.far_factor, *this),
-      running_since_(BootNow()),
-      initial_view_(running_since_),
+      initial_view_(BootNow()),
       links_(static_cast<std::uint64_t>(BootNow().time_since_epoch().count()), settings.data_centre,
              *this, logger),
-      claims_(
+      claim_exchange_(
           ParseEndpoint(settings.advertise.empty() ? settings.listen : settings.advertise)->address,
-          static_cast<std::uint32_t>(MakeRandomId()), *this),
-      claim_registry_({kDisconnectedClaimLimit, kSilentClaimLimit}, *this) {}
+          links_, *this, logger, metrics, BootNow()),
+      claims_(claim_exchange_.claims()) {}
 
 DirectEntryRuntime::~DirectEntryRuntime() = default;
 
@@ -283,15 +276,10 @@
 void DirectEntryRuntime::CheckPause(core::TimePoint now) {
   const core::TimePoint last_active = std::exchange(last_active_, now).value_or(now);
   const core::Duration pause = now - last_active;
-  if (pause > kShortestPause) {
-    claim_registry_.OnPause(now);
-    claims_.OnPause(now);
-  }
+  claim_exchange_.OnPause(pause, now);
   if (pause < kRunLimit) return;
   logger_.Warn("process stood still",
                {{"ms", std::to_string(ToMs(pause))}, {"jobs", std::to_string(dispatcher_.size())}});
-  running_since_ = now;
-  claims_.SetComplete(false, now);
   dispatcher_.YieldAll(now);
 }
 
@@ -304,40 +292,14 @@
   claims_.Claim(std::move(request), now);
 }
 
-void DirectEntryRuntime::SendClaim(const std::string& entry, const direct::JobClaim& claim) {
-  if (entry == links_.name()) return claim_registry_.OnClaim(entry, claim, BootNow());
-  if (auto* frame = links_.FrameToEntry(entry)) {
-    WriteJobClaim(claim, *frame->add_claim_steps()->mutable_claim());
-  }
-}
-
-void DirectEntryRuntime::SendRelease(const std::string& entry,
-                                     const direct::ClaimRelease& release) {
-  if (entry == links_.name()) return claim_registry_.OnRelease(entry, release, BootNow());
-  if (auto* frame = links_.FrameToEntry(entry)) {
-    WriteRelease(release, *frame->add_claim_steps()->mutable_release());
-  }
-}
-
-void DirectEntryRuntime::SendVerdict(const std::string& entry,
-                                     const direct::ClaimVerdict& verdict) {
-  if (entry == links_.name()) return claims_.OnVerdict(entry, verdict, BootNow());
-  if (auto* frame = links_.FrameToEntry(entry)) WriteVerdict(verdict, *frame->add_claim_verdicts());
-}
-
-void DirectEntryRuntime::SendReturn(const std::string& entry, const direct::JobReturn& message) {
-  if (entry == links_.name()) return claims_.OnReturn(entry, message, BootNow());
-  if (auto* frame = links_.FrameToEntry(entry)) WriteReturn(message, *frame->add_job_returns());
-}
-
-void DirectEntryRuntime::OnGranted(direct::JobRequest request, core::TimePoint now) {
+void DirectEntryRuntime::OnClaimGranted(direct::JobRequest request, core::TimePoint now) {
   const std::string job = request.id;
   dispatcher_.Submit(std::move(request), now);
   // The outcome was remembered, so that no run was placed.
   if (!dispatcher_.HasJob(job)) claims_.Release(job, std::nullopt);
 }
 
-void DirectEntryRuntime::OnOutcome(const std::string& job, const direct::JobOutcome& outcome) {
+void DirectEntryRuntime::OnClaimEnded(const std::string& job, const direct::JobOutcome& outcome) {
   Answer(job, outcome);
 }
 
@@ -348,26 +310,16 @@
   logger_.Warn("claim lost", {{"job", job}, {"holder", holder}});
 }
 
-void DirectEntryRuntime::OnReturn(const direct::JobReturn& message, core::TimePoint now) {
-  const auto it = submissions_.find(message.job);
+void DirectEntryRuntime::OnAwaitedElsewhere(const std::string& job, const std::string& entry,
+                                            core::TimePoint deadline, core::TimePoint now) {
+  const auto it = submissions_.find(job);
   if (it == submissions_.end()) return;
   if (!std::exchange(it->second.awaited_elsewhere, true)) {
+    const core::Duration elapsed = now - it->second.submitted;
     logger_.Warn("job submitted to another entry",
-                 {{"job", message.job},
-                  {"entry", message.entry},
-                  {"elapsed_ms", std::to_string(ToMs(now - it->second.submitted))}});
+                 {{"job", job}, {"entry", entry}, {"elapsed_ms", std::to_string(ToMs(elapsed))}});
   }
-  dispatcher_.ExtendDeadline(message.job, now + message.wait);
-}
-
-void DirectEntryRuntime::OnHeld(const std::string& job, const std::string& holder) {
-  metrics_.Add("jobs_held_elsewhere", 1);
-  logger_.Warn("job is at another entry", {{"job", job}, {"entry", holder}});
-}
-
-void DirectEntryRuntime::OnUnanswered(const std::string& entry) {
-  metrics_.Add("claims_unanswered", 1);
-  logger_.Warn("claim not answered", {{"entry", entry}});
+  dispatcher_.ExtendDeadline(job, deadline);
 }
 
 void DirectEntryRuntime::Answer(const std::string& job, const direct::JobOutcome& outcome) {
@@ -527,8 +479,7 @@
 void DirectEntryRuntime::OnPeerConnected(const std::string& entry, bool records_claims,
                                          direct_wire::Frame& frame, core::TimePoint now) {
   CheckPause(now);
-  claim_registry_.OnHeard(entry, now);
-  if (records_claims) claims_.OnConnected(entry, now);
+  claim_exchange_.OnPeerConnected(entry, records_claims, now);
   for (const auto& [route, last_crash] : dispatcher_.IsolatedRoutes(now)) {
     WriteIsolatedRoute(route, now - last_crash, *frame.add_crashing_routes());
   }
@@ -540,29 +491,13 @@
 
 void DirectEntryRuntime::OnPeerLost(const std::string& entry, core::TimePoint now) {
   CheckPause(now);
-  claim_registry_.OnDisconnected(entry, now);
-  claims_.OnDisconnected(entry, now);
+  claim_exchange_.OnPeerLost(entry, now);
 }
 
 void DirectEntryRuntime::OnPeerFrame(const std::string& entry, const direct_wire::Frame& frame,
                                      core::TimePoint now) {
   CheckPause(now);
-  claim_registry_.OnHeard(entry, now);
-  claims_.OnHeard(entry);
-  for (const direct_wire::ClaimStep& it : frame.claim_steps()) {
-    if (it.has_claim()) claim_registry_.OnClaim(entry, ReadJobClaim(it.claim()), now);
-    if (it.has_release()) claim_registry_.OnRelease(entry, ReadRelease(it.release()), now);
-  }
-  for (const direct_wire::ClaimVerdict& it : frame.claim_verdicts()) {
-    if (const auto verdict = ReadVerdict(it)) {
-      claims_.OnVerdict(entry, *verdict, now);
-    } else {
-      logger_.Warn("verdict ignored", {{"entry", entry}, {"job", it.job()}});
-    }
-  }
-  for (const direct_wire::JobReturn& it : frame.job_returns()) {
-    claims_.OnReturn(entry, ReadReturn(it), now);
-  }
+  claim_exchange_.OnPeerFrame(entry, frame, now);
 }
 
 void DirectEntryRuntime::OnPeerCancel(const std::string& job, core::TimePoint now) {
@@ -717,11 +652,7 @@
   CheckPause(now);
   links_.Advance([this](const std::string& agent) { return dispatcher_.HasRunsAt(agent); }, now);
   if (!announced_ && !stopping_ && operator_topic_->reachable()) Announce();
-  const core::Duration age = now - running_since_;
-  const bool connected = age > kMinEntriesWait && links_.all_entries_connected();
-  claims_.SetComplete(connected || age > kEntriesWait, now);
-  claim_registry_.Advance(now);
-  claims_.Advance(now);
+  claim_exchange_.Advance(now);
   dispatcher_.Advance(now);
   SetGauges(now);
 }
@@ -733,7 +664,7 @@
   const auto configuration = view_.configuration();
   metrics_.Set("jobs_in_progress", dispatcher_.size());
   metrics_.Set("claims", claims_.size());
-  metrics_.Set("claims_recorded", claim_registry_.size());
+  metrics_.Set("claims_recorded", claim_exchange_.recorded());
   metrics_.Set("agents_connected", links_.connected_agents());
   metrics_.Set("entries_known", links_.known_entries());
   metrics_.Set("links", links_.links());
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -9,14 +9,12 @@
 #include <string_view>
 #include <vector>
 
+#include "claim_exchange.h"
+#include "claim_exchange_listener.h"
 #include "coltsfoottide/daemon/runtime.h"
 #include "coltsfoottide/daemon/settings.h"
-#include "coltsfoottide/direct/claim_registry.h"
-#include "coltsfoottide/direct/claim_registry_sink.h"
 #include "coltsfoottide/direct/entry_sink.h"
 #include "coltsfoottide/direct/initial_view.h"
-#include "coltsfoottide/direct/job_claims.h"
-#include "coltsfoottide/direct/job_claims_sink.h"
 #include "coltsfoottide/direct/job_dispatcher.h"
 #include "coltsfoottide/direct/operator_view.h"
 #include "coltsfoottide/http/server.h"
@@ -37,8 +35,7 @@
 // store. Runs on the Qt thread only.
 class DirectEntryRuntime : public Runtime,
                            private direct::EntrySink,
-                           private direct::JobClaimsSink,
-                           private direct::ClaimRegistrySink,
+                           private ClaimExchangeListener,
                            private EntryLinksListener {
  public:
   DirectEntryRuntime(const Settings& settings, Logger& logger, Metrics& metrics);
@@ -52,7 +49,7 @@
   // The HTTP requests that wait for the outcome of one job.
   struct Submission {
     std::vector<std::uint64_t> requests;
-    // The caller waits at another entry, to which the outcome goes.
+    // A caller waits at another entry, to which the outcome goes.
     bool awaited_elsewhere = false;
     std::string route;
     core::TimePoint submitted;
@@ -77,19 +74,12 @@
   void SendClaim(const std::string& agent, const direct::RunId& id,
                  const direct::Resources& need) override;
 
-  // JobClaimsSink
-  void SendClaim(const std::string& entry, const direct::JobClaim& claim) override;
-  void SendRelease(const std::string& entry, const direct::ClaimRelease& release) override;
-  void OnGranted(direct::JobRequest request, core::TimePoint now) override;
-  void OnOutcome(const std::string& job, const direct::JobOutcome& outcome) override;
+  // ClaimExchangeListener
+  void OnClaimGranted(direct::JobRequest request, core::TimePoint now) override;
+  void OnClaimEnded(const std::string& job, const direct::JobOutcome& outcome) override;
   void OnClaimLost(const std::string& job, const std::string& holder, core::TimePoint now) override;
-  void OnReturn(const direct::JobReturn& message, core::TimePoint now) override;
-  void OnHeld(const std::string& job, const std::string& holder) override;
-  void OnUnanswered(const std::string& entry) override;
-
-  // ClaimRegistrySink
-  void SendVerdict(const std::string& entry, const direct::ClaimVerdict& verdict) override;
-  void SendReturn(const std::string& entry, const direct::JobReturn& message) override;
+  void OnAwaitedElsewhere(const std::string& job, const std::string& entry,
+                          core::TimePoint deadline, core::TimePoint now) override;
 
   // Gives up all jobs if this process has stood still. Must be called before anything else in
   // each event that places or continues runs.
@@ -145,16 +135,15 @@
   MetricsServer metrics_server_;
   direct::JobDispatcher dispatcher_;
   direct::OperatorView view_;
-  // When this process has started, or has last stood still.
-  core::TimePoint running_since_;
   direct::InitialView initial_view_;
   // Whether `view_` was settled at the last call of ViewSettled().
   bool view_was_settled_ = false;
   std::unique_ptr<http::Server> caller_server_;
   std::unique_ptr<http::Server> readiness_server_;
   EntryLinks links_;
-  direct::JobClaims claims_;
-  direct::ClaimRegistry claim_registry_;
+  ClaimExchange claim_exchange_;
+  // Of `claim_exchange_`.
+  direct::JobClaims& claims_;
   std::unique_ptr<platform::StoreClient> store_;
   std::unique_ptr<TopicFollower> operator_topic_;
   std::unique_ptr<TopicFollower> entry_topic_;
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -29,7 +29,7 @@
   return core::Duration(static_cast<std::int64_t>(std::min(us, max)));
 }
 
-// Only these outcomes are told to other entries.
+// The outcomes that verdicts and releases carry: those that later submissions get as well.
 std::optional<direct::JobOutcome> ReadOutcome(std::uint32_t kind, const std::string& reason) {
   using Kind = direct::JobOutcome::Kind;
   for (const Kind it : {Kind::kCompleted, Kind::kFailed}) {
@@ -127,6 +127,7 @@
   message.set_job(verdict.job);
   message.set_number(verdict.number);
   message.set_kind(static_cast<std::uint32_t>(verdict.kind));
+  message.set_complete(verdict.complete);
   message.set_holder(verdict.holder);
   if (verdict.kind != direct::ClaimVerdict::Kind::kEnded) return;
   message.set_outcome(static_cast<std::uint32_t>(verdict.outcome.kind));
@@ -135,7 +136,8 @@
 
 std::optional<direct::ClaimVerdict> ReadVerdict(const direct_wire::ClaimVerdict& message) {
   using Kind = direct::ClaimVerdict::Kind;
-  direct::ClaimVerdict verdict{message.job(), message.number(), Kind::kHeld, message.holder(), {}};
+  direct::ClaimVerdict verdict{message.job(),      message.number(), Kind::kTaken,
+                               message.complete(), message.holder(), {}};
   if (message.kind() > static_cast<std::uint32_t>(Kind::kEnded)) return std::nullopt;
   verdict.kind = static_cast<Kind>(message.kind());
   if (verdict.kind != Kind::kEnded) return verdict;
@@ -160,7 +162,7 @@
   return release;
 }
 
-void WriteReturn(const direct::JobReturn& job, direct_wire::JobReturn& message) {
+void WriteRival(const direct::RivalClaim& job, direct_wire::RivalClaim& message) {
   message.set_job(job.job);
   message.set_number(job.number);
   message.set_entry(job.entry);
@@ -168,7 +170,7 @@
   message.set_wait_us(WriteDuration(job.wait));
 }
 
-direct::JobReturn ReadReturn(const direct_wire::JobReturn& message) {
+direct::RivalClaim ReadRival(const direct_wire::RivalClaim& message) {
   return {message.job(), message.number(), message.entry(), message.held(),
           ReadDuration(message.wait_us())};
 }
--- a/packages/daemon/src/direct_messages.h
+++ b/packages/daemon/src/direct_messages.h
@@ -7,7 +7,7 @@
 #include "coltsfoottide/direct/claim_release.h"
 #include "coltsfoottide/direct/claim_verdict.h"
 #include "coltsfoottide/direct/job_claim.h"
-#include "coltsfoottide/direct/job_return.h"
+#include "coltsfoottide/direct/rival_claim.h"
 #include "coltsfoottide/direct/run_order.h"
 #include "coltsfoottide/direct/run_report.h"
 #include "coltsfoottide/direct/worker_crash.h"
@@ -44,8 +44,8 @@
 std::optional<direct::ClaimVerdict> ReadVerdict(const direct_wire::ClaimVerdict& message);
 void WriteRelease(const direct::ClaimRelease& release, direct_wire::ClaimRelease& message);
 direct::ClaimRelease ReadRelease(const direct_wire::ClaimRelease& message);
-void WriteReturn(const direct::JobReturn& job, direct_wire::JobReturn& message);
-direct::JobReturn ReadReturn(const direct_wire::JobReturn& message);
+void WriteRival(const direct::RivalClaim& job, direct_wire::RivalClaim& message);
+direct::RivalClaim ReadRival(const direct_wire::RivalClaim& message);
 
 // `age`: time since the last task of the route was found.
 void WriteCrashingRoute(const std::string& route, core::Duration age,
--- a/packages/daemon/src/direct_timing.h
+++ b/packages/daemon/src/direct_timing.h
@@ -28,9 +28,9 @@
 // Delay of such a message by a process that is slow.
 inline constexpr core::Duration kPeerJitter = std::chrono::milliseconds(250);
 
-// When the runs of an entry are over: since its connection to another entry has closed, and
-// since that has last heard of it. The second adds the time for which the entry may have gone
-// on after its last message.
+// Time after which an entry's claims lapse, when its runs are over: after its connection to the
+// entry that records them has closed, and after its last message there. It may have gone on for a
+// stamp interval after that message.
 inline constexpr core::Duration kDisconnectedClaimLimit = kRunLimit + std::chrono::milliseconds(50);
 inline constexpr core::Duration kSilentClaimLimit =
     kPeerStampInterval + kPeerJitter + kDisconnectedClaimLimit;
--- a/packages/direct/benchmarks/job_claims_benchmark.cc
+++ b/packages/direct/benchmarks/job_claims_benchmark.cc
@@ -15,7 +15,7 @@
 #include "coltsfoottide/direct/job_claims_sink.h"
 #include "coltsfoottide/direct/job_outcome.h"
 #include "coltsfoottide/direct/job_request.h"
-#include "coltsfoottide/direct/job_return.h"
+#include "coltsfoottide/direct/rival_claim.h"
 
 namespace coltsfoottide::direct {
 namespace {
@@ -35,8 +35,8 @@
   void OnOutcome(const std::string& /*job*/, const JobOutcome& /*outcome*/) override {}
   void OnClaimLost(const std::string& /*job*/, const std::string& /*holder*/,
                    core::TimePoint /*now*/) override {}
-  void OnReturn(const JobReturn& /*message*/, core::TimePoint /*now*/) override {}
-  void OnHeld(const std::string& /*job*/, const std::string& /*holder*/) override {}
+  void OnAwaitedElsewhere(const RivalClaim& /*message*/, core::TimePoint /*now*/) override {}
+  void OnTakenElsewhere(const std::string& /*job*/, const std::string& /*holder*/) override {}
   void OnUnanswered(const std::string& /*entry*/) override {}
 
   std::vector<std::pair<std::string, JobClaim>> claims;
@@ -51,7 +51,7 @@
   for (std::int64_t i = 1; i < state.range(0); ++i) {
     claims.OnConnected("10.0.0." + std::to_string(i), now);
   }
-  claims.SetComplete(true, now);
+  claims.SetConnected(true, now);
   std::vector<JobRequest> requests(kJobs);
   for (std::size_t i = 0; i < kJobs; ++i) {
     requests[i].id = "job-" + std::to_string(i);
--- a/packages/direct/include/coltsfoottide/direct/claim_registry.h
+++ b/packages/direct/include/coltsfoottide/direct/claim_registry.h
@@ -22,12 +22,15 @@
 // or its runs have certainly ended. Outcomes are remembered for some seconds. Does no I/O.
 class ClaimRegistry {
  public:
-  // When the claims of an entry lapse: the runs of its jobs are over by then.
   struct Tuning {
-    // Since its connection has closed.
+    // The claims of an entry lapse this long after its connection has closed, when the runs of
+    // its jobs are over.
     core::Duration disconnected_limit;
-    // Since something has last arrived from it.
+    // They lapse this long after the last message of an entry that is silent.
     core::Duration silent_limit;
+    // Longest time between two messages of an entry that is neither silent nor slow. Shorter
+    // than the time after which callers come back.
+    core::Duration message_interval;
   };
 
   ClaimRegistry(const Tuning& tuning, ClaimRegistrySink& sink) : tuning_(tuning), sink_(sink) {}
@@ -36,14 +39,15 @@
   void OnRelease(const std::string& entry, const ClaimRelease& release, core::TimePoint now);
 
   // Something has arrived from the entry.
-  void OnHeard(const std::string& entry, core::TimePoint now) { heard_[entry] = now; }
+  void OnHeard(const std::string& entry, core::TimePoint now);
   // The connection to the entry has closed. Its claims lapse unless it renews them.
   void OnDisconnected(const std::string& entry, core::TimePoint now);
 
   // This process has stood still, so that what others have sent meanwhile is not read yet.
-  void OnPause(core::TimePoint now);
+  void OnPause(core::TimePoint now) { resumed_at_ = now; }
 
-  // Lets due claims lapse and forgets outcomes. Must be called every few tens of milliseconds.
+  // Ends the claims of entries that are gone or silent, and removes old outcomes. Must be called
+  // every few tens of milliseconds.
   void Advance(core::TimePoint now);
 
   // Number of recorded jobs, with those whose outcome is remembered.
@@ -71,13 +75,15 @@
 
   void Queue(const std::string& job, Record& record, const Claimant& claimant);
   // Tells the holder that the other one claims the job as well.
-  void SendReturn(const std::string& job, const Claimant& holder, const Claimant& other);
+  void SendRival(const std::string& job, const Claimant& holder, const Claimant& other);
   // The holder says that it coordinates the job: others that do must end their runs.
   void DismissHeld(const std::string& job, Record& record);
   // Ends the claim of a holder whose runs are over.
   void Lapse(const std::string& job);
   // Gives the job to the next claimant, or removes its record.
   void PassOn(const std::string& job);
+  // Whether every claim that was made before a caller can have come back is recorded here.
+  bool IsComplete(core::TimePoint now) const;
   bool HasLapsed(const Record& record, core::TimePoint now) const;
   void SendVerdict(const std::string& job, const Claimant& claimant, ClaimVerdict verdict);
 
@@ -87,8 +93,13 @@
   // Jobs that others wait for, or whose holder is not connected.
   std::set<std::string> watched_;
   std::deque<Ended> ended_;
-  // By entry, while it is connected.
+  // Time of the last message, by connected entry.
   std::map<std::string, core::TimePoint> heard_;
+  // The earliest of them at the last call of Advance.
+  core::TimePoint oldest_message_;
+  // Entries that have connected have renewed their claims by then.
+  core::TimePoint complete_from_ = core::TimePoint::max();
+  core::TimePoint resumed_at_;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/claim_registry_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/claim_registry_sink.h
@@ -5,7 +5,7 @@
 namespace coltsfoottide::direct {
 
 struct ClaimVerdict;
-struct JobReturn;
+struct RivalClaim;
 
 // Sends the messages of an entry's ClaimRegistry to other entries, or to the JobClaims of the
 // same entry.
@@ -14,7 +14,7 @@
   virtual ~ClaimRegistrySink() = default;
 
   virtual void SendVerdict(const std::string& entry, const ClaimVerdict& verdict) = 0;
-  virtual void SendReturn(const std::string& entry, const JobReturn& message) = 0;
+  virtual void SendRival(const std::string& entry, const RivalClaim& message) = 0;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/claim_verdict.h
+++ b/packages/direct/include/coltsfoottide/direct/claim_verdict.h
@@ -12,9 +12,9 @@
   enum class Kind {
     // The claimant is recorded as the coordinator.
     kGranted,
-    // Another entry is. If the claimant does not coordinate the job itself, further verdicts
-    // follow once the other one has ended the job or is gone.
-    kHeld,
+    // Another entry is. A claimant that does not coordinate the job itself gets a further verdict
+    // when the other one has ended the job or its claim has lapsed.
+    kTaken,
     // The job has ended; `outcome` is the answer to all submissions.
     kEnded,
   };
@@ -23,7 +23,10 @@
   // Of the claim.
   std::uint32_t number = 0;
   Kind kind = Kind::kGranted;
-  // kHeld: the recorded coordinator, for logs.
+  // kGranted: no other entry coordinates the job, as the sender has read everything that was
+  // sent to it before a caller can have come back.
+  bool complete = false;
+  // kTaken: the recorded coordinator, for logs.
   std::string holder;
   // kEnded.
   JobOutcome outcome;
--- a/packages/direct/include/coltsfoottide/direct/job_claims.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims.h
@@ -16,19 +16,18 @@
 class JobClaimsSink;
 struct ClaimVerdict;
 struct JobOutcome;
-struct JobReturn;
+struct RivalClaim;
 
 // Makes sure that one entry at a time coordinates a job, although a caller whose connection
 // has broken submits it again through any entry, and the first one may not have noticed. An
 // entry claims each job before it places a task. Claims are recorded by the two entries that
-// rank highest for the job (see HighestRanked), so that the messages of a job do not depend on
-// the number of entries. Does no I/O.
+// rank highest for the job (see HighestRanked), its recorders, so that the messages of a job do
+// not depend on the number of entries. Does no I/O.
 //
-// A claim is granted when one of the two agrees and the other one agrees as well or does not
-// answer; then the next in rank is asked in its place. The claims of two entries meet at one
-// entry at least as long as one of the two that rank highest remembers the first claim: it is
-// told to both and sent again every half second, and moves when entries come or go. Entries
-// that are cut off from each other may both be granted a job.
+// One recorder that is certain to know all earlier claims (ClaimVerdict::complete) is enough for
+// a grant, if this entry is certain of that itself. Otherwise both have to agree, and the next in rank is asked in place of one that does
+// not answer. Coordinators renew their claims, and move them when entries connect or disconnect.
+// Two entries that are cut off from each other may both be granted a job.
 class JobClaims {
  public:
   // `self`: name of this entry. `first_number`: see JobClaim; random, so that claims of
@@ -44,7 +43,7 @@
   // A further caller of a job that is pending waits until `deadline`.
   void ExtendDeadline(const std::string& job, core::TimePoint deadline);
 
-  // The callers of a job that is pending have gone.
+  // Ends the claim of a pending job whose callers have disconnected.
   void Withdraw(const std::string& job);
 
   // No run of a granted job is left. `outcome`: if later submissions get the same answer.
@@ -52,14 +51,14 @@
 
   void OnVerdict(const std::string& entry, const ClaimVerdict& verdict, core::TimePoint now);
   // `entry`: the one that records the claim.
-  void OnReturn(const std::string& entry, const JobReturn& message, core::TimePoint now);
+  void OnRival(const std::string& entry, const RivalClaim& message, core::TimePoint now);
 
   // An entry that records claims has connected, possibly in place of an earlier connection.
   // Claims that it may not have received, or has forgotten, are sent to it.
   void OnConnected(const std::string& entry, core::TimePoint now);
   void OnDisconnected(const std::string& entry, core::TimePoint now);
   // This process has stood still, so that answers that have arrived meanwhile are not read yet.
-  void OnPause(core::TimePoint now);
+  void OnPause() { paused_ = !skipped_; }
   // Something has arrived from the entry.
   void OnHeard(const std::string& entry) { unresponsive_.erase(entry); }
 
@@ -70,15 +69,23 @@
   // Whether this entry is connected to the others. While it is not, since it has just started
   // or stood still, nothing is granted: those that know the coordinator of a job have not been
   // asked. Initially it is not.
-  void SetComplete(bool complete, core::TimePoint now);
+  void SetConnected(bool connected, core::TimePoint now);
 
   // Number of claims, pending and granted.
   std::size_t size() const { return claims_.size(); }
 
  private:
   struct Answer {
-    enum class State { kNone, kGranted, kHeld };
+    enum class State {
+      kNone,
+      // None, and not waited for any longer.
+      kLate,
+      kGranted,
+      kTaken,
+    };
     State state = State::kNone;
+    // kGranted, see ClaimVerdict.
+    bool complete = false;
     // Of the latest claim that was sent to the entry.
     core::TimePoint asked_at;
   };
@@ -87,16 +94,17 @@
     // Empty once the job is granted.
     std::optional<JobRequest> request;
     // Another entry has been recorded for the job.
-    bool held_elsewhere = false;
+    bool taken_elsewhere = false;
     // When the claim was made.
     core::TimePoint claimed_at;
     // Not granted before. Set when the entry that has recorded another one is lost: that one
     // claims the job anew elsewhere until then, or its claim has lapsed.
     core::TimePoint not_before;
-    // By entry that records the claim.
+    // Of the entries that the claim was sent to.
     std::map<std::string, Answer> answers;
-    // Value of changes_ when it was last made sure that the entries that rank highest are asked.
-    std::uint64_t asked_at_change = 0;
+    // The entries that rank highest for the job, as of the value `ranked_at_change` of changes_.
+    std::vector<std::string> recorders;
+    std::uint64_t ranked_at_change = 0;
   };
 
   struct Timer {
@@ -107,18 +115,21 @@
 
   // Sends the claim to the entries, which have to answer it.
   void Ask(const std::string& job, const std::vector<std::string>& entries, core::TimePoint now);
-  // Asks the entries that should record the claim and have not been asked.
+  // Asks this entry, the recorders, and the next in rank in place of those that do not answer,
+  // as far as they have not been asked.
   void AskMissing(const std::string& job, core::TimePoint now);
-  // Marks the entries that have not answered the claim in time.
-  void NoteUnresponsive(const ClaimState& claim, core::TimePoint now);
+  // Marks the answers that are not waited for any longer, and their entries.
+  void MarkLate(ClaimState& claim, core::TimePoint now);
   // Renews the claims of granted jobs and replaces the entries that do not answer.
   void Renew(core::TimePoint now);
-  // Whether one of the entries that rank highest for the job has granted it.
-  bool IsGrantedByRecorder(const std::string& job, const ClaimState& claim) const;
-  // Grants a pending job if the entries that answer agree.
+  // Whether a recorder has granted the claim; `complete`: with certainty.
+  static bool IsGrantedByRecorder(const ClaimState& claim, bool complete);
+  // Whether the answers are enough for a grant.
+  bool IsAgreed(const ClaimState& claim, core::TimePoint now) const;
+  // The entries whose grants are too old to act on.
+  std::vector<std::string> ExpiredGrants(const ClaimState& claim, core::TimePoint now) const;
+  // Grants a pending job if the answers are enough for it.
   void Settle(const std::string& job, core::TimePoint now);
-  // Whether an answer of the entry is missing that is not waited for any longer.
-  bool IsUnresponsive(const std::string& entry, const Answer& answer, core::TimePoint now) const;
   void SendReleases(const std::string& job, const ClaimState& claim,
                     const std::optional<JobOutcome>& outcome);
   // Releases a pending claim and claims the job anew, after the others that wait for it.
@@ -131,13 +142,16 @@
   std::uint32_t next_number_;
   // With this entry.
   std::vector<std::string> entries_;
-  // Number of times that an entry has come or gone.
+  // Number of connections and disconnections of entries.
   std::uint64_t changes_ = 0;
   // Entries that have not answered a claim in time and have sent nothing since.
   std::set<std::string> unresponsive_;
   std::map<std::string, ClaimState> claims_;
   std::set<std::string> pending_;
-  bool complete_ = false;
+  bool connected_ = false;
+  // Answers may wait to be read: the next call of Advance is skipped, but never two in a row.
+  bool paused_ = false;
+  bool skipped_ = false;
   // Of granted jobs, by time: when the claim is sent again, and when the answers to that are
   // due.
   std::deque<Timer> renewals_;
--- a/packages/direct/include/coltsfoottide/direct/job_claims_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims_sink.h
@@ -10,7 +10,7 @@
 struct JobClaim;
 struct JobOutcome;
 struct JobRequest;
-struct JobReturn;
+struct RivalClaim;
 
 // Carries out the decisions of an entry's JobClaims. `entry` may be this entry itself, whose
 // ClaimRegistry may answer from within the call.
@@ -31,10 +31,10 @@
   virtual void OnClaimLost(const std::string& job, const std::string& holder,
                            core::TimePoint now) = 0;
   // The caller of a job that this entry coordinates waits at another entry.
-  virtual void OnReturn(const JobReturn& message, core::TimePoint now) = 0;
+  virtual void OnAwaitedElsewhere(const RivalClaim& message, core::TimePoint now) = 0;
 
   // For logs: another entry coordinates the job that is claimed.
-  virtual void OnHeld(const std::string& job, const std::string& holder) = 0;
+  virtual void OnTakenElsewhere(const std::string& job, const std::string& holder) = 0;
   // For logs: the entry has not answered a claim in time.
   virtual void OnUnanswered(const std::string& entry) = 0;
 };
--- a/packages/direct/include/coltsfoottide/direct/job_return.h
+++ b/packages/direct/include/coltsfoottide/direct/rival_claim.h
@@ -9,7 +9,7 @@
 
 // Tells the recorded claimant of a job that another entry claims it as well: the caller has
 // submitted the job there and waits, or that entry coordinates the job already.
-struct JobReturn {
+struct RivalClaim {
   std::string job;
   // Of the claim that is recorded.
   std::uint32_t number = 0;
--- a/packages/direct/src/claim_registry.cc
+++ b/packages/direct/src/claim_registry.cc
@@ -9,7 +9,7 @@
 #include "coltsfoottide/direct/claim_release.h"
 #include "coltsfoottide/direct/claim_verdict.h"
 #include "coltsfoottide/direct/job_claim.h"
-#include "coltsfoottide/direct/job_return.h"
+#include "coltsfoottide/direct/rival_claim.h"
 #include "coltsfoottide/direct/time_bounds.h"
 
 namespace coltsfoottide::direct {
@@ -28,10 +28,10 @@
   Record& record = it->second;
   if (added) {
     record.holder = claimant;
-    return SendVerdict(claim.job, claimant, {"", 0, Kind::kGranted, entry, {}});
+    return SendVerdict(claim.job, claimant, {"", 0, Kind::kGranted, IsComplete(now), entry, {}});
   }
   if (record.outcome) {
-    return SendVerdict(claim.job, claimant, {"", 0, Kind::kEnded, "", *record.outcome});
+    return SendVerdict(claim.job, claimant, {"", 0, Kind::kEnded, false, "", *record.outcome});
   }
   // A claim of an entry that has restarted does not renew that of its earlier process.
   const bool renews = record.holder.number == claim.number || !record.lapses;
@@ -39,24 +39,24 @@
     record.holder = claimant;
     record.lapses.reset();
     if (claim.held) DismissHeld(claim.job, record);
-    return SendVerdict(claim.job, claimant, {"", 0, Kind::kGranted, entry, {}});
+    return SendVerdict(claim.job, claimant, {"", 0, Kind::kGranted, false, entry, {}});
   }
   Queue(claim.job, record, claimant);
   if (HasLapsed(record, now)) return Lapse(claim.job);
   const Claimant holder = record.holder;
   const bool connected = !record.lapses;
   if (!claim.held) {
-    SendVerdict(claim.job, claimant, {"", 0, Kind::kHeld, holder.entry, {}});
+    SendVerdict(claim.job, claimant, {"", 0, Kind::kTaken, false, holder.entry, {}});
   } else if (holder.held) {
     return DismissHeld(claim.job, record);
   }
   // A holder that does not coordinate the job yet gives way to one that does.
-  if (connected) SendReturn(claim.job, holder, claimant);
+  if (connected) SendRival(claim.job, holder, claimant);
 }
 
-void ClaimRegistry::SendReturn(const std::string& job, const Claimant& holder,
-                               const Claimant& other) {
-  sink_.SendReturn(holder.entry, {job, holder.number, other.entry, other.held, other.wait});
+void ClaimRegistry::SendRival(const std::string& job, const Claimant& holder,
+                              const Claimant& other) {
+  sink_.SendRival(holder.entry, {job, holder.number, other.entry, other.held, other.wait});
 }
 
 void ClaimRegistry::DismissHeld(const std::string& job, Record& record) {
@@ -67,7 +67,7 @@
   std::erase_if(record.waiting, [](const Claimant& it) { return it.held; });
   const std::string holder = record.holder.entry;
   for (const Claimant& it : held) {
-    SendVerdict(job, it, {"", 0, ClaimVerdict::Kind::kHeld, holder, {}});
+    SendVerdict(job, it, {"", 0, ClaimVerdict::Kind::kTaken, false, holder, {}});
   }
 }
 
@@ -101,7 +101,7 @@
   ended_.push_back({release.job, now});
   watched_.erase(release.job);
   for (const Claimant& it : std::exchange(record.waiting, {})) {
-    SendVerdict(release.job, it, {"", 0, ClaimVerdict::Kind::kEnded, "", *record.outcome});
+    SendVerdict(release.job, it, {"", 0, ClaimVerdict::Kind::kEnded, false, "", *record.outcome});
   }
 }
 
@@ -119,10 +119,11 @@
   if (record.waiting.empty()) watched_.erase(job);
   const Claimant holder = record.holder;
   const std::deque<Claimant> waiting = record.waiting;
-  SendVerdict(job, holder, {"", 0, ClaimVerdict::Kind::kGranted, holder.entry, {}});
+  SendVerdict(job, holder, {"", 0, ClaimVerdict::Kind::kGranted, false, holder.entry, {}});
   for (const Claimant& it : waiting) {
-    if (!it.held) SendVerdict(job, it, {"", 0, ClaimVerdict::Kind::kHeld, holder.entry, {}});
-    SendReturn(job, holder, it);
+    if (!it.held)
+      SendVerdict(job, it, {"", 0, ClaimVerdict::Kind::kTaken, false, holder.entry, {}});
+    SendRival(job, holder, it);
   }
 }
 
@@ -133,17 +134,28 @@
   PassOn(job);
   // If the former holder only stood still, it reads that it no longer coordinates the job.
   if (!next.empty() && next != lapsed.entry) {
-    SendVerdict(job, lapsed, {"", 0, ClaimVerdict::Kind::kHeld, next, {}});
+    SendVerdict(job, lapsed, {"", 0, ClaimVerdict::Kind::kTaken, false, next, {}});
   }
 }
 
 bool ClaimRegistry::HasLapsed(const Record& record, core::TimePoint now) const {
   if (record.lapses && now >= *record.lapses) return true;
   const auto it = heard_.find(record.holder.entry);
-  return it != heard_.end() && now - it->second >= tuning_.silent_limit;
+  return it != heard_.end() && now - std::max(it->second, resumed_at_) >= tuning_.silent_limit;
+}
+
+bool ClaimRegistry::IsComplete(core::TimePoint now) const {
+  return now >= complete_from_ && now - oldest_message_ <= tuning_.message_interval;
+}
+
+void ClaimRegistry::OnHeard(const std::string& entry, core::TimePoint now) {
+  const auto [it, connected] = heard_.try_emplace(entry, now);
+  it->second = now;
+  if (connected) complete_from_ = now + tuning_.silent_limit;
 }
 
 void ClaimRegistry::OnDisconnected(const std::string& entry, core::TimePoint now) {
+  complete_from_ = now + tuning_.silent_limit;
   core::TimePoint lapses = now + tuning_.disconnected_limit;
   if (const auto it = heard_.find(entry); it != heard_.end()) {
     lapses = std::min(lapses, it->second + tuning_.silent_limit);
@@ -157,11 +169,10 @@
   }
 }
 
-void ClaimRegistry::OnPause(core::TimePoint now) {
-  for (auto& [entry, time] : heard_) time = now;
-}
-
 void ClaimRegistry::Advance(core::TimePoint now) {
+  if (complete_from_ == core::TimePoint::max()) complete_from_ = now + tuning_.silent_limit;
+  oldest_message_ = now;
+  for (const auto& [entry, time] : heard_) oldest_message_ = std::min(oldest_message_, time);
   const std::vector<std::string> watched(watched_.begin(), watched_.end());
   for (const std::string& job : watched) {
     const auto it = records_.find(job);
--- a/packages/direct/src/job_claims.cc
+++ b/packages/direct/src/job_claims.cc
@@ -9,26 +9,25 @@
 #include "coltsfoottide/direct/job_claim.h"
 #include "coltsfoottide/direct/job_claims_sink.h"
 #include "coltsfoottide/direct/job_outcome.h"
-#include "coltsfoottide/direct/job_return.h"
 #include "coltsfoottide/direct/rendezvous_hash.h"
+#include "coltsfoottide/direct/rival_claim.h"
 
 namespace coltsfoottide::direct {
 
 namespace {
 
-// Entries that record a claim.
 constexpr std::size_t kRecorders = 2;
 // An entry that has not answered for this long is not waited for. Several round trips between
 // data centres.
 constexpr core::Duration kAnswerLimit = std::chrono::milliseconds(60);
-// A claim is asked for again if it was sent longer ago than this: the process may have stood
-// still since, and the claim may have lapsed.
+// A grant of a claim that was sent longer ago is not acted on: the process may have stood still
+// since, and the claim may have lapsed.
 constexpr core::Duration kGrantLifetime = std::chrono::seconds(1);
-// Interval at which granted claims are sent again. Callers come back after 1.3 s at the
-// earliest, so that few jobs last long enough.
+// Interval at which a coordinator renews its claims, so that it notices recorders that no longer
+// answer before a caller can come back, after 1.3 s.
 constexpr core::Duration kRenewalInterval = std::chrono::milliseconds(500);
-// Time for which a claim waits for one of the entries that rank highest, if none of them
-// answers: the job's coordinator has noticed the same by then and is recorded elsewhere.
+// Time for which a claim waits for a recorder if none answers. A coordinator has noticed the same
+// by then, at its next renewal, and has claimed the job at the next in rank.
 constexpr core::Duration kRecorderWait = kRenewalInterval + 3 * kAnswerLimit;
 // Time in which a coordinator that has lost a record of its claim claims the job elsewhere, or
 // after which its runs are over if it was lost as well.
@@ -55,24 +54,26 @@
 
 void JobClaims::AskMissing(const std::string& job, core::TimePoint now) {
   ClaimState& claim = claims_.at(job);
-  const bool held = std::any_of(claim.answers.begin(), claim.answers.end(), [](const auto& it) {
-    return it.second.state == Answer::State::kHeld;
+  const bool taken = std::any_of(claim.answers.begin(), claim.answers.end(), [](const auto& it) {
+    return it.second.state == Answer::State::kTaken;
   });
-  if (held) return;
-  claim.asked_at_change = changes_;
+  if (taken) return;
+  std::vector<std::string> ranked = HighestRanked(job, entries_, kRecorders + unresponsive_.size());
   std::vector<std::string> missing;
   std::size_t responsive = 0;
-  for (const std::string& it : HighestRanked(job, entries_, kRecorders + unresponsive_.size())) {
+  for (const std::string& it : ranked) {
     if (responsive == kRecorders) break;
     const auto answer = claim.answers.find(it);
-    if (answer == claim.answers.end()) missing.push_back(it);
-    const bool unresponsive = answer == claim.answers.end()
-                                  ? unresponsive_.contains(it)
-                                  : IsUnresponsive(it, answer->second, now);
+    const bool asked = answer != claim.answers.end();
+    if (!asked) missing.push_back(it);
+    const bool unresponsive =
+        asked ? answer->second.state == Answer::State::kLate : unresponsive_.contains(it);
     if (!unresponsive) ++responsive;
   }
-  // Also asked: this entry itself, so that others that ask it in place of the two learn that it
-  // has the job.
+  ranked.resize(std::min(kRecorders, ranked.size()));
+  claim.recorders = std::move(ranked);
+  claim.ranked_at_change = changes_;
+  // This entry records its own claims too, for others that ask it in place of a recorder.
   const bool ask_self = !claim.answers.contains(self_) &&
                         std::find(missing.begin(), missing.end(), self_) == missing.end();
   if (ask_self) missing.push_back(self_);
@@ -87,7 +88,10 @@
   if (claim.request) message.wait = claim.request->deadline - now;
   // All before the first is sent: this entry answers at once, and the others must be waited
   // for.
-  for (const std::string& it : entries) claim.answers[it] = Answer{Answer::State::kNone, now};
+  for (const std::string& it : entries) {
+    using State = Answer::State;
+    claim.answers[it] = {unresponsive_.contains(it) ? State::kLate : State::kNone, false, now};
+  }
   for (const std::string& it : entries) {
     if (it != self_) sink_.SendClaim(it, message);
   }
@@ -95,31 +99,51 @@
   if (ask_self) sink_.SendClaim(self_, message);
 }
 
-bool JobClaims::IsUnresponsive(const std::string& entry, const Answer& answer,
-                               core::TimePoint now) const {
-  if (answer.state != Answer::State::kNone) return false;
-  return unresponsive_.contains(entry) || now - answer.asked_at >= kAnswerLimit;
+bool JobClaims::IsGrantedByRecorder(const ClaimState& claim, bool complete) {
+  return std::any_of(claim.recorders.begin(), claim.recorders.end(), [&](const std::string& entry) {
+    const auto it = claim.answers.find(entry);
+    return it != claim.answers.end() && it->second.state == Answer::State::kGranted &&
+           (it->second.complete || !complete);
+  });
+}
+
+bool JobClaims::IsAgreed(const ClaimState& claim, core::TimePoint now) const {
+  const auto any = [&claim](Answer::State state) {
+    return std::any_of(claim.answers.begin(), claim.answers.end(),
+                       [state](const auto& it) { return it.second.state == state; });
+  };
+  if (any(Answer::State::kTaken) || now < claim.not_before) return false;
+  // An entry that has lost a connection may take others for the recorders than the coordinator.
+  const auto own = claim.answers.find(self_);
+  const bool certain = claim.ranked_at_change == changes_ && own != claim.answers.end() &&
+                       own->second.complete && IsGrantedByRecorder(claim, true);
+  if (certain) return true;
+  if (any(Answer::State::kNone) || !any(Answer::State::kGranted)) return false;
+  return now - claim.claimed_at >= kRecorderWait || IsGrantedByRecorder(claim, false);
+}
+
+std::vector<std::string> JobClaims::ExpiredGrants(const ClaimState& claim,
+                                                  core::TimePoint now) const {
+  std::vector<std::string> expired;
+  for (const auto& [entry, answer] : claim.answers) {
+    const bool granted = answer.state == Answer::State::kGranted;
+    if (granted && entry != self_ && now - answer.asked_at > kGrantLifetime) {
+      expired.push_back(entry);
+    }
+  }
+  return expired;
 }
 
 void JobClaims::Settle(const std::string& job, core::TimePoint now) {
   const auto it = claims_.find(job);
-  if (it == claims_.end() || !it->second.request) return;
+  if (it == claims_.end() || !it->second.request || !connected_) return;
   ClaimState& claim = it->second;
-  std::vector<std::string> expired;
-  if (!complete_ || now < claim.not_before) return;
-  bool granted = false;
-  for (const auto& [entry, answer] : claim.answers) {
-    if (answer.state == Answer::State::kHeld) return;
-    if (answer.state == Answer::State::kNone && !IsUnresponsive(entry, answer, now)) return;
-    if (answer.state != Answer::State::kGranted) continue;
-    granted = true;
-    if (entry != self_ && now - answer.asked_at > kGrantLifetime) expired.push_back(entry);
+  if (!IsAgreed(claim, now)) return;
+  if (const auto expired = ExpiredGrants(claim, now); !expired.empty()) {
+    return Ask(job, expired, now);
   }
-  if (!expired.empty()) return Ask(job, expired, now);
-  if (!granted) return;
-  if (now - claim.claimed_at < kRecorderWait && !IsGrantedByRecorder(job, claim)) return;
-  if (claim.asked_at_change != changes_) {
-    // Entries have come or gone since: the ones that rank highest now must agree as well.
+  if (claim.ranked_at_change != changes_) {
+    // The entries that rank highest now must agree as well.
     AskMissing(job, now);
     return Settle(job, now);
   }
@@ -127,7 +151,7 @@
   JobRequest request = std::move(*claim.request);
   claim.request.reset();
   pending_.erase(job);
-  request.may_have_run = request.may_have_run || claim.held_elsewhere;
+  request.may_have_run = request.may_have_run || claim.taken_elsewhere;
   sink_.OnGranted(std::move(request), now);
 }
 
@@ -141,15 +165,17 @@
   if (answer == claim.answers.end()) return;
   if (verdict.kind == Kind::kGranted) {
     answer->second.state = Answer::State::kGranted;
+    answer->second.complete = verdict.complete;
     return Settle(verdict.job, now);
   }
   if (!claim.request) return sink_.OnClaimLost(verdict.job, verdict.holder, now);
   if (verdict.kind == Kind::kEnded) return EndPending(verdict.job, verdict.outcome);
-  answer->second.state = Answer::State::kHeld;
-  if (!std::exchange(claim.held_elsewhere, true)) sink_.OnHeld(verdict.job, verdict.holder);
+  answer->second.state = Answer::State::kTaken;
+  if (!std::exchange(claim.taken_elsewhere, true))
+    sink_.OnTakenElsewhere(verdict.job, verdict.holder);
 }
 
-void JobClaims::OnReturn(const std::string& entry, const JobReturn& message, core::TimePoint now) {
+void JobClaims::OnRival(const std::string& entry, const RivalClaim& message, core::TimePoint now) {
   const auto it = claims_.find(message.job);
   if (it == claims_.end() || it->second.number != message.number) {
     return sink_.SendRelease(entry, {message.job, message.number, std::nullopt});
@@ -161,7 +187,7 @@
   if (pending) return;
   // The record does not tell yet that this entry coordinates the job.
   if (message.held) return Ask(message.job, {entry}, now);
-  sink_.OnReturn(message, now);
+  sink_.OnAwaitedElsewhere(message, now);
 }
 
 void JobClaims::GiveWay(const std::string& job, core::TimePoint now) {
@@ -229,7 +255,7 @@
   for (auto& [job, claim] : claims_) {
     const auto answer = claim.answers.find(entry);
     if (answer == claim.answers.end()) continue;
-    const bool held = answer->second.state == Answer::State::kHeld;
+    const bool held = answer->second.state == Answer::State::kTaken;
     if (held) claim.not_before = now + kLostRecordWait;
     claim.answers.erase(answer);
     jobs.push_back(job);
@@ -240,28 +266,12 @@
   }
 }
 
-void JobClaims::SetComplete(bool complete, core::TimePoint now) {
-  if (std::exchange(complete_, complete) || !complete) return;
+void JobClaims::SetConnected(bool connected, core::TimePoint now) {
+  if (std::exchange(connected_, connected) || !connected) return;
   const std::vector<std::string> pending(pending_.begin(), pending_.end());
   for (const std::string& it : pending) Settle(it, now);
 }
 
-bool JobClaims::IsGrantedByRecorder(const std::string& job, const ClaimState& claim) const {
-  const std::vector<std::string> recorders = HighestRanked(job, entries_, kRecorders);
-  return std::any_of(recorders.begin(), recorders.end(), [&claim](const std::string& entry) {
-    const auto it = claim.answers.find(entry);
-    return it != claim.answers.end() && it->second.state == Answer::State::kGranted;
-  });
-}
-
-void JobClaims::OnPause(core::TimePoint now) {
-  for (auto& [job, claim] : claims_) {
-    for (auto& [entry, answer] : claim.answers) {
-      if (answer.state == Answer::State::kNone) answer.asked_at = now;
-    }
-  }
-}
-
 void JobClaims::Renew(core::TimePoint now) {
   const auto take_due = [now](std::deque<Timer>& timers) {
     std::vector<Timer> due;
@@ -286,32 +296,37 @@
   }
   for (const Timer& timer : take_due(answers_due_)) {
     if (!is_current(timer)) continue;
-    NoteUnresponsive(claims_.at(timer.job), now);
+    MarkLate(claims_.at(timer.job), now);
     AskMissing(timer.job, now);
   }
 }
 
-void JobClaims::NoteUnresponsive(const ClaimState& claim, core::TimePoint now) {
-  for (const auto& [entry, answer] : claim.answers) {
-    const bool late = answer.state == Answer::State::kNone && IsUnresponsive(entry, answer, now);
-    if (late && entry != self_ && unresponsive_.insert(entry).second) sink_.OnUnanswered(entry);
+void JobClaims::MarkLate(ClaimState& claim, core::TimePoint now) {
+  for (auto& [entry, answer] : claim.answers) {
+    const bool missing = answer.state == Answer::State::kNone;
+    if (!missing || entry == self_ || now - answer.asked_at < kAnswerLimit) continue;
+    answer.state = Answer::State::kLate;
+    if (unresponsive_.insert(entry).second) sink_.OnUnanswered(entry);
   }
 }
 
 void JobClaims::Advance(core::TimePoint now) {
+  // Between two calls the connections are read.
+  skipped_ = std::exchange(paused_, false);
+  if (skipped_) return;
   Renew(now);
   const std::vector<std::string> pending(pending_.begin(), pending_.end());
   for (const std::string& job : pending) {
     const auto it = claims_.find(job);
     if (it == claims_.end() || !it->second.request) continue;
-    const ClaimState& claim = it->second;
+    ClaimState& claim = it->second;
     if (now >= claim.request->deadline) {
       using Kind = JobOutcome::Kind;
-      const Kind kind = claim.held_elsewhere ? Kind::kMayHaveRun : Kind::kNotRun;
+      const Kind kind = claim.taken_elsewhere ? Kind::kMayHaveRun : Kind::kNotRun;
       EndPending(job, {kind, "another entry has the job", kRetryAfter});
       continue;
     }
-    NoteUnresponsive(claim, now);
+    MarkLate(claim, now);
     AskMissing(job, now);
     Settle(job, now);
   }
--- a/packages/direct/test/job_claims_property_test.cc
+++ b/packages/direct/test/job_claims_property_test.cc
@@ -24,7 +24,7 @@
 #include "coltsfoottide/direct/job_claims.h"
 #include "coltsfoottide/direct/job_claims_sink.h"
 #include "coltsfoottide/direct/job_outcome.h"
-#include "coltsfoottide/direct/job_return.h"
+#include "coltsfoottide/direct/rival_claim.h"
 #include "direct_samples.h"
 
 namespace coltsfoottide::direct {
@@ -38,7 +38,11 @@
 constexpr core::Duration kReconnectTime = std::chrono::milliseconds(600);
 constexpr core::Duration kTick = std::chrono::milliseconds(20);
 constexpr ClaimRegistry::Tuning kTuning{std::chrono::milliseconds(1250),
-                                        std::chrono::milliseconds(1950)};
+                                        std::chrono::milliseconds(2200),
+                                        std::chrono::milliseconds(950)};
+constexpr core::Duration kShortestPause = std::chrono::milliseconds(60);
+// The records of entries that are connected are complete by then.
+constexpr core::Duration kStartTime = std::chrono::seconds(3);
 
 // A caller whose connection has broken submits again after this time at the earliest.
 constexpr core::Duration kCallerPause = std::chrono::milliseconds(1300);
@@ -76,7 +80,7 @@
   ClaimsSimulation(int entries, unsigned seed) : random_(seed) {
     for (int i = 0; i < entries; ++i) names_.push_back("entry-" + std::to_string(i));
     for (const std::string& it : names_) Start(it);
-    RunUntil(kReconnectTime);
+    RunUntil(kStartTime);
     start_ = now_;
     messages_.clear();
     trace_.clear();
@@ -161,10 +165,10 @@
                     it.claims.OnVerdict(from, verdict, it.owner_.now_);
                   });
     }
-    void SendReturn(const std::string& to, const JobReturn& message) override {
+    void SendRival(const std::string& to, const RivalClaim& message) override {
       owner_.Send(
           *this, to, "return " + message.job + " at " + message.entry,
-          [message, from = name](Entry& it) { it.claims.OnReturn(from, message, it.owner_.now_); });
+          [message, from = name](Entry& it) { it.claims.OnRival(from, message, it.owner_.now_); });
     }
     void OnGranted(JobRequest request, core::TimePoint /*now*/) override {
       owner_.StartRun(*this, request.id);
@@ -178,8 +182,8 @@
       owner_.Trace(name + " loses " + job + " to " + holder);
       owner_.StopRun(*this, job);
     }
-    void OnReturn(const JobReturn& /*message*/, core::TimePoint /*now*/) override {}
-    void OnHeld(const std::string& /*job*/, const std::string& /*holder*/) override {}
+    void OnAwaitedElsewhere(const RivalClaim& /*message*/, core::TimePoint /*now*/) override {}
+    void OnTakenElsewhere(const std::string& /*job*/, const std::string& /*holder*/) override {}
     void OnUnanswered(const std::string& /*entry*/) override {}
 
     const std::string name;
@@ -302,9 +306,13 @@
     Entry& entry = *it->second;
     const core::Duration pause = now_ - *entry.paused;
     entry.paused.reset();
+    if (pause >= kShortestPause) {
+      entry.registry.OnPause(now_);
+      entry.claims.OnPause();
+    }
     if (pause >= kRunLimit) {
       entry.connected_at = now_ + kReconnectTime;
-      entry.claims.SetComplete(false, now_);
+      entry.claims.SetConnected(false, now_);
       const std::map<std::string, bool> running = entry.running;
       for (const auto& [job, ending] : running) {
         std::erase_if(runs_[job], [&](const Run& run) { return run.process == entry.process; });
@@ -343,7 +351,7 @@
       Post(entry.name, peer, id, [this, name = entry.name](Entry& it) { Hear(it, name); });
     }
     entry.registry.Advance(now_);
-    entry.claims.SetComplete(now_ >= entry.connected_at, now_);
+    entry.claims.SetConnected(now_ >= entry.connected_at, now_);
     entry.claims.Advance(now_);
   }
 
--- a/packages/direct/test/job_claims_test.cc
+++ b/packages/direct/test/job_claims_test.cc
@@ -20,15 +20,16 @@
 #include "coltsfoottide/direct/job_claim.h"
 #include "coltsfoottide/direct/job_claims_sink.h"
 #include "coltsfoottide/direct/job_outcome.h"
-#include "coltsfoottide/direct/job_return.h"
 #include "coltsfoottide/direct/rendezvous_hash.h"
+#include "coltsfoottide/direct/rival_claim.h"
 #include "direct_samples.h"
 
 namespace coltsfoottide::direct {
 namespace {
 
 constexpr ClaimRegistry::Tuning kTuning{std::chrono::milliseconds(1250),
-                                        std::chrono::milliseconds(1950)};
+                                        std::chrono::milliseconds(1950),
+                                        std::chrono::milliseconds(950)};
 
 // Entries that are connected to each other. Messages wait until they are delivered.
 class ClaimingEntries {
@@ -56,9 +57,9 @@
         it.claims.OnVerdict(from, verdict, now);
       });
     }
-    void SendReturn(const std::string& to, const JobReturn& message) override {
+    void SendRival(const std::string& to, const RivalClaim& message) override {
       owner_.Send(name, to, [message, from = name](Entry& it, core::TimePoint now) {
-        it.claims.OnReturn(from, message, now);
+        it.claims.OnRival(from, message, now);
       });
     }
     void OnGranted(JobRequest request, core::TimePoint /*now*/) override {
@@ -74,10 +75,10 @@
       running.erase(job);
       claims.Release(job, std::nullopt);
     }
-    void OnReturn(const JobReturn& message, core::TimePoint /*now*/) override {
+    void OnAwaitedElsewhere(const RivalClaim& message, core::TimePoint /*now*/) override {
       returned.insert(message.job);
     }
-    void OnHeld(const std::string& /*job*/, const std::string& /*holder*/) override {}
+    void OnTakenElsewhere(const std::string& /*job*/, const std::string& /*holder*/) override {}
     void OnUnanswered(const std::string& entry) override { unanswered.insert(entry); }
 
     void End(const std::string& job, JobOutcome::Kind kind) {
@@ -123,7 +124,7 @@
       it->claims.OnConnected(name, now);
       entry.claims.OnConnected(other, now);
     }
-    entry.claims.SetComplete(complete, now);
+    entry.claims.SetConnected(complete, now);
     return entry;
   }
 
@@ -253,6 +254,9 @@
   CPPUNIT_TEST(ClaimAtTheLapseOfAnotherIsAnswered);
   CPPUNIT_TEST(AnswersThatAreNotReadYetAreWaitedFor);
   CPPUNIT_TEST(LaterCallerIsWaitedFor);
+  CPPUNIT_TEST(GrantOfACompleteRecorderIsEnough);
+  CPPUNIT_TEST(RecorderThatMayMissAClaimIsNotEnough);
+  CPPUNIT_TEST(EntryThatHasLostAConnectionAsksAllRecorders);
   CPPUNIT_TEST(ReleasedClaimsLeaveNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -420,7 +424,7 @@
     entries_.Submit("entry-9", "j");
     entries_.Advance(Ms(500));
     CPPUNIT_ASSERT_EQUAL(std::string(), entries_.Coordinators("j"));
-    starting.claims.SetComplete(true, entries_.now);
+    starting.claims.SetConnected(true, entries_.now);
     CPPUNIT_ASSERT_EQUAL(std::string("entry-9"), entries_.Coordinators("j"));
   }
 
@@ -544,7 +548,7 @@
       void SendVerdict(const std::string& entry, const ClaimVerdict& verdict) override {
         kinds[entry] = verdict.kind;
       }
-      void SendReturn(const std::string& /*entry*/, const JobReturn& /*message*/) override {}
+      void SendRival(const std::string& /*entry*/, const RivalClaim& /*message*/) override {}
       std::map<std::string, ClaimVerdict::Kind> kinds;
     } verdicts;
     ClaimRegistry registry(kTuning, verdicts);
@@ -554,7 +558,7 @@
     registry.OnClaim("late", {"j", 3, false, Ms(5000)}, kStart + Ms(1250));
     CPPUNIT_ASSERT(verdicts.kinds.at("waiting") == ClaimVerdict::Kind::kGranted);
     CPPUNIT_ASSERT(verdicts.kinds.contains("late"));
-    CPPUNIT_ASSERT(verdicts.kinds.at("late") == ClaimVerdict::Kind::kHeld);
+    CPPUNIT_ASSERT(verdicts.kinds.at("late") == ClaimVerdict::Kind::kTaken);
   }
 
   // Guards against an entry that stood still and takes answers that it has not read yet for
@@ -568,7 +572,7 @@
     JobClaims& claims = entries_.at(rank[2]).claims;
     claims.Claim(request, entries_.now);
     entries_.now += Ms(800);
-    claims.OnPause(entries_.now);
+    claims.OnPause();
     claims.Advance(entries_.now);
     entries_.Deliver();
     CPPUNIT_ASSERT_EQUAL(rank[0], entries_.Coordinators("j"));
@@ -584,6 +588,49 @@
     CPPUNIT_ASSERT(entries_.at("entry-1").claims.IsPending("j"));
   }
 
+  // Guards against jobs that wait for a slow entry although another one knows that they are new.
+  void GrantOfACompleteRecorderIsEnough() {
+    const std::vector<std::string> rank = entries_.Rank("j");
+    entries_.Advance(Ms(3000));
+    entries_.paused.insert(rank[0]);
+    entries_.Submit(rank[2], "j");
+    CPPUNIT_ASSERT_EQUAL(rank[2], entries_.Coordinators("j"));
+  }
+
+  // Guards against an entry that takes its records for complete although an entry, whose claims
+  // it may not have read, is silent, or was connected lately.
+  void RecorderThatMayMissAClaimIsNotEnough() {
+    const std::vector<std::string> rank = entries_.Rank("j");
+    entries_.Advance(Ms(3000));
+    entries_.paused.insert(rank[0]);
+    entries_.Advance(Ms(960));
+    entries_.Submit(rank[2], "j");
+    CPPUNIT_ASSERT_EQUAL(std::string(), entries_.Coordinators("j"));
+    entries_.paused.clear();
+    entries_.Advance(Ms(3000));
+    entries_.Start("entry-9");
+    entries_.paused.insert(rank[0]);
+    entries_.Submit(rank[2], "k");
+    const std::vector<std::string> rank_k = entries_.Rank("k");
+    if (rank_k[0] == rank[0] || rank_k[1] == rank[0]) {
+      CPPUNIT_ASSERT_EQUAL(std::string(), entries_.Coordinators("k"));
+    }
+  }
+
+  // Guards against two coordinators after an entry has lost its connection to a recorder, and so
+  // takes others for the recorders.
+  void EntryThatHasLostAConnectionAsksAllRecorders() {
+    const std::vector<std::string> rank = entries_.Rank("j");
+    entries_.Advance(Ms(3000));
+    entries_.Submit(rank[0], "j");
+    ClaimingEntries::Entry& entry = entries_.at(rank[3]);
+    entry.registry.OnDisconnected(rank[0], entries_.now);
+    entry.claims.OnDisconnected(rank[0], entries_.now);
+    entries_.paused.insert(rank[1]);
+    entries_.Submit(rank[3], "j");
+    CPPUNIT_ASSERT_EQUAL(rank[0], entries_.Coordinators("j"));
+  }
+
   // Guards against records that grow with each job.
   void ReleasedClaimsLeaveNothing() {
     for (int i = 0; i < 100; ++i) {
--- a/scripts/lib/leaving_callers.py
+++ b/scripts/lib/leaving_callers.py
@@ -2,8 +2,9 @@
 job runs, and submit it again through another entry.
 
 Each task must have one run at a time, also where the first entry does not notice that its
-caller has gone, and while other entries, which may be those that know of the job, die or stand still.
-The second submission must be answered as completed.
+caller has gone, and while other entries, which may be those that know of the job, die or stand
+still. The second submission must be answered as completed. Callers that come back to the same
+entry, when the job is done, or only to have it cancelled are played as well.
 """
 
 import argparse
@@ -55,6 +56,14 @@
         finally:
             link.close()
 
+    def cancel(self, host, job):
+        link = http.client.HTTPConnection(host, CALL_PORT, timeout=DEADLINE_S)
+        try:
+            link.request("DELETE", f"/j/{job}", headers={"Host": "h"})
+            return link.getresponse().status
+        finally:
+            link.close()
+
     def run_caller(self, hosts, job, first, second):
         self.submit(hosts[first], job, LEAVES_AFTER_S)
         time.sleep(RETRY_DELAY_S)
@@ -96,6 +105,64 @@
               f"overlaps={len(self.history.errors) - overlaps} "
               f"unanswered={len(self.errors) - errors}", flush=True)
 
+    def leave_all(self, hosts, jobs, first):
+        callers = [threading.Thread(target=self.submit, args=(hosts[first], it, LEAVES_AFTER_S))
+                   for it in jobs]
+        for it in callers:
+            it.start()
+        for it in callers:
+            it.join()
+
+    def play_done(self, number):
+        """The callers come back through another entry when their jobs are done."""
+        first, second = self.rng.sample(range(ENTRIES), 2)
+        hosts, jobs = self.fleet.balancers["never"], [f"{number:08x}{n:08x}" for n in range(CALLERS)]
+        self.leave_all(hosts, jobs, first)
+        time.sleep(2 * TASK_MS / 1000)
+        starts = self.history.starts
+        for job in jobs:
+            status, body, _ = self.submit(hosts[second], job)
+            if status != 200 or b"completed" not in body:
+                self.errors.append(f"{job}: done, and answered with {status} {body!r}")
+        if self.history.starts != starts:
+            self.errors.append(f"{self.history.starts - starts} tasks of completed jobs started")
+
+    def play_cancel(self, number):
+        """The callers cancel their jobs through another entry than the one that has them, after
+        they have come back through a third one."""
+        first, second, third = self.rng.sample(range(ENTRIES), 3)
+        hosts, jobs = self.fleet.balancers["never"], [f"{number:08x}{n:08x}" for n in range(CALLERS)]
+        self.leave_all(hosts, jobs, first)
+        time.sleep(RETRY_DELAY_S)
+        callers = [threading.Thread(target=self.submit, args=(hosts[second], it)) for it in jobs]
+        for it in callers:
+            it.start()
+        time.sleep(0.2)
+        for it in jobs:
+            self.cancel(hosts[third], it)
+        time.sleep(0.5)
+        starts = self.history.starts
+        running = [it for job in jobs for n in range(TASKS)
+                   for it in self.history.active_runs.get(f"{job}.0.0.{n}", [])]
+        if running:
+            self.errors.append(f"after their cancel tasks run: {running}")
+        for it in callers:
+            it.join(DEADLINE_S)
+        time.sleep(TASK_MS / 1000)
+        if self.history.starts != starts:
+            self.errors.append(f"{self.history.starts - starts} tasks of cancelled jobs started")
+
+    def play_same(self, number):
+        """The callers come back to the entry that they have left."""
+        hosts = self.fleet.balancers["never"]
+        entry = self.rng.randrange(ENTRIES)
+        callers = [threading.Thread(target=self.run_caller, args=(
+            hosts, f"{number:08x}{n:08x}", entry, entry)) for n in range(CALLERS)]
+        for it in callers:
+            it.start()
+        for it in callers:
+            it.join()
+
     def run(self):
         self.fleet.write_configuration(1)
         processes = self.fleet.entries + self.fleet.agents
@@ -111,6 +178,13 @@
                     number += 1
                     self.play(kind, trouble, number)
                     self.fleet.wait_served(number)
+            for play in (self.play_same, self.play_done, self.play_cancel):
+                number += 1
+                errors = len(self.errors) + len(self.history.errors)
+                play(number)
+                print(f"leaving callers: {play.__name__} "
+                      f"errors={len(self.errors) + len(self.history.errors) - errors}", flush=True)
+                self.fleet.wait_served(number)
         finally:
             for it in processes:
                 it.resume()
