--- a/packages/daemon/src/claim_exchange.cc
+++ b/packages/daemon/src/claim_exchange.cc
@@ -72,6 +72,13 @@
   for (const direct_wire::RivalClaim& it : frame.rival_claims()) {
     claims_.OnRival(entry, ReadRival(it), now);
   }
+  claims_.OnBegunJobs({frame.begun_jobs().begin(), frame.begun_jobs().end()}, now);
+  if (frame.stamp_us() != 0) registry_.OnStamp(entry, now);
+}
+
+void ClaimExchange::OnPeerStamp(const std::string& entry, direct_wire::Frame& frame) {
+  const std::vector<std::uint32_t> jobs = claims_.TakeBegunJobs(entry);
+  frame.mutable_begun_jobs()->Add(jobs.begin(), jobs.end());
 }
 
 void ClaimExchange::OnPause(core::Duration pause, core::TimePoint now) {
@@ -87,6 +94,7 @@
   const core::Duration age = now - running_since_;
   const bool connected = age > kMinConnectionWait && links_.all_entries_connected();
   claims_.SetConnected(connected || age > kMaxConnectionWait, now);
+  claims_.SetReachesAll(links_.all_entries_connected());
   registry_.Advance(now);
   claims_.Advance(now);
 }
@@ -105,6 +113,13 @@
   }
 }
 
+void ClaimExchange::SendBegunJobs(const std::string& entry,
+                                  const std::vector<std::uint32_t>& jobs) {
+  if (direct_wire::Frame* frame = links_.FrameToEntry(entry)) {
+    frame->mutable_begun_jobs()->Add(jobs.begin(), jobs.end());
+  }
+}
+
 void ClaimExchange::SendVerdict(const std::string& entry, const direct::ClaimVerdict& verdict) {
   if (entry == self_) return claims_.OnVerdict(entry, verdict, BootNow());
   if (auto* frame = links_.FrameToEntry(entry)) WriteVerdict(verdict, *frame->add_claim_verdicts());
--- a/packages/daemon/src/claim_exchange.h
+++ b/packages/daemon/src/claim_exchange.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/claim_registry.h"
@@ -39,6 +40,9 @@
   void OnPeerLost(const std::string& entry, core::TimePoint now);
   void OnPeerFrame(const std::string& entry, const direct_wire::Frame& frame, core::TimePoint now);
 
+  // A stamp is sent to the entry with `frame`.
+  void OnPeerStamp(const std::string& entry, direct_wire::Frame& frame);
+
   // This process has done nothing for the time `pause`.
   void OnPause(core::Duration pause, core::TimePoint now);
 
@@ -49,6 +53,7 @@
   // JobClaimsSink
   void SendClaim(const std::string& entry, const direct::JobClaim& claim) override;
   void SendRelease(const std::string& entry, const direct::ClaimRelease& release) override;
+  void SendBegunJobs(const std::string& entry, const std::vector<std::uint32_t>& jobs) override;
   void OnGranted(direct::JobRequest request, core::TimePoint now) override;
   void OnOutcome(const std::string& job, const direct::JobOutcome& outcome) override;
   void OnClaimLost(const std::string& job, const std::string& holder, core::TimePoint now) override;
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -489,6 +489,10 @@
   for (const std::string& it : dispatcher_.RecentCancels(now)) frame.add_cancels(it);
 }
 
+void DirectEntryRuntime::OnPeerStamp(const std::string& entry, direct_wire::Frame& frame) {
+  claim_exchange_.OnPeerStamp(entry, frame);
+}
+
 void DirectEntryRuntime::OnPeerLost(const std::string& entry, core::TimePoint now) {
   CheckPause(now);
   claim_exchange_.OnPeerLost(entry, now);
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -109,6 +109,7 @@
   void OnAgentLost(const std::string& agent, core::TimePoint last_heard) override;
   void OnPeerConnected(const std::string& entry, bool records_claims, direct_wire::Frame& frame,
                        core::TimePoint now) override;
+  void OnPeerStamp(const std::string& entry, direct_wire::Frame& frame) override;
   void OnPeerLost(const std::string& entry, core::TimePoint now) override;
   void OnPeerFrame(const std::string& entry, const direct_wire::Frame& frame,
                    core::TimePoint now) override;
--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -322,8 +322,10 @@
   for (auto& [id, link] : links_) {
     if (link.is_agent || link.name.empty() || now < link.stamp_due) continue;
     link.stamp_due = now + kPeerStampInterval;
-    link.connection->outbox().set_stamp_us(
-        static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    direct_wire::Frame& frame = link.connection->outbox();
+    frame.set_stamp_us(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    const auto peer = peers_.find(link.name);
+    if (peer != peers_.end() && peer->second == id) listener_.OnPeerStamp(link.name, frame);
   }
 }
 
--- a/packages/daemon/src/entry_links_listener.h
+++ b/packages/daemon/src/entry_links_listener.h
@@ -33,6 +33,8 @@
   // claims.
   virtual void OnPeerConnected(const std::string& entry, bool records_claims,
                                direct_wire::Frame& frame, core::TimePoint now) = 0;
+  // A stamp is sent to the entry with `frame`. Adds to `frame` what goes with each stamp.
+  virtual void OnPeerStamp(const std::string& entry, direct_wire::Frame& frame) = 0;
   // The connection to the entry has closed, or another one replaces it.
   virtual void OnPeerLost(const std::string& entry, core::TimePoint now) = 0;
   // A frame of an entry that is connected; called before the calls for its parts.
--- a/packages/daemon/test/entry_links_test.cc
+++ b/packages/daemon/test/entry_links_test.cc
@@ -48,6 +48,7 @@
   void OnAgentLost(const std::string& agent, core::TimePoint /*last_heard*/) override {
     lost.push_back(agent);
   }
+  void OnPeerStamp(const std::string& /*entry*/, direct_wire::Frame& /*frame*/) override {}
   void OnPeerLost(const std::string& entry, core::TimePoint /*now*/) override {
     lost.push_back(entry);
   }
--- a/packages/direct/benchmarks/job_claims_benchmark.cc
+++ b/packages/direct/benchmarks/job_claims_benchmark.cc
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "coltsfoottide/direct/claim_registry.h"
+#include "coltsfoottide/direct/claim_registry_sink.h"
 #include "coltsfoottide/direct/claim_release.h"
 #include "coltsfoottide/direct/claim_verdict.h"
 #include "coltsfoottide/direct/job_claim.h"
@@ -31,6 +33,10 @@
   void SendRelease(const std::string& /*entry*/, const ClaimRelease& release) override {
     benchmark::DoNotOptimize(release.number);
   }
+  void SendBegunJobs(const std::string& /*entry*/,
+                     const std::vector<std::uint32_t>& jobs) override {
+    benchmark::DoNotOptimize(jobs.size());
+  }
   void OnGranted(JobRequest /*request*/, core::TimePoint /*now*/) override { ++granted; }
   void OnOutcome(const std::string& /*job*/, const JobOutcome& /*outcome*/) override {}
   void OnClaimLost(const std::string& /*job*/, const std::string& /*holder*/,
@@ -65,7 +71,8 @@
     claims.Claim(request, now);
     for (const auto& [entry, claim] : std::exchange(sink.claims, {})) {
       claims.OnVerdict(
-          entry, {claim.job, claim.number, ClaimVerdict::Kind::kGranted, "10.0.0.0", {}}, now);
+          entry, {claim.job, claim.number, ClaimVerdict::Kind::kGranted, false, "10.0.0.0", {}},
+          now);
       ++messages;
     }
     claims.Release(request.id, outcome);
@@ -76,6 +83,47 @@
 }
 BENCHMARK(ClaimAndRelease)->Arg(3)->Arg(35)->Arg(200);
 
+// Drops the answers of a registry.
+class VerdictCounter : public ClaimRegistrySink {
+ public:
+  void SendVerdict(const std::string& /*entry*/, const ClaimVerdict& /*verdict*/) override {
+    ++verdicts;
+  }
+  void SendRival(const std::string& /*entry*/, const RivalClaim& /*message*/) override {}
+
+  std::int64_t verdicts = 0;
+};
+
+// What an entry spends on the record of one job, with the outcomes of 10,000 jobs remembered; the
+// argument is the number of entries.
+void RecordAndRelease(benchmark::State& state) {
+  constexpr int kRemembered = 10000;
+  VerdictCounter sink;
+  ClaimRegistry registry(
+      {std::chrono::seconds(1), std::chrono::seconds(2), std::chrono::seconds(1)}, sink);
+  core::TimePoint now{std::chrono::hours(1)};
+  std::vector<std::string> entries;
+  for (std::int64_t i = 1; i < state.range(0); ++i)
+    entries.push_back("10.0.0." + std::to_string(i));
+  for (const std::string& it : entries) registry.OnHeard(it, now);
+  // Outcomes are remembered for 10 s.
+  const core::Duration interval = core::Duration(std::chrono::seconds(10)) / kRemembered;
+  const JobOutcome outcome{JobOutcome::Kind::kCompleted, "", {}, {}};
+  std::uint32_t number = 0;
+  for (auto _ : state) {
+    now += interval;
+    ++number;
+    const std::string job = "job-" + std::to_string(number);
+    const std::string& entry = entries[number % entries.size()];
+    registry.OnClaim(entry, {job, number, false, std::chrono::seconds(1)}, now);
+    registry.OnRelease(entry, {job, number, outcome}, now);
+    constexpr std::uint32_t kJobsPerTick = 20;
+    if (number % kJobsPerTick == 0) registry.Advance(now);
+  }
+  if (sink.verdicts != state.iterations()) state.SkipWithError("a claim was not answered");
+}
+BENCHMARK(RecordAndRelease)->Arg(3)->Arg(35)->Arg(200);
+
 }  // namespace
 }  // namespace coltsfoottide::direct
 
--- a/packages/direct/include/coltsfoottide/direct/claim_registry.h
+++ b/packages/direct/include/coltsfoottide/direct/claim_registry.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/job_outcome.h"
@@ -28,9 +29,9 @@
     core::Duration disconnected_limit;
     // They lapse this long after the last message of an entry that is silent.
     core::Duration silent_limit;
-    // Longest time between two messages of an entry that is neither silent nor slow. Shorter
-    // than the time after which callers come back.
-    core::Duration message_interval;
+    // Longest time between two stamps of an entry that is neither silent nor slow. Shorter than
+    // the time after which callers come back.
+    core::Duration stamp_interval;
   };
 
   ClaimRegistry(const Tuning& tuning, ClaimRegistrySink& sink) : tuning_(tuning), sink_(sink) {}
@@ -40,6 +41,8 @@
 
   // Something has arrived from the entry.
   void OnHeard(const std::string& entry, core::TimePoint now);
+  // A stamp has arrived, and with it the jobs that the entry has begun before.
+  void OnStamp(const std::string& entry, core::TimePoint now);
   // The connection to the entry has closed. Its claims lapse unless it renews them.
   void OnDisconnected(const std::string& entry, core::TimePoint now);
 
@@ -65,13 +68,17 @@
     Claimant holder;
     // Set from when the holder's connection closes until it renews the claim.
     std::optional<core::TimePoint> lapses;
-    std::deque<Claimant> waiting;
+    std::vector<Claimant> waiting;
     std::optional<JobOutcome> outcome;
   };
   struct Ended {
     std::string job;
     core::TimePoint time;
   };
+  struct Peer {
+    core::TimePoint heard;
+    core::TimePoint stamped;
+  };
 
   void Queue(const std::string& job, Record& record, const Claimant& claimant);
   // Tells the holder that the other one claims the job as well.
@@ -93,12 +100,16 @@
   // Jobs that others wait for, or whose holder is not connected.
   std::set<std::string> watched_;
   std::deque<Ended> ended_;
-  // Time of the last message, by connected entry.
-  std::map<std::string, core::TimePoint> heard_;
-  // The earliest of them at the last call of Advance.
-  core::TimePoint oldest_message_;
+  // Connected entries: times of the last message and the last stamp.
+  std::map<std::string, Peer> peers_;
+  // The earliest of the stamps at the last call of Advance.
+  core::TimePoint oldest_stamp_;
   // Entries that have connected have renewed their claims by then.
   core::TimePoint complete_from_ = core::TimePoint::max();
+  // The last two calls of Advance; between them all connections were read.
+  core::TimePoint advanced_at_;
+  core::TimePoint previous_advance_;
+  // After a pause, see OnPause.
   core::TimePoint resumed_at_;
 };
 
--- a/packages/direct/include/coltsfoottide/direct/job_claims_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims_sink.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
+#include <vector>
 
 #include "coltsfoottide/core/time.h"
 
@@ -20,6 +22,8 @@
 
   virtual void SendClaim(const std::string& entry, const JobClaim& claim) = 0;
   virtual void SendRelease(const std::string& entry, const ClaimRelease& release) = 0;
+  // `jobs`: see JobClaims::TakeBegunJobs. Sent at once, without a stamp.
+  virtual void SendBegunJobs(const std::string& entry, const std::vector<std::uint32_t>& jobs) = 0;
 
   // This entry coordinates the job from now on.
   virtual void OnGranted(JobRequest request, core::TimePoint now) = 0;
--- a/packages/direct/src/claim_registry.cc
+++ b/packages/direct/src/claim_registry.cc
@@ -60,7 +60,7 @@
 }
 
 void ClaimRegistry::DismissHeld(const std::string& job, Record& record) {
-  std::deque<Claimant> held;
+  std::vector<Claimant> held;
   for (const Claimant& it : record.waiting) {
     if (it.held) held.push_back(it);
   }
@@ -75,7 +75,7 @@
   std::erase_if(record.waiting,
                 [&claimant](const Claimant& it) { return it.entry == claimant.entry; });
   if (claimant.held) {
-    record.waiting.push_front(claimant);
+    record.waiting.insert(record.waiting.begin(), claimant);
   } else {
     record.waiting.push_back(claimant);
   }
@@ -115,10 +115,10 @@
     return;
   }
   record.holder = record.waiting.front();
-  record.waiting.pop_front();
+  record.waiting.erase(record.waiting.begin());
   if (record.waiting.empty()) watched_.erase(job);
   const Claimant holder = record.holder;
-  const std::deque<Claimant> waiting = record.waiting;
+  const std::vector<Claimant> waiting = record.waiting;
   SendVerdict(job, holder, {"", 0, ClaimVerdict::Kind::kGranted, false, holder.entry, {}});
   for (const Claimant& it : waiting) {
     if (!it.held)
@@ -140,26 +140,34 @@
 
 bool ClaimRegistry::HasLapsed(const Record& record, core::TimePoint now) const {
   if (record.lapses && now >= *record.lapses) return true;
-  const auto it = heard_.find(record.holder.entry);
-  return it != heard_.end() && now - std::max(it->second, resumed_at_) >= tuning_.silent_limit;
+  const auto it = peers_.find(record.holder.entry);
+  return it != peers_.end() &&
+         now - std::max(it->second.heard, resumed_at_) >= tuning_.silent_limit;
 }
 
 bool ClaimRegistry::IsComplete(core::TimePoint now) const {
-  return now >= complete_from_ && now - oldest_message_ <= tuning_.message_interval;
+  const core::Duration unread = now - previous_advance_;
+  return now >= complete_from_ &&
+         now - oldest_stamp_ + unread <= tuning_.stamp_interval + kMaxReadingDelay;
 }
 
 void ClaimRegistry::OnHeard(const std::string& entry, core::TimePoint now) {
-  const auto [it, connected] = heard_.try_emplace(entry, now);
-  it->second = now;
+  const auto [it, connected] = peers_.try_emplace(entry, Peer{now, now});
+  it->second.heard = now;
   if (connected) complete_from_ = now + tuning_.silent_limit;
 }
 
+void ClaimRegistry::OnStamp(const std::string& entry, core::TimePoint now) {
+  const auto it = peers_.find(entry);
+  if (it != peers_.end()) it->second.stamped = now;
+}
+
 void ClaimRegistry::OnDisconnected(const std::string& entry, core::TimePoint now) {
   complete_from_ = now + tuning_.silent_limit;
   core::TimePoint lapses = now + tuning_.disconnected_limit;
-  if (const auto it = heard_.find(entry); it != heard_.end()) {
-    lapses = std::min(lapses, it->second + tuning_.silent_limit);
-    heard_.erase(it);
+  if (const auto it = peers_.find(entry); it != peers_.end()) {
+    lapses = std::min(lapses, it->second.heard + tuning_.silent_limit);
+    peers_.erase(it);
   }
   for (auto& [job, record] : records_) {
     std::erase_if(record.waiting, [&entry](const Claimant& it) { return it.entry == entry; });
@@ -171,8 +179,9 @@
 
 void ClaimRegistry::Advance(core::TimePoint now) {
   if (complete_from_ == core::TimePoint::max()) complete_from_ = now + tuning_.silent_limit;
-  oldest_message_ = now;
-  for (const auto& [entry, time] : heard_) oldest_message_ = std::min(oldest_message_, time);
+  previous_advance_ = std::exchange(advanced_at_, now);
+  oldest_stamp_ = now;
+  for (const auto& [entry, peer] : peers_) oldest_stamp_ = std::min(oldest_stamp_, peer.stamped);
   const std::vector<std::string> watched(watched_.begin(), watched_.end());
   for (const std::string& job : watched) {
     const auto it = records_.find(job);
--- a/packages/direct/src/job_claims.cc
+++ b/packages/direct/src/job_claims.cc
@@ -11,6 +11,7 @@
 #include "coltsfoottide/direct/job_outcome.h"
 #include "coltsfoottide/direct/rendezvous_hash.h"
 #include "coltsfoottide/direct/rival_claim.h"
+#include "coltsfoottide/direct/time_bounds.h"
 
 namespace coltsfoottide::direct {
 
@@ -23,6 +24,16 @@
 // A grant of a claim that was sent longer ago is not acted on: the process may have stood still
 // since, and the claim may have lapsed.
 constexpr core::Duration kGrantLifetime = std::chrono::seconds(1);
+// Intervals at which recorders are told of jobs that last, and of jobs that have ended: well before
+// a caller can come back.
+constexpr core::Duration kClaimInterval = std::chrono::milliseconds(200);
+constexpr core::Duration kReleaseInterval = std::chrono::milliseconds(500);
+// Delay of a request after which its caller may have submitted it elsewhere before the others hear
+// that it has arrived here.
+constexpr core::Duration kMaxRequestDelay = std::chrono::milliseconds(900);
+// Such a job waits for this long before its recorders are believed: if another entry has begun it,
+// they have been told by then.
+constexpr core::Duration kLateRequestWait = kClaimInterval + kAnswerLimit;
 // Interval at which a coordinator renews its claims, so that it notices recorders that no longer
 // answer before a caller can come back, after 1.3 s.
 constexpr core::Duration kRenewalInterval = std::chrono::milliseconds(500);
@@ -37,32 +48,76 @@
 }  // namespace
 
 JobClaims::JobClaims(std::string self, std::uint32_t first_number, JobClaimsSink& sink)
-    : self_(std::move(self)), sink_(sink), next_number_(first_number), entries_({self_}) {}
+    : self_(std::move(self)),
+      sink_(sink),
+      next_number_(first_number),
+      entries_({self_}),
+      begun_here_(kOutcomeRetention),
+      begun_elsewhere_(kOutcomeRetention) {}
 
 bool JobClaims::IsPending(const std::string& job) const { return pending_.contains(job); }
 
 void JobClaims::Claim(JobRequest request, core::TimePoint now) {
   const std::string job = request.id;
   ClaimState& claim = claims_[job];
-  claim.number = next_number_++;
   claim.request = std::move(request);
   claim.claimed_at = now;
   pending_.insert(job);
-  AskMissing(job, now);
+  AddBegun(job, now);
+  const core::Duration delay = ReadingDelay(now);
+  if (delay > kMaxRequestDelay) claim.not_before = now + kLateRequestWait;
+  if (delay > kMaxReadingDelay) {
+    // The next stamp may come too late.
+    for (const std::string& it : entries_) {
+      if (it != self_) sink_.SendBegunJobs(it, TakeBegunJobs(it));
+    }
+  }
+  Begin(job, now);
+}
+
+void JobClaims::Begin(const std::string& job, core::TimePoint now) {
+  ClaimState& claim = claims_.at(job);
+  const std::uint32_t number = next_number_++;
+  claim.number = number;
+  claim.answers.clear();
+  claim.recorders_needed.reset();
+  claim.ranked_at_change.reset();
+  // This entry records its own claims too, for others that ask it in place of a recorder.
+  Ask(job, {self_}, now);
+  // It may have answered that the job has ended, or begun the claim again.
+  const auto it = claims_.find(job);
+  if (it == claims_.end() || it->second.number != number) return;
+  const bool complete = it->second.answers.at(self_).complete;
+  const bool is_new = complete && connected_ && reaches_all_ && !it->second.taken_elsewhere &&
+                      now >= it->second.not_before &&
+                      !begun_elsewhere_.Contains(JobFilter::Hash(job));
+  it->second.recorders_needed = is_new ? 0 : complete ? 1 : kRecorders;
+  if (!is_new) AskMissing(job, now);
   Settle(job, now);
 }
 
+void JobClaims::Rank(const std::string& job, ClaimState& claim) const {
+  if (claim.ranked_at_change == changes_) return;
+  claim.recorders = HighestRanked(job, entries_, kRecorders);
+  claim.ranked_at_change = changes_;
+}
+
+void JobClaims::AskAll(const std::string& job, core::TimePoint now) {
+  claims_.at(job).recorders_needed = kRecorders;
+  AskMissing(job, now);
+}
+
 void JobClaims::AskMissing(const std::string& job, core::TimePoint now) {
   ClaimState& claim = claims_.at(job);
   const bool taken = std::any_of(claim.answers.begin(), claim.answers.end(), [](const auto& it) {
     return it.second.state == Answer::State::kTaken;
   });
   if (taken) return;
-  std::vector<std::string> ranked = HighestRanked(job, entries_, kRecorders + unresponsive_.size());
+  Rank(job, claim);
   std::vector<std::string> missing;
   std::size_t responsive = 0;
-  for (const std::string& it : ranked) {
-    if (responsive == kRecorders) break;
+  for (const std::string& it : HighestRanked(job, entries_, kRecorders + unresponsive_.size())) {
+    if (responsive == claim.recorders_needed) break;
     const auto answer = claim.answers.find(it);
     const bool asked = answer != claim.answers.end();
     if (!asked) missing.push_back(it);
@@ -70,13 +125,6 @@
         asked ? answer->second.state == Answer::State::kLate : unresponsive_.contains(it);
     if (!unresponsive) ++responsive;
   }
-  ranked.resize(std::min(kRecorders, ranked.size()));
-  claim.recorders = std::move(ranked);
-  claim.ranked_at_change = changes_;
-  // This entry records its own claims too, for others that ask it in place of a recorder.
-  const bool ask_self = !claim.answers.contains(self_) &&
-                        std::find(missing.begin(), missing.end(), self_) == missing.end();
-  if (ask_self) missing.push_back(self_);
   Ask(job, missing, now);
 }
 
@@ -113,11 +161,14 @@
                        [state](const auto& it) { return it.second.state == state; });
   };
   if (any(Answer::State::kTaken) || now < claim.not_before) return false;
+  if (!claim.recorders_needed) return false;
+  if (claim.recorders_needed == 0) return true;
   // An entry that has lost a connection may take others for the recorders than the coordinator.
   const auto own = claim.answers.find(self_);
   const bool certain = claim.ranked_at_change == changes_ && own != claim.answers.end() &&
                        own->second.complete && IsGrantedByRecorder(claim, true);
   if (certain) return true;
+  if (claim.recorders_needed < kRecorders) return false;
   if (any(Answer::State::kNone) || !any(Answer::State::kGranted)) return false;
   return now - claim.claimed_at >= kRecorderWait || IsGrantedByRecorder(claim, false);
 }
@@ -142,12 +193,12 @@
   if (const auto expired = ExpiredGrants(claim, now); !expired.empty()) {
     return Ask(job, expired, now);
   }
-  if (claim.ranked_at_change != changes_) {
+  if (claim.recorders_needed > 0 && claim.ranked_at_change != changes_) {
     // The entries that rank highest now must agree as well.
-    AskMissing(job, now);
+    AskAll(job, now);
     return Settle(job, now);
   }
-  renewals_.push_back({now + kRenewalInterval, job, claim.number});
+  unrecorded_.push_back({job, claim.number});
   JobRequest request = std::move(*claim.request);
   claim.request.reset();
   pending_.erase(job);
@@ -164,8 +215,12 @@
   const auto answer = claim.answers.find(entry);
   if (answer == claim.answers.end()) return;
   if (verdict.kind == Kind::kGranted) {
+    const bool was_taken = answer->second.state == Answer::State::kTaken;
     answer->second.state = Answer::State::kGranted;
     answer->second.complete = verdict.complete;
+    const bool uncertain =
+        entry != self_ && !verdict.complete && claim.recorders_needed < kRecorders;
+    if (claim.request && (uncertain || was_taken)) AskAll(verdict.job, now);
     return Settle(verdict.job, now);
   }
   if (!claim.request) return sink_.OnClaimLost(verdict.job, verdict.holder, now);
@@ -178,8 +233,11 @@
 void JobClaims::OnRival(const std::string& entry, const RivalClaim& message, core::TimePoint now) {
   const auto it = claims_.find(message.job);
   if (it == claims_.end() || it->second.number != message.number) {
+    // The outcome may wait to be sent.
+    FlushReleases(entry);
     return sink_.SendRelease(entry, {message.job, message.number, std::nullopt});
   }
+  it->second.contested = true;
   const bool pending = it->second.request.has_value();
   // Two entries that each hold one of the two records of a job would wait for each other; the
   // one with the higher name gives way.
@@ -193,17 +251,25 @@
 void JobClaims::GiveWay(const std::string& job, core::TimePoint now) {
   ClaimState& claim = claims_.at(job);
   const ClaimState earlier = claim;
+  // Not those of this claim any more, if one arrives within the call.
   claim.number = next_number_++;
-  claim.answers.clear();
-  SendReleases(job, earlier, std::nullopt);
-  AskMissing(job, now);
-  Settle(job, now);
+  SendReleases(job, earlier, std::nullopt, true);
+  Begin(job, now);
 }
 
 void JobClaims::SendReleases(const std::string& job, const ClaimState& claim,
-                             const std::optional<JobOutcome>& outcome) {
-  for (const auto& [entry, answer] : claim.answers) {
-    sink_.SendRelease(entry, {job, claim.number, outcome});
+                             const std::optional<JobOutcome>& outcome, bool awaited) {
+  std::set<std::string> entries;
+  for (const auto& [entry, answer] : claim.answers) entries.insert(entry);
+  if (outcome) {
+    for (const std::string& it : HighestRanked(job, entries_, kRecorders)) entries.insert(it);
+  }
+  for (const std::string& it : entries) {
+    if (awaited || it == self_) {
+      sink_.SendRelease(it, {job, claim.number, outcome});
+    } else {
+      releases_[it].push_back({job, claim.number, outcome});
+    }
   }
 }
 
@@ -223,7 +289,7 @@
   const ClaimState claim = std::move(it->second);
   claims_.erase(it);
   pending_.erase(job);
-  SendReleases(job, claim, outcome);
+  SendReleases(job, claim, outcome, claim.contested);
 }
 
 void JobClaims::EndPending(const std::string& job, const JobOutcome& outcome) {
@@ -237,13 +303,14 @@
     entries_.push_back(entry);
   }
   unresponsive_.erase(entry);
+  unheard_[entry] = begun_here_.hashes();
   std::vector<std::string> jobs;
   for (auto& [job, claim] : claims_) {
     claim.answers.erase(entry);
     jobs.push_back(job);
   }
   for (const std::string& it : jobs) {
-    if (claims_.contains(it)) AskMissing(it, now);
+    if (claims_.contains(it)) AskAll(it, now);
   }
 }
 
@@ -251,6 +318,8 @@
   ++changes_;
   std::erase(entries_, entry);
   unresponsive_.erase(entry);
+  releases_.erase(entry);
+  unheard_.erase(entry);
   std::vector<std::string> jobs;
   for (auto& [job, claim] : claims_) {
     const auto answer = claim.answers.find(entry);
@@ -261,7 +330,7 @@
     jobs.push_back(job);
   }
   for (const std::string& it : jobs) {
-    if (claims_.contains(it)) AskMissing(it, now);
+    if (claims_.contains(it)) AskAll(it, now);
     Settle(it, now);
   }
 }
@@ -272,49 +341,106 @@
   for (const std::string& it : pending) Settle(it, now);
 }
 
+void JobClaims::OnBegunJobs(const std::vector<std::uint32_t>& jobs, core::TimePoint now) {
+  for (const std::uint32_t it : jobs) begun_elsewhere_.Add(it, now);
+}
+
+void JobClaims::AddBegun(const std::string& job, core::TimePoint now) {
+  const std::uint32_t hash = JobFilter::Hash(job);
+  begun_here_.Add(hash, now);
+  for (auto& [entry, hashes] : unheard_) hashes.push_back(hash);
+}
+
+std::vector<std::uint32_t> JobClaims::TakeBegunJobs(const std::string& entry) {
+  const auto it = unheard_.find(entry);
+  if (it == unheard_.end()) return {};
+  return std::exchange(it->second, {});
+}
+
+core::Duration JobClaims::ReadingDelay(core::TimePoint now) const {
+  return previous_advance_ ? now - *previous_advance_ : core::Duration{};
+}
+
+bool JobClaims::IsHeld(const ClaimKey& key) const {
+  const auto it = claims_.find(key.job);
+  return it != claims_.end() && it->second.number == key.number && !it->second.request;
+}
+
+void JobClaims::Record(core::TimePoint now) {
+  if (now >= claims_due_) {
+    claims_due_ = now + kClaimInterval;
+    for (const ClaimKey& it : std::exchange(unrecorded_, {})) {
+      if (!IsHeld(it)) continue;
+      answers_due_.push_back({now + kAnswerLimit, it});
+      renewals_.push_back({now + kRenewalInterval, it});
+      AskAll(it.job, now);
+    }
+  }
+  if (now >= releases_due_) {
+    releases_due_ = now + kReleaseInterval;
+    while (!releases_.empty()) FlushReleases(std::string(releases_.begin()->first));
+  }
+}
+
+void JobClaims::FlushReleases(const std::string& entry) {
+  const auto it = releases_.find(entry);
+  if (it == releases_.end()) return;
+  const std::vector<ClaimRelease> releases = std::move(it->second);
+  releases_.erase(it);
+  for (const ClaimRelease& release : releases) sink_.SendRelease(entry, release);
+}
+
 void JobClaims::Renew(core::TimePoint now) {
   const auto take_due = [now](std::deque<Timer>& timers) {
-    std::vector<Timer> due;
+    std::vector<ClaimKey> due;
     for (; !timers.empty() && now >= timers.front().due; timers.pop_front()) {
-      due.push_back(std::move(timers.front()));
+      due.push_back(std::move(timers.front().claim));
     }
     return due;
   };
-  const auto is_current = [this](const Timer& timer) {
-    const auto it = claims_.find(timer.job);
-    return it != claims_.end() && it->second.number == timer.number && !it->second.request;
-  };
-  for (const Timer& timer : take_due(renewals_)) {
-    if (!is_current(timer)) continue;
+  for (const ClaimKey& key : take_due(renewals_)) {
+    if (!IsHeld(key)) continue;
     std::vector<std::string> entries;
-    for (const auto& [entry, answer] : claims_.at(timer.job).answers) {
+    for (const auto& [entry, answer] : claims_.at(key.job).answers) {
       if (entry != self_) entries.push_back(entry);
     }
-    answers_due_.push_back({now + kAnswerLimit, timer.job, timer.number});
-    renewals_.push_back({now + kRenewalInterval, timer.job, timer.number});
-    Ask(timer.job, entries, now);
+    AddBegun(key.job, now);
+    answers_due_.push_back({now + kAnswerLimit, key});
+    renewals_.push_back({now + kRenewalInterval, key});
+    Ask(key.job, entries, now);
   }
-  for (const Timer& timer : take_due(answers_due_)) {
-    if (!is_current(timer)) continue;
-    MarkLate(claims_.at(timer.job), now);
-    AskMissing(timer.job, now);
+  for (const ClaimKey& key : take_due(answers_due_)) {
+    if (!IsHeld(key)) continue;
+    ClaimState& claim = claims_.at(key.job);
+    if (MarkLate(claim, now)) AskAll(key.job, now);
+    const bool missing =
+        std::any_of(claim.answers.begin(), claim.answers.end(),
+                    [](const auto& it) { return it.second.state == Answer::State::kNone; });
+    if (missing) answers_due_.push_back({now + kAnswerLimit, key});
   }
 }
 
-void JobClaims::MarkLate(ClaimState& claim, core::TimePoint now) {
+bool JobClaims::MarkLate(ClaimState& claim, core::TimePoint now) {
+  // Answers that have arrived may not be read yet.
+  const core::Duration limit = std::max(kAnswerLimit, 2 * ReadingDelay(now));
+  bool any = false;
   for (auto& [entry, answer] : claim.answers) {
     const bool missing = answer.state == Answer::State::kNone;
-    if (!missing || entry == self_ || now - answer.asked_at < kAnswerLimit) continue;
+    if (!missing || entry == self_ || now - answer.asked_at < limit) continue;
     answer.state = Answer::State::kLate;
+    any = true;
     if (unresponsive_.insert(entry).second) sink_.OnUnanswered(entry);
   }
+  return any;
 }
 
 void JobClaims::Advance(core::TimePoint now) {
+  previous_advance_ = std::exchange(advanced_at_, now);
   // Between two calls the connections are read.
   skipped_ = std::exchange(paused_, false);
   if (skipped_) return;
   Renew(now);
+  Record(now);
   const std::vector<std::string> pending(pending_.begin(), pending_.end());
   for (const std::string& job : pending) {
     const auto it = claims_.find(job);
@@ -326,8 +452,7 @@
       EndPending(job, {kind, "another entry has the job", kRetryAfter});
       continue;
     }
-    MarkLate(claim, now);
-    AskMissing(job, now);
+    if (MarkLate(claim, now)) AskAll(job, now);
     Settle(job, now);
   }
 }
--- a/packages/direct/test/job_claims_property_test.cc
+++ b/packages/direct/test/job_claims_property_test.cc
@@ -83,6 +83,7 @@
     RunUntil(kStartTime);
     start_ = now_;
     messages_.clear();
+    notices_.clear();
     trace_.clear();
   }
   ClaimsSimulation(const ClaimsSimulation&) = delete;
@@ -134,9 +135,12 @@
     return n;
   }
 
-  // Messages about jobs, by the pair of entries that have exchanged them.
+  // Messages about single jobs, by the pair of entries that have exchanged them.
   const std::map<std::pair<std::string, std::string>, int>& messages() const { return messages_; }
 
+  // Notices of begun jobs that were sent without a stamp, by sender and receiver.
+  const std::map<std::pair<std::string, std::string>, int>& notices() const { return notices_; }
+
   const std::string& trace() const { return trace_; }
 
  private:
@@ -158,6 +162,14 @@
         it.registry.OnRelease(from, release, it.owner_.now_);
       });
     }
+    void SendBegunJobs(const std::string& to, const std::vector<std::uint32_t>& jobs) override {
+      if (!peers.contains(to)) return;
+      ++owner_.notices_[std::pair(name, to)];
+      owner_.Post(name, to, peers.at(to), [jobs, from = name](Entry& it) {
+        it.owner_.Hear(it, from);
+        it.claims.OnBegunJobs(jobs, it.owner_.now_);
+      });
+    }
     void SendVerdict(const std::string& to, const ClaimVerdict& verdict) override {
       static constexpr const char* kKinds[] = {"granted ", "held ", "ended "};
       owner_.Send(*this, to, kKinds[static_cast<int>(verdict.kind)] + verdict.job,
@@ -348,10 +360,16 @@
       core::TimePoint& due = entry.stamp_due[peer];
       if (now_ < due) continue;
       due = now_ + kStampInterval;
-      Post(entry.name, peer, id, [this, name = entry.name](Entry& it) { Hear(it, name); });
+      Post(entry.name, peer, id,
+           [this, name = entry.name, jobs = entry.claims.TakeBegunJobs(peer)](Entry& it) {
+             Hear(it, name);
+             it.registry.OnStamp(name, now_);
+             it.claims.OnBegunJobs(jobs, now_);
+           });
     }
     entry.registry.Advance(now_);
     entry.claims.SetConnected(now_ >= entry.connected_at, now_);
+    entry.claims.SetReachesAll(entry.peers.size() + 1 == names_.size());
     entry.claims.Advance(now_);
   }
 
@@ -507,6 +525,7 @@
   int late_answers_ = 0;
   int granted_ = 0;
   std::map<std::pair<std::string, std::string>, int> messages_;
+  std::map<std::pair<std::string, std::string>, int> notices_;
   std::string trace_;
 };
 
@@ -599,15 +618,26 @@
     }));
   }
 
-  // Guards against a job that costs more messages the more entries there are.
+  // Guards against a job that costs more messages the more entries there are, and against notices
+  // between entries whose number grows with that of the jobs.
   void CostDoesNotDependOnTheNumberOfEntries() {
+    constexpr int kDurationMs = 500;
     for (const int entries : {3, 35, 200}) {
-      ClaimsSimulation simulation(entries, 1);
-      simulation.Add("j", {0, 100, true, {{entries / 2, 0, 0}}});
-      simulation.RunFor(Ms(500));
-      CPPUNIT_ASSERT_EQUAL(1, simulation.granted());
-      CPPUNIT_ASSERT(simulation.messages().size() <= 2);
-      for (const auto& [pair, n] : simulation.messages()) CPPUNIT_ASSERT(n <= 3);
+      for (const int jobs : {1, 50}) {
+        ClaimsSimulation simulation(entries, 1);
+        for (int i = 0; i < jobs; ++i) {
+          simulation.Add("j" + std::to_string(i), {0, 100, true, {{entries / 2, 0, 0}}});
+        }
+        simulation.RunFor(Ms(kDurationMs));
+        CPPUNIT_ASSERT_EQUAL(jobs, simulation.granted());
+        if (jobs == 1) CPPUNIT_ASSERT(simulation.messages().size() <= 2);
+        int messages = 0;
+        for (const auto& [pair, n] : simulation.messages()) messages += n;
+        CPPUNIT_ASSERT(messages <= 2 * 3 * jobs);
+        for (const auto& [pair, n] : simulation.notices()) {
+          CPPUNIT_ASSERT_EQUAL(0, n);
+        }
+      }
     }
   }
 };
--- a/packages/direct/test/job_claims_test.cc
+++ b/packages/direct/test/job_claims_test.cc
@@ -52,6 +52,10 @@
         it.registry.OnRelease(from, release, now);
       });
     }
+    void SendBegunJobs(const std::string& to, const std::vector<std::uint32_t>& jobs) override {
+      owner_.Send(name, to,
+                  [jobs](Entry& it, core::TimePoint now) { it.claims.OnBegunJobs(jobs, now); });
+    }
     void SendVerdict(const std::string& to, const ClaimVerdict& verdict) override {
       owner_.Send(name, to, [verdict, from = name](Entry& it, core::TimePoint now) {
         it.claims.OnVerdict(from, verdict, now);
@@ -125,6 +129,7 @@
       entry.claims.OnConnected(other, now);
     }
     entry.claims.SetConnected(complete, now);
+    entry.claims.SetReachesAll(reaches_all);
     return entry;
   }
 
@@ -175,7 +180,10 @@
         it->registry.Advance(now);
         it->claims.Advance(now);
         for (auto& [other, peer] : entries_) {
-          if (other != name && !paused.contains(other)) peer->registry.OnHeard(name, now);
+          if (other == name || paused.contains(other)) continue;
+          peer->registry.OnHeard(name, now);
+          peer->registry.OnStamp(name, now);
+          peer->claims.OnBegunJobs(it->claims.TakeBegunJobs(other), now);
         }
       }
       Deliver();
@@ -213,6 +221,8 @@
 
   core::TimePoint now = kStart;
   std::set<std::string> paused;
+  // Of entries that start: whether they are connected to all that they know.
+  bool reaches_all = false;
 
  private:
   struct Message {
@@ -255,8 +265,15 @@
   CPPUNIT_TEST(AnswersThatAreNotReadYetAreWaitedFor);
   CPPUNIT_TEST(LaterCallerIsWaitedFor);
   CPPUNIT_TEST(GrantOfACompleteRecorderIsEnough);
+  CPPUNIT_TEST(LastingJobIsKnownToBothRecorders);
   CPPUNIT_TEST(RecorderThatMayMissAClaimIsNotEnough);
   CPPUNIT_TEST(EntryThatHasLostAConnectionAsksAllRecorders);
+  CPPUNIT_TEST(NewJobIsGrantedWithoutAsking);
+  CPPUNIT_TEST(JobThatAnotherEntryHasBegunIsNotNew);
+  CPPUNIT_TEST(QuickJobIsNotRunAgain);
+  CPPUNIT_TEST(RestartedEntryHearsOfEarlierJobs);
+  CPPUNIT_TEST(EntryThatDoesNotReachAllAsks);
+  CPPUNIT_TEST(RequestReadLateIsNotNew);
   CPPUNIT_TEST(ReleasedClaimsLeaveNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -590,11 +607,32 @@
 
   // Guards against jobs that wait for a slow entry although another one knows that they are new.
   void GrantOfACompleteRecorderIsEnough() {
-    const std::vector<std::string> rank = entries_.Rank("j");
-    entries_.Advance(Ms(3000));
-    entries_.paused.insert(rank[0]);
-    entries_.Submit(rank[2], "j");
-    CPPUNIT_ASSERT_EQUAL(rank[2], entries_.Coordinators("j"));
+    for (const std::size_t slow : {0, 1}) {
+      entries_.Reset(4);
+      const std::vector<std::string> rank = entries_.Rank("j");
+      entries_.Advance(Ms(3000));
+      entries_.paused.insert(rank[slow]);
+      entries_.Submit(rank[2], "j");
+      // Only the entry that ranks first is asked at once.
+      if (slow == 0) entries_.Advance(Ms(60));
+      CPPUNIT_ASSERT_EQUAL(rank[2], entries_.Coordinators("j"));
+    }
+  }
+
+  // Guards against a second run of a job that only one recorder knows of at first: the other
+  // learns of it before its caller can come back.
+  void LastingJobIsKnownToBothRecorders() {
+    for (const std::size_t lost : {0, 1}) {
+      entries_.Reset(4);
+      const std::vector<std::string> rank = entries_.Rank("j");
+      entries_.Advance(Ms(3000));
+      entries_.Submit(rank[2], "j");
+      entries_.Advance(Ms(300));
+      entries_.Kill(rank[lost]);
+      entries_.Submit(rank[3], "j");
+      entries_.Advance(Ms(500));
+      CPPUNIT_ASSERT_EQUAL(rank[2], entries_.Coordinators("j"));
+    }
   }
 
   // Guards against an entry that takes its records for complete although an entry, whose claims
@@ -631,6 +669,97 @@
     CPPUNIT_ASSERT_EQUAL(rank[0], entries_.Coordinators("j"));
   }
 
+  // Guards against jobs that wait for other entries although no caller can have submitted them
+  // before.
+  void NewJobIsGrantedWithoutAsking() {
+    StartConnected();
+    const std::vector<std::string> rank = entries_.Rank("j");
+    entries_.paused = {rank[0], rank[1], rank[3]};
+    entries_.Submit(rank[2], "j");
+    CPPUNIT_ASSERT_EQUAL(rank[2], entries_.Coordinators("j"));
+  }
+
+  // Guards against a second run of a job that its first entry has begun without asking another.
+  void JobThatAnotherEntryHasBegunIsNotNew() {
+    for (const int ms : {400, 1300, 15000, 45000}) {
+      StartConnected();
+      const std::vector<std::string> rank = entries_.Rank("j");
+      entries_.Submit(rank[2], "j");
+      entries_.Advance(Ms(ms));
+      for (const std::size_t i : {0, 1, 3}) {
+        entries_.Submit(rank[i], "j");
+        entries_.Advance(Ms(100));
+        CPPUNIT_ASSERT_EQUAL(rank[2], entries_.Coordinators("j"));
+        CPPUNIT_ASSERT(entries_.at(rank[i]).claims.IsPending("j"));
+      }
+      CPPUNIT_ASSERT(entries_.at(rank[2]).returned.contains("j"));
+    }
+  }
+
+  // Guards against a job that runs again after its answer was lost, because it had ended before
+  // any other entry heard of it.
+  void QuickJobIsNotRunAgain() {
+    StartConnected();
+    const std::vector<std::string> rank = entries_.Rank("j");
+    entries_.Submit(rank[2], "j");
+    entries_.at(rank[2]).End("j", JobOutcome::Kind::kCompleted);
+    entries_.Advance(Ms(1300));
+    for (const std::size_t i : {0, 1, 3}) {
+      entries_.Submit(rank[i], "j");
+      CPPUNIT_ASSERT_EQUAL(std::string(), entries_.Coordinators("j"));
+      CPPUNIT_ASSERT(entries_.at(rank[i]).outcomes.at("j") == JobOutcome::Kind::kCompleted);
+    }
+  }
+
+  // Guards against an entry that has missed the jobs which others began before it started.
+  void RestartedEntryHearsOfEarlierJobs() {
+    for (const bool ended : {false, true}) {
+      StartConnected();
+      const std::vector<std::string> rank = entries_.Rank("j");
+      entries_.Submit(rank[2], "j");
+      if (ended) entries_.at(rank[2]).End("j", JobOutcome::Kind::kCompleted);
+      entries_.Advance(Ms(300));
+      entries_.Kill(rank[3]);
+      entries_.Start(rank[3]);
+      entries_.Advance(Ms(4000));
+      entries_.Submit(rank[3], "j");
+      CPPUNIT_ASSERT_EQUAL(ended ? std::string() : rank[2], entries_.Coordinators("j"));
+    }
+  }
+
+  // Guards against two coordinators while two entries are not connected to each other, so that
+  // neither hears of the jobs of the other one.
+  void EntryThatDoesNotReachAllAsks() {
+    StartConnected();
+    const std::vector<std::string> rank = entries_.Rank("j");
+    for (const auto& [one, other] : {std::pair(rank[2], rank[3]), std::pair(rank[3], rank[2])}) {
+      ClaimingEntries::Entry& entry = entries_.at(one);
+      entry.registry.OnDisconnected(other, entries_.now);
+      entry.claims.OnDisconnected(other, entries_.now);
+      entry.claims.SetReachesAll(false);
+    }
+    entries_.Advance(Ms(3000));
+    entries_.Submit(rank[2], "j");
+    entries_.Advance(Ms(1300));
+    entries_.Submit(rank[3], "j");
+    CPPUNIT_ASSERT_EQUAL(rank[2], entries_.Coordinators("j"));
+  }
+
+  // Guards against an entry that stood still and begins a job of a request that has waited, while
+  // another entry begins it for the caller who has come back.
+  void RequestReadLateIsNotNew() {
+    StartConnected();
+    const std::vector<std::string> rank = entries_.Rank("j");
+    entries_.paused.insert(rank[2]);
+    entries_.Advance(Ms(900));
+    entries_.paused.clear();
+    entries_.Submit(rank[2], "j");
+    CPPUNIT_ASSERT_EQUAL(std::string(), entries_.Coordinators("j"));
+    entries_.Submit(rank[3], "j");
+    entries_.Advance(Ms(400));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{7}, entries_.Coordinators("j").size());
+  }
+
   // Guards against records that grow with each job.
   void ReleasedClaimsLeaveNothing() {
     for (int i = 0; i < 100; ++i) {
@@ -646,6 +775,13 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, entries_.Recorded());
   }
 
+  // Four entries that know of all jobs.
+  void StartConnected() {
+    entries_.reaches_all = true;
+    entries_.Reset(4);
+    entries_.Advance(Ms(3000));
+  }
+
   // A job runs at an entry when one of the two that record its claim fails, and its caller
   // comes to a third one at any time after that.
   void ForEachRecorder(const std::function<void(const std::string&)>& fail) {
