--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -657,6 +657,7 @@
   links_.Advance([this](const std::string& agent) { return dispatcher_.HasRunsAt(agent); }, now);
   if (!announced_ && !stopping_ && operator_topic_->reachable()) Announce();
   claim_exchange_.Advance(now);
+  if (stopping_) claims_.Flush();
   dispatcher_.Advance(now);
   SetGauges(now);
 }
@@ -695,7 +696,9 @@
     GracefulStop::Plan plan;
     plan.limit = settings_.drain_limit - kBalancerRemovalDelay;
     // Callers of jobs that are claimed may wait at other entries.
-    plan.idle = [this] { return caller_server_->pending() == 0 && claims_.size() == 0; };
+    plan.idle = [this] {
+      return caller_server_->pending() == 0 && claims_.size() == 0 && !claims_.HasUnsent();
+    };
     plan.on_end = [this, on_stopped] {
       logger_.Info("entry stopped", {{"unanswered", std::to_string(caller_server_->pending())}});
       on_stopped();
--- a/packages/direct/include/coltsfoottide/direct/job_claims.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims.h
@@ -30,10 +30,10 @@
 // Recorders learn of each job that lasts, and of its outcome.
 //
 // One recorder that is certain to know all earlier claims (ClaimVerdict::complete) is enough for
-// a grant, if this entry is certain of its own records as well. Otherwise both have to agree, and
-// the next in rank is asked in place of one that does not answer. Coordinators renew their claims,
-// and move them when entries connect or disconnect. Two entries that are cut off from each other
-// may both be granted a job.
+// a grant, if this entry is certain of its own records as well and no entry that it has heard of
+// has begun the job. Otherwise both have to agree, and the next in rank is asked in place of one
+// that does not answer. Coordinators renew their claims, and move them when entries connect or
+// disconnect. Two entries that are cut off from each other may both be granted a job.
 class JobClaims {
  public:
   // `self`: name of this entry. `first_number`: see JobClaim; random, so that claims of
@@ -87,6 +87,10 @@
   // have begun jobs that it has not heard of. Initially it is not.
   void SetReachesAll(bool reaches_all) { reaches_all_ = reaches_all; }
 
+  // Sends all that waits to be sent with other jobs. For a process that is about to end.
+  void Flush();
+  bool HasUnsent() const;
+
   // Number of claims, pending and granted.
   std::size_t size() const { return claims_.size(); }
 
@@ -116,6 +120,9 @@
     bool contested = false;
     // Another entry has been recorded for the job.
     bool taken_elsewhere = false;
+    // Another entry has begun a job of the same hash. It may have ended: a recorder that has no
+    // record may have restarted since, so that both are needed.
+    bool begun_elsewhere = false;
     // When the claim was made.
     core::TimePoint claimed_at;
     // Not granted before. Set when the entry that has recorded another one is lost: that one
--- a/packages/direct/include/coltsfoottide/direct/time_bounds.h
+++ b/packages/direct/include/coltsfoottide/direct/time_bounds.h
@@ -29,9 +29,9 @@
 // arrive some seconds later.
 inline constexpr core::Duration kOutcomeRetention = std::chrono::seconds(10);
 
-// What an entry reads has not waited for longer than this, unless it is slow or stood still. With
-// the longest time between two stamps of an entry shorter than the time after which callers come
-// back.
+// What an entry reads has not waited for longer than this, unless the entry is slow or stood still.
+// Together with the longest time between two stamps of an entry, it is shorter than the time after
+// which callers come back.
 inline constexpr core::Duration kMaxReadingDelay = std::chrono::milliseconds(250);
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/job_claims.cc
+++ b/packages/direct/src/job_claims.cc
@@ -88,10 +88,12 @@
   const auto it = claims_.find(job);
   if (it == claims_.end() || it->second.number != number) return;
   const bool complete = it->second.answers.at(self_).complete;
-  const bool is_new = complete && connected_ && reaches_all_ && !it->second.taken_elsewhere &&
-                      now >= it->second.not_before &&
-                      !begun_elsewhere_.Contains(JobFilter::Hash(job));
-  it->second.recorders_needed = is_new ? 0 : complete ? 1 : kRecorders;
+  ClaimState& begun = it->second;
+  begun.begun_elsewhere = begun_elsewhere_.Contains(JobFilter::Hash(job));
+  const bool unknown = complete && !begun.begun_elsewhere;
+  const bool is_new = unknown && connected_ && reaches_all_ && !begun.taken_elsewhere &&
+                      !begun.contested && now >= begun.not_before;
+  begun.recorders_needed = is_new ? 0 : unknown ? 1 : kRecorders;
   if (!is_new) AskMissing(job, now);
   Settle(job, now);
 }
@@ -165,8 +167,9 @@
   if (claim.recorders_needed == 0) return true;
   // An entry that has lost a connection may take others for the recorders than the coordinator.
   const auto own = claim.answers.find(self_);
-  const bool certain = claim.ranked_at_change == changes_ && own != claim.answers.end() &&
-                       own->second.complete && IsGrantedByRecorder(claim, true);
+  const bool certain = !claim.begun_elsewhere && claim.ranked_at_change == changes_ &&
+                       own != claim.answers.end() && own->second.complete &&
+                       IsGrantedByRecorder(claim, true);
   if (certain) return true;
   if (claim.recorders_needed < kRecorders) return false;
   if (any(Answer::State::kNone) || !any(Answer::State::kGranted)) return false;
@@ -390,6 +393,18 @@
   for (const ClaimRelease& release : releases) sink_.SendRelease(entry, release);
 }
 
+void JobClaims::Flush() {
+  while (!releases_.empty()) FlushReleases(std::string(releases_.begin()->first));
+  for (auto& [entry, hashes] : unheard_) {
+    if (!hashes.empty()) sink_.SendBegunJobs(entry, std::exchange(hashes, {}));
+  }
+}
+
+bool JobClaims::HasUnsent() const {
+  return !releases_.empty() || std::any_of(unheard_.begin(), unheard_.end(),
+                                           [](const auto& it) { return !it.second.empty(); });
+}
+
 void JobClaims::Renew(core::TimePoint now) {
   const auto take_due = [now](std::deque<Timer>& timers) {
     std::vector<ClaimKey> due;
