--- a/packages/direct/benchmarks/job_claims_benchmark.cc
+++ b/packages/direct/benchmarks/job_claims_benchmark.cc
@@ -103,8 +103,9 @@
       {std::chrono::seconds(1), std::chrono::seconds(2), std::chrono::seconds(1)}, sink);
   core::TimePoint now{std::chrono::hours(1)};
   std::vector<std::string> entries;
-  for (std::int64_t i = 1; i < state.range(0); ++i)
+  for (std::int64_t i = 1; i < state.range(0); ++i) {
     entries.push_back("10.0.0." + std::to_string(i));
+  }
   for (const std::string& it : entries) registry.OnHeard(it, now);
   // Outcomes are remembered for 10 s.
   const core::Duration interval = core::Duration(std::chrono::seconds(10)) / kRemembered;
--- a/packages/direct/src/claim_registry.cc
+++ b/packages/direct/src/claim_registry.cc
@@ -121,8 +121,9 @@
   const std::vector<Claimant> waiting = record.waiting;
   SendVerdict(job, holder, {"", 0, ClaimVerdict::Kind::kGranted, false, holder.entry, {}});
   for (const Claimant& it : waiting) {
-    if (!it.held)
+    if (!it.held) {
       SendVerdict(job, it, {"", 0, ClaimVerdict::Kind::kTaken, false, holder.entry, {}});
+    }
     SendRival(job, holder, it);
   }
 }
--- a/packages/direct/src/job_claims.cc
+++ b/packages/direct/src/job_claims.cc
@@ -229,8 +229,9 @@
   if (!claim.request) return sink_.OnClaimLost(verdict.job, verdict.holder, now);
   if (verdict.kind == Kind::kEnded) return EndPending(verdict.job, verdict.outcome);
   answer->second.state = Answer::State::kTaken;
-  if (!std::exchange(claim.taken_elsewhere, true))
+  if (!std::exchange(claim.taken_elsewhere, true)) {
     sink_.OnTakenElsewhere(verdict.job, verdict.holder);
+  }
 }
 
 void JobClaims::OnRival(const std::string& entry, const RivalClaim& message, core::TimePoint now) {
