Submit a refused job again before its caller leaves it in leaving_callers

Traced by the logs: the entry had refused one of the four first submissions (503, backlog), so that job had not run, and the two tasks that its second submission started were its first. The check counted them as tasks of a completed job, although the play never learned that the job was refused.

The callers of play_done and play_cancel now read an answer that comes before they leave, and submit a refused job again there; any other answer is an error. The check itself is unchanged.

--- a/scripts/lib/leaving_callers.py
+++ b/scripts/lib/leaving_callers.py
@@ -38,8 +38,8 @@
         self.errors = []
 
     def submit(self, host, job, leaves_after=None):
-        """Returns the status, or 0 if the caller has left, the body, and the time after which
-        a refused caller comes back."""
+        """Returns the status, or 0 if the caller has left before an answer, the body, and the
+        time after which a refused caller comes back."""
         step = {"Count": TASKS, "Cpu": 6000, "MemMb": 64, "EstimateMs": TASK_MS}
         body = json.dumps({"Spec": f"{TASK_MS} 6000", "BestEffort": True, "Steps": [step]})
         link = http.client.HTTPConnection(host, CALL_PORT, timeout=DEADLINE_S)
@@ -47,8 +47,7 @@
             link.request("POST", f"/j/{job}", body, {
                 "Host": "h", "X-Deadline-Ms": str(int(DEADLINE_S * 1000))})
             if leaves_after is not None:
-                time.sleep(leaves_after)
-                return 0, b"", 0.0
+                link.sock.settimeout(leaves_after)
             reply = link.getresponse()
             return reply.status, reply.read(), float(reply.headers.get("Retry-After") or 0.0)
         except (OSError, http.client.HTTPException) as error:
@@ -105,9 +104,18 @@
               f"overlaps={len(self.history.errors) - overlaps} "
               f"unanswered={len(self.errors) - errors}", flush=True)
 
+    def leave(self, host, job):
+        """Leaves a job that runs: one that the entry has refused is submitted there again."""
+        for _ in range(SUBMISSIONS):
+            status, _, retry_after = self.submit(host, job, LEAVES_AFTER_S)
+            if status != 503:
+                break
+            time.sleep(retry_after)
+        if status != 0:
+            self.errors.append(f"{job}: answered with {status} before its caller has left")
+
     def leave_all(self, hosts, jobs, first):
-        callers = [threading.Thread(target=self.submit, args=(hosts[first], it, LEAVES_AFTER_S))
-                   for it in jobs]
+        callers = [threading.Thread(target=self.leave, args=(hosts[first], it)) for it in jobs]
         for it in callers:
             it.start()
         for it in callers:
