Connect within tenths of a second after all machines have started

After a loss of power of all machines entries held accepted jobs for 0.4 to 0.7 s, with backend servers empty, and then refused most of them at one moment. They wait until they are connected to all entries that they know, and dialed every 500 ms; agents dialed every 250 ms and reviewed their choice of entries every 200 ms, so an entry that was not configured had its agents 0.5 s late. A first packet that was lost cost 200 ms more.

Agents review their choice when they learn of an entry, lists of entries go out every 50 ms instead of 200, and an entry that has started waits for claims of others for 0.1 s instead of 0.2; after a pause it still waits for 0.2 s, in which it reads the ends of earlier connections.

--- a/packages/daemon/src/claim_exchange.cc
+++ b/packages/daemon/src/claim_exchange.cc
@@ -24,10 +24,13 @@
 // Pause after which messages may wait to be read. Several intervals of the timer.
 constexpr core::Duration kShortestPause = std::chrono::milliseconds(60);
 // An entry that has started or stood still waits until it is connected to all entries that it
-// knows, but no longer than this: some may be gone for good. In the first part of it the ends of
-// earlier connections are read.
-constexpr core::Duration kMinConnectionWait = std::chrono::milliseconds(200);
+// knows, but no longer than this: some may be gone for good.
 constexpr core::Duration kMaxConnectionWait = std::chrono::seconds(1);
+// Shortest wait of an entry that has started. Others claim their jobs here again when they
+// connect, which takes them a round trip.
+constexpr core::Duration kMinStartWait = std::chrono::milliseconds(100);
+// Shortest wait of an entry that has stood still. The ends of earlier connections are read in it.
+constexpr core::Duration kMinResumeWait = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -87,12 +90,14 @@
   claims_.OnPause();
   if (pause < kRunLimit) return;
   running_since_ = now;
+  resumed_ = true;
   claims_.SetConnected(false, now);
 }
 
 void ClaimExchange::Advance(core::TimePoint now) {
   const core::Duration age = now - running_since_;
-  const bool connected = age > kMinConnectionWait && links_.all_entries_connected();
+  const core::Duration min_wait = resumed_ ? kMinResumeWait : kMinStartWait;
+  const bool connected = age > min_wait && links_.all_entries_connected();
   claims_.SetConnected(connected || age > kMaxConnectionWait, now);
   claims_.SetReachesAll(links_.all_entries_connected());
   registry_.Advance(now);
--- a/packages/daemon/src/claim_exchange.h
+++ b/packages/daemon/src/claim_exchange.h
@@ -75,6 +75,8 @@
   // When this process has started, or has last stood still for so long that its connections may
   // have been replaced.
   core::TimePoint running_since_;
+  // Whether that was the end of a pause.
+  bool resumed_ = false;
 };
 
 }  // namespace coltsfoottide::daemon
--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -25,12 +25,6 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 
-// After an outage of all entries every agent reconnects; this limits the rate of
-// each agent's attempts.
-constexpr core::Duration kDialInterval = std::chrono::milliseconds(250);
-// Longest interval of the attempts to connect to an entry that does not answer;
-// the interval doubles from kDialInterval with each attempt.
-constexpr core::Duration kMaxDialInterval = std::chrono::seconds(1);
 // Interval at which the choice of entries is reviewed.
 constexpr core::Duration kSubsetInterval = std::chrono::milliseconds(200);
 // Shortest time between the message that announces the end of a connection and
@@ -285,16 +279,13 @@
 void DirectAgentRuntime::DialEntries(core::TimePoint now) {
   if (!executor_->runs_known() && now - started_ < kRunsKnownTimeout) return;
   for (auto& [name, link] : links_) {
-    if (link.connection || now < link.dial_due || !subset_.contains(name)) continue;
+    if (link.connection || !link.dials.IsDue(now) || !subset_.contains(name)) continue;
     OpenLink(name, link, now);
   }
 }
 
 void DirectAgentRuntime::OpenLink(const std::string& name, Link& link, core::TimePoint now) {
-  constexpr int kMaxDoublings = 2;
-  const core::Duration interval = kDialInterval * (1 << std::min(link.attempts, kMaxDoublings));
-  link.dial_due = now + std::min(interval, kMaxDialInterval);
-  ++link.attempts;
+  link.dials.OnAttempt(now);
   link.last_heard = now;
   link.owner.clear();
   link.leaving_since.reset();
@@ -362,14 +353,17 @@
   for (const direct_wire::EntryAddress& it : list.entries()) {
     listed.push_back({it.name(), it.data_centre()});
   }
-  for (const std::string& it : entries_.OnListed(name, listed, now)) LogKnown(name, it);
+  for (const std::string& it : entries_.OnListed(name, listed, now)) {
+    LogKnown(name, it);
+    subset_due_ = now;
+  }
 }
 
 void DirectAgentRuntime::OnHello(const std::string& name, Link& link,
                                  const direct_wire::Hello& hello) {
   const core::TimePoint now = BootNow();
   link.owner = name + '#' + std::to_string(hello.incarnation());
-  link.attempts = 0;
+  link.dials.OnConnected();
   entries_.OnConnected({name, hello.data_centre()}, now);
   logger_.Info("entry connected", {{"entry", link.owner}, {"data_centre", hello.data_centre()}});
   direct_wire::Hello& own = *link.connection->outbox().mutable_hello();
@@ -528,7 +522,7 @@
   for (const auto& [name, link] : links_) {
     if (!link.connection) continue;
     const bool busy = !link.owner.empty() && executor_->HasRunsOf(link.owner);
-    const core::Duration limit = link.owner.empty() ? kOpenLimit
+    const core::Duration limit = link.owner.empty() ? link.dials.AttemptLimit()
                                  : busy             ? kBusySilence
                                                     : kIdleSilence;
     if (now - link.last_heard > limit) silent.push_back(name);
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <QTimer>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -11,6 +12,7 @@
 
 #include "coltsfoottide/daemon/runtime.h"
 #include "coltsfoottide/daemon/settings.h"
+#include "coltsfoottide/direct/dial_backoff.h"
 #include "coltsfoottide/direct/entry_directory.h"
 #include "coltsfoottide/direct/report_sink.h"
 #include "coltsfoottide/direct/run_executor.h"
@@ -42,16 +44,16 @@
   void BeginStop(std::function<void()> on_stopped) override;
 
  private:
+  // Longest interval between attempts to connect to an entry that does not answer.
+  static constexpr core::Duration kMaxDialInterval = std::chrono::seconds(1);
+
   // The connection to one entry.
   struct Link {
     std::unique_ptr<FrameConnection> connection;
     // Identifies the entry's process, "NAME#INCARNATION"; empty before its
     // hello.
     std::string owner;
-    // Earliest time of the next attempt to connect, and the number of attempts
-    // since the last hello.
-    core::TimePoint dial_due;
-    int attempts = 0;
+    direct::DialBackoff dials{kMaxDialInterval};
     // When the agent began to give the connection up for others; the entry then
     // places no further runs here.
     std::optional<core::TimePoint> leaving_since;
--- a/packages/daemon/src/direct_timing.h
+++ b/packages/daemon/src/direct_timing.h
@@ -45,11 +45,6 @@
 inline constexpr core::Duration kBusySilence = std::chrono::milliseconds(500);
 inline constexpr core::Duration kIdleSilence = std::chrono::milliseconds(1300);
 
-// A connection that is not open after this time is dialed again: the first
-// packet to a machine that has just become reachable again may be lost, and TCP
-// resends it only after a second.
-inline constexpr core::Duration kOpenLimit = std::chrono::milliseconds(200);
-
 // Interval of the timer for decisions that no event triggers.
 inline constexpr std::chrono::milliseconds kTick{20};
 
--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -17,11 +17,12 @@
 
 namespace {
 
-// Pause between attempts to connect to another entry.
-constexpr core::Duration kDialInterval = std::chrono::milliseconds(500);
+// Longest interval between attempts to connect to another entry.
+constexpr core::Duration kMaxDialInterval = std::chrono::milliseconds(500);
 // Shortest interval between two lists of entries on a connection: when many
-// entries start at once, each list covers several of them.
-constexpr core::Duration kEntryListInterval = std::chrono::milliseconds(200);
+// entries start at once, each list covers several of them. Agents learn from it to
+// which entries they have to connect before these can serve.
+constexpr core::Duration kEntryListInterval = std::chrono::milliseconds(50);
 // Silence after which a connection between entries is replaced: three stamps.
 constexpr core::Duration kPeerSilence = std::chrono::milliseconds(2300);
 // Longest delay of an echo that no other message carries: while the agent has
@@ -163,11 +164,13 @@
 void EntryLinks::DialPeers(core::TimePoint now) {
   for (const direct::EntryAddress& entry : entries_.Known()) {
     const std::string& peer = entry.name;
-    if (peer >= name_ || now < dial_due_[peer]) continue;
+    if (peer >= name_) continue;
+    direct::DialBackoff& dials = dials_.try_emplace(peer, kMaxDialInterval).first->second;
+    if (!dials.IsDue(now)) continue;
     const bool linked = std::any_of(links_.begin(), links_.end(),
                                     [&peer](const auto& it) { return it.second.name == peer; });
     if (linked) continue;
-    dial_due_[peer] = now + kDialInterval;
+    dials.OnAttempt(now);
     const std::uint64_t id = ++last_link_;
     Link& link = AddLink(id);
     link.name = peer;
@@ -237,6 +240,7 @@
   link.name = hello.name();
   if (is_entry) {
     entries_.OnConnected({hello.name(), hello.data_centre()}, BootNow());
+    dials_.erase(hello.name());
     entries_changed_ = true;
     if (!link.dialed) SendConfiguration(link);
     if (const auto old = peers_.find(link.name); old != peers_.end() && old->second != id) {
@@ -304,12 +308,18 @@
   closed_.push_back(std::move(link.connection));
 }
 
+core::Duration EntryLinks::AttemptLimit(const std::string& peer) const {
+  const auto it = dials_.find(peer);
+  // Another connection to the peer has opened meanwhile.
+  return it == dials_.end() ? core::Duration::zero() : it->second.AttemptLimit();
+}
+
 void EntryLinks::CloseSilent(const std::function<bool(const std::string&)>& has_runs,
                              core::TimePoint now) {
   std::vector<std::uint64_t> silent;
   for (const auto& [id, link] : links_) {
     const bool opening = link.dialed && !link.connection->open();
-    const core::Duration limit = opening               ? kOpenLimit
+    const core::Duration limit = opening               ? AttemptLimit(link.name)
                                  : !link.is_agent      ? kPeerSilence
                                  : has_runs(link.name) ? kBusySilence
                                                        : kIdleSilence;
@@ -347,7 +357,7 @@
   SendChangedEntries(now);
   agent_connections_.Forget(now);
   for (const std::string& it : entries_.Forget(now)) {
-    dial_due_.erase(it);
+    dials_.erase(it);
     logger_.Info("entry forgotten", {{"entry", it}});
   }
   DialPeers(now);
--- a/packages/daemon/src/entry_links.h
+++ b/packages/daemon/src/entry_links.h
@@ -13,6 +13,7 @@
 #include "coltsfoottide/daemon/endpoint.h"
 #include "coltsfoottide/daemon/runtime.h"
 #include "coltsfoottide/direct/connection_order.h"
+#include "coltsfoottide/direct/dial_backoff.h"
 #include "coltsfoottide/direct/entry_directory.h"
 #include "coltsfoottide/schema/direct.pb.h"
 #include "frame_connection.h"
@@ -98,6 +99,8 @@
 
   void Accept(qintptr descriptor);
   void DialPeers(core::TimePoint now);
+  // How long an attempt to connect to the entry may take.
+  core::Duration AttemptLimit(const std::string& peer) const;
   void CloseSilent(const std::function<bool(const std::string&)>& has_runs, core::TimePoint now);
   void SendStamps(core::TimePoint now);
   // Sends the echoes that no other message to the agent has carried.
@@ -138,8 +141,8 @@
   // Whether the list of connected entries differs from the last one sent.
   bool entries_changed_ = false;
   core::TimePoint entries_due_;
-  // Earliest time of the next attempt to connect, by entry.
-  std::map<std::string, core::TimePoint> dial_due_;
+  // Attempts to connect to entries that have not said hello since, by name.
+  std::map<std::string, direct::DialBackoff> dials_;
   std::uint64_t last_link_ = 0;
   std::optional<direct_wire::Configuration> configuration_;
   std::optional<direct_wire::Evacuation> evacuation_;
