Report where and why a configuration is rejected

DecodeConfiguration returned nothing for each fault, so the log line 'operator record ignored' named only the offset. It now lists its errors with the path of the field, or line and column, and the log line has the first one as reason. What is accepted is unchanged. The lookup of a request's route, without the port of its host, moves from the entry to platform/, for the check of a configuration.

--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -14,6 +14,7 @@
 #include "coltsfoottide/direct/time_bounds.h"
 #include "coltsfoottide/platform/job_calls.h"
 #include "coltsfoottide/platform/operator_records.h"
+#include "coltsfoottide/platform/route_lookup.h"
 #include "descriptor_limit.h"
 #include "direct_messages.h"
 #include "direct_timing.h"
@@ -32,7 +33,6 @@
 constexpr std::chrono::milliseconds kBalancerRemovalDelay{2500};
 constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
 constexpr core::Duration kGaugeInterval = std::chrono::seconds(1);
-std::string WithoutPort(const std::string& host) { return host.substr(0, host.find(':')); }
 
 const char* KindName(direct::JobOutcome::Kind kind) {
   using Kind = direct::JobOutcome::Kind;
@@ -168,7 +168,7 @@
   const direct::Route* route =
       host == request.headers.end()
           ? nullptr
-          : configuration->FindRoute(WithoutPort(host->second), request.path);
+          : platform::FindRoute(*configuration, host->second, request.path);
   if (route == nullptr) {
     // A change that was acknowledged after the confirmation is not due yet.
     if (BootNow() - view_.confirmed_at() > settings_.configuration_limit) {
@@ -585,11 +585,11 @@
 
 std::vector<direct::OperatorRecord> DirectEntryRuntime::DecodeRecords(
     const platform::StoreClient::Batch& batch) {
-  const auto on_invalid = [this](const std::string& record) {
-    logger_.Warn("operator record ignored", {{"record", record}});
+  const auto on_invalid = [this](const std::string& record, const std::string& reason) {
+    logger_.Warn("operator record ignored", {{"record", record}, {"reason", reason}});
   };
   for (const std::uint64_t it : batch.malformed) {
-    on_invalid("malformed record at offset " + std::to_string(it));
+    on_invalid("malformed record at offset " + std::to_string(it), "no key");
   }
   return platform::DecodeOperatorRecords(batch.records, on_invalid);
 }
