Add the command config check to the console

It prints the findings on a file and the differences from another file or from the platform's store, as lines or JSON, and ends with 0, 1 (warnings) or 2 (errors). No other command ends with 1. A store that gives no answer is a warning; the file is checked all the same.

--- a/packages/console/include/coltsfoottide/console/exit_status.h
+++ b/packages/console/include/coltsfoottide/console/exit_status.h
@@ -8,6 +8,9 @@
 enum class ExitStatus {
   // Complete, accepted, in force, or still running when the call does not wait.
   kOk = 0,
+  // `config check` has found warnings and no errors.
+  kWarnings = 1,
+  // Bad usage, an unreadable file, or errors found by `config check`.
   kUsage = 2,
   // Refused or failed; no task has run and none will, or a change was not
   // made.
--- a/packages/console/include/coltsfoottide/console/options.h
+++ b/packages/console/include/coltsfoottide/console/options.h
@@ -23,6 +23,10 @@
   std::uint32_t limit = 0;
   std::uint32_t max_deadline_ms = 0;
 
+  // File, or URL of the platform's store, of the configuration that `config check`
+  // compares with; empty for none.
+  std::string against;
+
   // Options of `load`.
   double rate = 0;
   double load = 0;
--- a/packages/console/src/commands.cc
+++ b/packages/console/src/commands.cc
@@ -1,4 +1,5 @@
 #include "coltsfoottide/console/command.h"
+#include "coltsfoottide/console/config_check_command.h"
 #include "coltsfoottide/console/config_commands.h"
 #include "coltsfoottide/console/explain_command.h"
 #include "coltsfoottide/console/job_commands.h"
@@ -84,6 +85,15 @@
        0,
        true,
        RunConfigStatus},
+      {"config check",
+       "FILE",
+       "Checks a configuration of the platform's operator, and compares it with another one or "
+       "with the newest in the platform's store.",
+       {"against"},
+       1,
+       1,
+       false,
+       RunConfigCheck},
       {"entries", "", "Lists the entries of the roster.", {}, 0, 0, true, RunEntries},
       {"entries remove",
        "ENDPOINT INCARNATION",
--- a/packages/console/src/exit_status.cc
+++ b/packages/console/src/exit_status.cc
@@ -26,7 +26,8 @@
 const char* ExitStatusHelp() {
   return "Exit status:\n"
          "  0  complete, accepted, in force, or still running when the call does not wait\n"
-         "  2  bad usage, or a file that cannot be read\n"
+         "  1  config check: warnings\n"
+         "  2  bad usage, or a file that cannot be read; config check: errors\n"
          "  3  refused or failed, not run: no task has started and none will\n"
          "  4  may have run: the outcome is unknown or not yet known\n"
          "  5  at least one task has started, and the job failed or could not be cancelled\n"
--- a/packages/console/src/options.cc
+++ b/packages/console/src/options.cc
@@ -16,6 +16,8 @@
 ABSL_FLAG(std::uint32_t, interval_ms, 1000, "milliseconds between refreshes");
 ABSL_FLAG(std::uint32_t, limit, 100, "largest number of jobs listed");
 ABSL_FLAG(std::uint32_t, max_deadline_ms, 0, "longest deadline of a job, 0 for no limit");
+ABSL_FLAG(std::string, against, "",
+          "FILE, or http://IP:PORT of the platform's store: configuration to compare with");
 ABSL_FLAG(double, rate, 0, "jobs a second");
 ABSL_FLAG(double, load, 0, "rate as a share of the slots of the serving workers, e.g. 0.7");
 ABSL_FLAG(std::uint64_t, seed, 0, "seed of all random numbers; 0 chooses one and prints it");
@@ -83,6 +85,7 @@
   options.interval = std::chrono::milliseconds(absl::GetFlag(FLAGS_interval_ms));
   options.limit = absl::GetFlag(FLAGS_limit);
   options.max_deadline_ms = absl::GetFlag(FLAGS_max_deadline_ms);
+  options.against = absl::GetFlag(FLAGS_against);
   ReadLoadOptions(&options);
   return options;
 }
