Place the tasks of a step in one pass and reuse buffers of an entry

Each task of a job took a pass over all views with a copy of each agent's name and the arrays of std::discrete_distribution; each tick copied the ids of all jobs; each submission compared its id with all outcomes of the last 10 s, twice; log lines were formatted byte by byte, also those over the budget; each frame was allocated anew.

Change: WorkerFleet::FindCandidates evaluates the backend servers once for a step, and an order changes one of them. Advance only visits jobs that have something due. Remembered outcomes have an index. Frames, the receive buffer and the log line keep their memory, up to a bound. The budget of log lines is checked before a line is formatted. Silence and echoes of links are looked at only once the shortest limit has passed.

The choices are those of the earlier code, also with the same random numbers: the new test of WorkerFleet compares 200 random fleets with a pass for each task and the library's distribution.

--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -308,6 +308,8 @@
                              core::TimePoint now) {
   std::vector<std::uint64_t> silent;
   for (const auto& [id, link] : links_) {
+    // Not longer than any of the limits below.
+    if (now - link.last_heard <= kOpenLimit) continue;
     const bool opening = link.dialed && !link.connection->open();
     const core::Duration limit = opening               ? kOpenLimit
                                  : !link.is_agent      ? kPeerSilence
@@ -332,7 +334,7 @@
 void EntryLinks::SendEchoes(const std::function<bool(const std::string&)>& has_runs,
                             core::TimePoint now) {
   for (auto& [id, link] : links_) {
-    if (link.unechoed_stamp_us == 0) continue;
+    if (link.unechoed_stamp_us == 0 || now - link.echoed_at < kBusyEchoDelay) continue;
     const core::Duration delay = has_runs(link.name) ? kBusyEchoDelay : kIdleEchoDelay;
     if (now - link.echoed_at >= delay) WriteEcho(link);
   }
--- a/packages/daemon/src/frame_connection.cc
+++ b/packages/daemon/src/frame_connection.cc
@@ -2,6 +2,7 @@
 
 #include <QMetaObject>
 #include <QtEndian>
+#include <algorithm>
 #include <utility>
 
 namespace coltsfoottide::daemon {
@@ -9,11 +10,26 @@
 namespace {
 
 constexpr qsizetype kLengthPrefixBytes = 4;
+// Capacity of the receive buffer that a connection keeps without unread bytes; some ten usual
+// frames.
+constexpr qsizetype kMaxKeptBytes = 8192;
 // The largest frames carry a configuration with some thousand routes.
 constexpr quint32 kMaxFrameBytes = 8 * 1024 * 1024;
 // With more unsent bytes the peer has stopped reading: the connection is aborted
 // and a new one replaces it.
 constexpr qint64 kMaxUnsentBytes = 16 * 1024 * 1024;
+// Frames up to this size keep their memory for the next one. Several times the usual size of
+// some hundred bytes, so that a configuration does not stay allocated on each connection.
+constexpr std::size_t kMaxReusedFrameBytes = 4096;
+
+// Empties the frame. `size`: of its content.
+void Reset(direct_wire::Frame& frame, std::size_t size) {
+  if (size <= kMaxReusedFrameBytes) {
+    frame.Clear();
+  } else {
+    frame = direct_wire::Frame();
+  }
+}
 
 }  // namespace
 
@@ -56,23 +72,31 @@
 void FrameConnection::Flush() {
   if (!flush_scheduled_) return;
   flush_scheduled_ = false;
-  const direct_wire::Frame frame = std::exchange(outbox_, direct_wire::Frame());
-  if (ended_ || !open()) return;
-  if (socket_.bytesToWrite() > kMaxUnsentBytes) {
-    socket_.abort();
-    return;
+  const auto size = static_cast<quint32>(outbox_.ByteSizeLong());
+  const bool writable = !ended_ && open();
+  const bool full = writable && socket_.bytesToWrite() > kMaxUnsentBytes;
+  QByteArray buf;
+  if (writable && !full) {
+    buf = QByteArray(kLengthPrefixBytes + static_cast<qsizetype>(size), Qt::Uninitialized);
+    qToBigEndian(size, buf.data());
+    outbox_.SerializeWithCachedSizesToArray(reinterpret_cast<std::uint8_t*>(buf.data()) +
+                                            kLengthPrefixBytes);
   }
-  const auto size = static_cast<quint32>(frame.ByteSizeLong());
-  QByteArray buf(kLengthPrefixBytes + static_cast<qsizetype>(size), Qt::Uninitialized);
-  qToBigEndian(size, buf.data());
-  frame.SerializeWithCachedSizesToArray(reinterpret_cast<std::uint8_t*>(buf.data()) +
-                                        kLengthPrefixBytes);
+  // Before the socket is used: its signals may add to the next frame.
+  Reset(outbox_, size);
+  if (full) socket_.abort();
+  if (!writable || full) return;
   socket_.write(buf);
   socket_.flush();
 }
 
 void FrameConnection::OnReadable() {
-  received_ += socket_.readAll();
+  // Without the array that readAll makes for each call.
+  const qsizetype kept = received_.size();
+  const qint64 available = socket_.bytesAvailable();
+  received_.resize(kept + static_cast<qsizetype>(available));
+  const qint64 n = socket_.read(received_.data() + kept, available);
+  received_.resize(kept + static_cast<qsizetype>(std::max<qint64>(n, 0)));
   qsizetype offset = 0;
   while (!ended_ && received_.size() - offset >= kLengthPrefixBytes) {
     const auto size = qFromBigEndian<quint32>(received_.constData() + offset);
@@ -81,16 +105,22 @@
       return;
     }
     if (received_.size() - offset < kLengthPrefixBytes + static_cast<qsizetype>(size)) break;
-    direct_wire::Frame frame;
-    if (!frame.ParseFromArray(received_.constData() + offset + kLengthPrefixBytes,
-                              static_cast<int>(size))) {
+    if (!inbox_.ParseFromArray(received_.constData() + offset + kLengthPrefixBytes,
+                               static_cast<int>(size))) {
       socket_.abort();
       return;
     }
     offset += kLengthPrefixBytes + static_cast<qsizetype>(size);
-    events_.on_frame(frame);
+    events_.on_frame(inbox_);
+    Reset(inbox_, size);
+  }
+  if (offset < received_.size()) {
+    received_.remove(0, offset);
+  } else if (received_.capacity() <= kMaxKeptBytes) {
+    received_.resize(0);
+  } else {
+    received_ = QByteArray();
   }
-  received_.remove(0, offset);
 }
 
 void FrameConnection::Close() {
--- a/packages/daemon/src/frame_connection.h
+++ b/packages/daemon/src/frame_connection.h
@@ -46,6 +46,8 @@
   QTcpSocket socket_;
   QByteArray received_;
   direct_wire::Frame outbox_;
+  // The frame that is being read; keeps its memory for the next one.
+  direct_wire::Frame inbox_;
   bool flush_scheduled_ = false;
   bool ended_ = false;
   bool closed_by_owner_ = false;
--- a/packages/daemon/src/json_text.cc
+++ b/packages/daemon/src/json_text.cc
@@ -1,5 +1,6 @@
 #include "json_text.h"
 
+#include <algorithm>
 #include <cstddef>
 
 namespace coltsfoottide::daemon {
@@ -29,6 +30,16 @@
   return IsContinuation(ByteAt(text, i + 3)) ? 4 : 0;
 }
 
+// Length of the start of the text that needs no escape: printable ASCII but quotes and
+// backslashes. Nearly all that is logged.
+std::size_t PlainLength(std::string_view text) {
+  const auto* const end = std::find_if(text.begin(), text.end(), [](char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return byte < 0x20 || byte >= 0x7F || c == '"' || c == '\\';
+  });
+  return static_cast<std::size_t>(end - text.begin());
+}
+
 void AppendAscii(std::string& out, char c) {
   static constexpr char kHex[] = "0123456789abcdef";
   const auto byte = static_cast<unsigned char>(c);
@@ -49,8 +60,18 @@
 }  // namespace
 
 std::string QuoteJson(std::string_view text) {
-  std::string out = "\"";
+  std::string out;
+  AppendQuotedJson(text, out);
+  return out;
+}
+
+void AppendQuotedJson(std::string_view text, std::string& out) {
+  out += '"';
   for (std::size_t i = 0; i < text.size();) {
+    const std::size_t plain = PlainLength(text.substr(i));
+    out.append(text, i, plain);
+    i += plain;
+    if (i == text.size()) break;
     const std::size_t n = SequenceLength(text, i);
     if (n == 0) {
       out += kReplacement;
@@ -62,7 +83,6 @@
     i += n == 0 ? 1 : n;
   }
   out += '"';
-  return out;
 }
 
 }  // namespace coltsfoottide::daemon
--- a/packages/daemon/src/json_text.h
+++ b/packages/daemon/src/json_text.h
@@ -10,4 +10,7 @@
 // JSON whatever bytes a caller sends.
 std::string QuoteJson(std::string_view text);
 
+// Appends what QuoteJson returns.
+void AppendQuotedJson(std::string_view text, std::string& out);
+
 }  // namespace coltsfoottide::daemon
--- a/packages/daemon/src/logging.cc
+++ b/packages/daemon/src/logging.cc
@@ -56,14 +56,19 @@
   void Log(spdlog::level::level_enum level, std::string_view event,
            std::initializer_list<Field> fields) {
     if (!logger_.should_log(level)) return;
-    std::string text = "\"process\":" + process_ + ",\"event\":" + QuoteJson(event);
-    for (const auto& [name, value] : fields) {
-      text += ',' + QuoteJson(name) + ':' + QuoteJson(value);
-    }
     const std::lock_guard lock(mutex_);
+    // Before the line is formatted: a busy entry logs more than its budget.
     if (!limiter_.TryTake(level >= spdlog::level::warn, LogRateLimiter::Clock::now())) return;
-    if (text.size() > kMaxLineBytes || !StandardOutputIsReady()) return limiter_.CountDropped();
-    logger_.log(level, spdlog::string_view_t(text.data(), text.size()));
+    line_.assign("\"process\":").append(process_).append(",\"event\":");
+    AppendQuotedJson(event, line_);
+    for (const auto& [name, value] : fields) {
+      line_ += ',';
+      AppendQuotedJson(name, line_);
+      line_ += ':';
+      AppendQuotedJson(value, line_);
+    }
+    if (line_.size() > kMaxLineBytes || !StandardOutputIsReady()) return limiter_.CountDropped();
+    logger_.log(level, spdlog::string_view_t(line_.data(), line_.size()));
     if (const std::uint64_t n = limiter_.TakeDropped(); n > 0) {
       logger_.warn("\"process\":{},\"event\":\"lines left out\",\"lines\":{}", process_, n);
     }
@@ -72,6 +77,8 @@
   const std::string process_;
   spdlog::logger logger_;
   std::mutex mutex_;
+  // The line that is being written; keeps its memory for the next one.
+  std::string line_;
   LogRateLimiter limiter_{kLinesPerSecond};
 };
 
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -143,7 +144,8 @@
   bool Admit(Job& job, core::TimePoint now);
   core::Duration OwnQueueingDelay(const Job& job, core::Duration start_delay) const;
   void PlaceReady(Job& job, core::TimePoint now);
-  bool Place(Job& job, std::uint32_t step, std::uint32_t index, std::vector<PlacedTask>& placed,
+  bool Place(Job& job, std::uint32_t step, std::uint32_t index,
+             std::vector<StepCandidate>& candidates, std::vector<PlacedTask>& placed,
              core::TimePoint now);
   void UnlockSteps(Job& job);
   // Agents that isolation keeps from the job's route.
@@ -185,8 +187,12 @@
   void Withdraw(Task& task, const RunId& id);
   // Removes a finished job once none of its runs is left.
   void RemoveIfEnded(const std::string& id, core::TimePoint now);
+  static bool HasDueWork(const Job& job, core::TimePoint now);
   void AdvanceJob(Job& job, core::TimePoint now);
   void MoveQueuedRuns(Job& job, core::TimePoint now);
+  // The oldest remembered outcome of the job, or null.
+  const EndedJob* FindEnded(const std::string& job) const;
+  void Remember(EndedJob ended);
   void ForgetOutcomes(core::TimePoint now);
 
   Tuning tuning_;
@@ -208,6 +214,8 @@
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, std::size_t> runs_at_;
   std::deque<EndedJob> ended_;
+  // The ids in `ended_`, each as often as there: nearly all submissions are not among them.
+  std::unordered_multiset<std::string> ended_ids_;
   // Queued runs that this call of Advance may still withdraw.
   int withdrawals_left_ = 0;
 };
--- a/packages/direct/include/coltsfoottide/direct/resources.h
+++ b/packages/direct/include/coltsfoottide/direct/resources.h
@@ -16,6 +16,11 @@
     return need.cpu_millicores <= cpu_millicores && need.memory_mb <= memory_mb &&
            need.accelerators <= accelerators;
   }
+  void Add(const Resources& need) {
+    cpu_millicores += need.cpu_millicores;
+    memory_mb += need.memory_mb;
+    accelerators += need.accelerators;
+  }
   // Subtracts the need; a resource of which less is left becomes zero.
   void Subtract(const Resources& need) {
     cpu_millicores -= need.cpu_millicores < cpu_millicores ? need.cpu_millicores : cpu_millicores;
--- a/packages/direct/include/coltsfoottide/direct/worker_fleet.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_fleet.h
@@ -10,6 +10,7 @@
 
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/placement_choice.h"
+#include "coltsfoottide/direct/step_candidate.h"
 #include "coltsfoottide/direct/worker_view.h"
 
 namespace coltsfoottide::direct {
@@ -24,7 +25,7 @@
   WorkerView& Get(const std::string& agent) { return workers_[agent]; }
   void SetEvacuated(std::set<std::string> data_centres) { evacuated_ = std::move(data_centres); }
 
-  // Whether an agent is not to be used.
+  // Whether an agent is not to be used. If empty, all may be used.
   using Exclusion = std::function<bool(const std::string& agent)>;
 
   // Returns a backend server with the earliest expected end for one task of the
@@ -38,6 +39,18 @@
                                         const std::set<std::string>& excluded,
                                         const Exclusion& unusable);
 
+  // The same for several tasks of a step with one pass over the backend servers: returns those
+  // that may take a task, for ChooseFrom and OnOrder. Valid until a view changes otherwise.
+  std::vector<StepCandidate> FindCandidates(const std::string& service, const StepRequest& step,
+                                            const Exclusion& unusable);
+  // Chooses one as Choose does. `full`: the candidates that are not used for this task.
+  std::optional<PlacementChoice> ChooseFrom(const std::vector<StepCandidate>& candidates,
+                                            const std::set<std::string>& excluded,
+                                            const Exclusion& full);
+  // Records an order of a task of the step at the agent, which the candidates then account for.
+  void OnOrder(const std::string& agent, const StepRequest& step,
+               std::vector<StepCandidate>& candidates);
+
   // Total CPU, in millicores, of the backend servers that may take work of the
   // service, without unusable ones.
   std::uint64_t Capacity(const std::string& service, const Exclusion& unusable) const;
@@ -59,15 +72,18 @@
 
  private:
   bool MayTakeWork(const WorkerView& view, const std::string& service) const;
-  std::optional<PlacementChoice> ChooseAmong(const std::string& service, const StepRequest& step,
-                                             const std::set<std::string>& excluded,
-                                             const Exclusion& unusable);
+  // Sets the expected times of a candidate for a task of the step.
+  void Evaluate(const StepRequest& step, StepCandidate& candidate) const;
+  std::optional<PlacementChoice> Draw(const std::vector<StepCandidate>& candidates,
+                                      const std::set<std::string>& excluded, const Exclusion& full);
 
   std::string data_centre_;
   double far_factor_;
   std::map<std::string, WorkerView> workers_;
   std::set<std::string> evacuated_;
   std::mt19937_64 random_;
+  // Of the last draw; keeps its memory for the next one.
+  std::vector<const StepCandidate*> drawn_from_;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/worker_view.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_view.h
@@ -67,6 +67,9 @@
   core::TimePoint state_time_;
   // Orders that no state accounts for yet, oldest first.
   std::deque<PendingOrder> pending_;
+  // Sums over `pending_`.
+  Resources pending_need_;
+  std::uint64_t pending_work_ = 0;
   // Number of orders on this connection that states account for.
   std::uint64_t orders_seen_ = 0;
   bool connected_ = false;
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -31,17 +31,26 @@
   });
 }
 
-// Calls `visit(Task&, const RunId&)` with each task and its latest run.
-template <typename JobType, typename Visit>
-void ForEachTask(JobType& job, Visit visit) {
+// Calls `visit(Task&, const RunId&)` with each task that `matches` and its latest run.
+template <typename JobType, typename Matches, typename Visit>
+void ForEachTask(JobType& job, Matches matches, Visit visit) {
   for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
     for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
       auto& task = job.steps[step][index];
+      if (!matches(task)) continue;
       visit(task, RunId{TaskId{job.request.id, step, index}, task.run_number, job.submission});
     }
   }
 }
 
+// Whether an ordered run counts as queued at its agent.
+bool IsQueued(const Task& task, core::TimePoint now) {
+  // Time after which an order without a report counts as queued; one that finds
+  // free resources is reported as started well before.
+  constexpr core::Duration kStartReportTimeout = std::chrono::milliseconds(40);
+  return task.reported_queued || now - task.ordered_at >= kStartReportTimeout;
+}
+
 // Whether the run may be of the job's present submission.
 bool IsOfSubmission(const RunId& id, const Job& job) {
   return id.submission == 0 || id.submission == job.submission;
@@ -70,8 +79,8 @@
 
 void JobDispatcher::Submit(JobRequest request, core::TimePoint now) {
   ForgetOutcomes(now);
-  for (const EndedJob& it : ended_) {
-    if (it.job == request.id) return sink_.Answer(it.job, it.outcome);
+  if (const EndedJob* ended = FindEnded(request.id)) {
+    return sink_.Answer(ended->job, ended->outcome);
   }
   if (const auto it = jobs_.find(request.id); it != jobs_.end()) {
     if (!it->second->finished) return ExtendDeadline(request.id, request.deadline);
@@ -122,9 +131,10 @@
 
 // If there is a queue, the tasks of a wide job also wait for each other.
 core::Duration JobDispatcher::OwnQueueingDelay(const Job& job, core::Duration start_delay) const {
+  if (start_delay == core::Duration::zero()) return core::Duration::zero();
   const auto unusable = UnusableFor(job, job.request.steps.front());
   const std::uint64_t capacity = fleet_.Capacity(job.request.service, unusable);
-  if (start_delay == core::Duration::zero() || capacity == 0) return core::Duration::zero();
+  if (capacity == 0) return core::Duration::zero();
   return std::chrono::milliseconds(StepWork(job.request.steps.front()) / capacity);
 }
 
@@ -147,9 +157,17 @@
   std::vector<PlacedTask> placed;
   bool more = true;
   for (std::uint32_t step = 0; more && step < job.steps.size(); ++step) {
+    const auto is_ready = [](const Task& it) { return it.state == Task::State::kReady; };
+    if (std::none_of(job.steps[step].begin(), job.steps[step].end(), is_ready)) continue;
+    const StepRequest& request = job.request.steps[step];
+    std::vector<StepCandidate> candidates;
+    // While the isolation of the route is pending, its jobs wait.
+    if (!isolation_.IsPending(job.request.route, now)) {
+      candidates = fleet_.FindCandidates(job.request.service, request, UnusableFor(job, request));
+    }
     for (std::uint32_t index = 0; more && index < job.steps[step].size(); ++index) {
-      if (job.steps[step][index].state != Task::State::kReady) continue;
-      more = Place(job, step, index, placed, now);
+      if (!is_ready(job.steps[step][index])) continue;
+      more = Place(job, step, index, candidates, placed, now);
     }
   }
   if (!placed.empty()) sink_.OnPlaced(job.request.id, placed, now);
@@ -157,22 +175,19 @@
 
 // Orders a run of the task. Returns whether the next ready task can be tried.
 bool JobDispatcher::Place(Job& job, std::uint32_t step, std::uint32_t index,
-                          std::vector<PlacedTask>& placed, core::TimePoint now) {
+                          std::vector<StepCandidate>& candidates, std::vector<PlacedTask>& placed,
+                          core::TimePoint now) {
   const StepRequest& request = job.request.steps[step];
   Task& task = job.steps[step][index];
-  const auto isolated = UnusableFor(job, request);
-  const auto unusable = [&isolated, &job, step, &request](const std::string& agent) {
-    if (isolated(agent)) return true;
-    if (request.max_per_worker == 0) return false;
+  const auto has_most = [&job, step, &request](const std::string& agent) {
     const auto here =
         std::count_if(job.steps[step].begin(), job.steps[step].end(),
                       [&agent](const Task& it) { return it.HasRun() && it.agent == agent; });
     return static_cast<std::uint32_t>(here) >= request.max_per_worker;
   };
-  const bool pending = isolation_.IsPending(job.request.route, now);
-  const auto choice =
-      pending ? std::nullopt
-              : fleet_.Choose(job.request.service, request, task.avoided_agents, unusable);
+  const auto choice = fleet_.ChooseFrom(
+      candidates, task.avoided_agents,
+      request.max_per_worker == 0 ? WorkerFleet::Exclusion() : WorkerFleet::Exclusion(has_most));
   const core::Duration delay = choice ? choice->start_delay : core::Duration::zero();
   if (now + delay + MinRunTime(request.estimate) > job.request.useful_until) {
     GiveUp(job, choice ? "too late" : "no backend server", now);
@@ -181,7 +196,7 @@
   if (!choice) {
     // The backend servers of an isolated route are back only after seconds.
     const bool confined = isolation_.IsIsolated(job.request.route) && IsLimited(job, request);
-    if (confined && !pending) GiveUp(job, "isolated", now);
+    if (confined && !isolation_.IsPending(job.request.route, now)) GiveUp(job, "isolated", now);
     return false;
   }
   task.agent = choice->agent;
@@ -191,7 +206,7 @@
   task.expedited = job.NearlyDone();
   ++task.run_number;
   ++runs_at_[choice->agent];
-  fleet_.Get(choice->agent).OnOrder(request.need, request.estimate);
+  fleet_.OnOrder(choice->agent, request, candidates);
   const RunId id{TaskId{job.request.id, step, index}, task.run_number, job.submission};
   placed.push_back(PlacedTask{id, *choice});
   sink_.SendOrder(choice->agent,
@@ -203,9 +218,9 @@
 void JobDispatcher::Cancel(const std::string& id, core::TimePoint now) {
   Abandon(id, now);
   ForgetOutcomes(now);
-  const bool ended =
-      std::any_of(ended_.begin(), ended_.end(), [&id](const EndedJob& it) { return it.job == id; });
-  if (!ended) ended_.push_back({id, {JobOutcome::Kind::kCancelled, "cancelled", {}}, now});
+  if (FindEnded(id) == nullptr) {
+    Remember({id, {JobOutcome::Kind::kCancelled, "cancelled", {}}, now});
+  }
 }
 
 std::vector<std::string> JobDispatcher::RecentCancels(core::TimePoint now) const {
@@ -236,7 +251,8 @@
 }
 
 bool JobDispatcher::Knows(const std::string& job, core::TimePoint now) const {
-  return jobs_.contains(job) ||
+  if (jobs_.contains(job)) return true;
+  return ended_ids_.contains(job) &&
          std::any_of(ended_.begin(), ended_.end(), [&job, now](const EndedJob& it) {
            return it.job == job && now - it.time <= kOutcomeRetention;
          });
@@ -374,8 +390,10 @@
 
 void JobDispatcher::ExpediteRemaining(Job& job) {
   if (!job.NearlyDone()) return;
-  ForEachTask(job, [this](Task& task, const RunId& id) {
-    if (task.state != Task::State::kOrdered || task.expedited) return;
+  const auto is_queued = [](const Task& it) {
+    return it.state == Task::State::kOrdered && !it.expedited;
+  };
+  ForEachTask(job, is_queued, [this](Task& task, const RunId& id) {
     task.expedited = true;
     sink_.SendExpedite(task.agent, id);
   });
@@ -458,9 +476,8 @@
 std::vector<RunId> JobDispatcher::RunsAt(const std::string& agent) const {
   std::vector<RunId> runs;
   for (const auto& [name, job] : jobs_) {
-    ForEachTask(*job, [&](const Task& task, const RunId& id) {
-      if (task.HasRun() && task.agent == agent) runs.push_back(id);
-    });
+    const auto is_there = [&agent](const Task& it) { return it.HasRun() && it.agent == agent; };
+    ForEachTask(*job, is_there, [&runs](const Task&, const RunId& id) { runs.push_back(id); });
   }
   return runs;
 }
@@ -491,17 +508,41 @@
   crash_history_.Forget(now);
   if (now >= assign_due_ && isolation_.active()) AssignIsolated(now);
   std::vector<std::string> ids;
-  ids.reserve(jobs_.size());
-  for (const auto& [id, job] : jobs_) ids.push_back(id);
+  for (const auto& [id, job] : jobs_) {
+    if (HasDueWork(*job, now)) ids.push_back(id);
+  }
   for (const std::string& id : ids) {
     AdvanceJob(*jobs_.at(id), now);
     RemoveIfEnded(id, now);
   }
 }
 
+// Whether AdvanceJob or RemoveIfEnded may have something to do. Most jobs only wait for reports.
+bool JobDispatcher::HasDueWork(const Job& job, core::TimePoint now) {
+  if (!job.finished && now >= job.request.deadline) return true;
+  const auto is_due = [&job, now](const Task& it) {
+    switch (it.state) {
+      case Task::State::kReady:
+        return !job.finished;
+      case Task::State::kOrdered:
+        return !job.finished && IsQueued(it, now);
+      case Task::State::kUnreachable:
+        return now >= it.ended_by;
+      default:
+        return false;
+    }
+  };
+  return (job.finished && !HasRuns(job)) ||
+         std::any_of(job.steps.begin(), job.steps.end(), [&is_due](const auto& tasks) {
+           return std::any_of(tasks.begin(), tasks.end(), is_due);
+         });
+}
+
 void JobDispatcher::AdvanceJob(Job& job, core::TimePoint now) {
-  ForEachTask(job, [this, &job, now](Task& task, const RunId& id) {
-    if (task.state != Task::State::kUnreachable || now < task.ended_by) return;
+  const auto is_over = [now](const Task& it) {
+    return it.state == Task::State::kUnreachable && now >= it.ended_by;
+  };
+  ForEachTask(job, is_over, [this, &job, now](Task& task, const RunId& id) {
     sink_.OnRunTakenAsOver(task.agent, id, "agent silent");
     task.avoided_agents.insert(task.agent);
     OnRunEnded(job, task, true, now);
@@ -519,15 +560,11 @@
 // Withdraws runs from an agent's queue while another backend server has free
 // resources.
 void JobDispatcher::MoveQueuedRuns(Job& job, core::TimePoint now) {
-  // Time after which an order without a report counts as queued; one that finds
-  // free resources is reported as started well before.
-  constexpr core::Duration kStartReportTimeout = std::chrono::milliseconds(40);
   constexpr std::uint32_t kMaxMovesOfQueuedTask = 4;
   for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
     for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
       Task& task = job.steps[step][index];
-      if (task.state != Task::State::kOrdered) continue;
-      if (!task.reported_queued && now - task.ordered_at < kStartReportTimeout) continue;
+      if (task.state != Task::State::kOrdered || !IsQueued(task, now)) continue;
       if (withdrawals_left_ == 0 || task.moves >= kMaxMovesOfQueuedTask) continue;
       const StepRequest& request = job.request.steps[step];
       const auto choice =
@@ -554,9 +591,11 @@
 }
 
 void JobDispatcher::StopRuns(Job& job) {
-  ForEachTask(job, [this](Task& task, const RunId& id) {
-    if (!task.HasRun() || task.state == Task::State::kUnreachable) return;
-    if (task.state == Task::State::kStopping && !task.may_continue) return;
+  const auto goes_on = [](const Task& it) {
+    const bool stopping = it.state == Task::State::kStopping && !it.may_continue;
+    return it.HasRun() && it.state != Task::State::kUnreachable && !stopping;
+  };
+  ForEachTask(job, goes_on, [this](Task& task, const RunId& id) {
     task.state = Task::State::kStopping;
     task.may_continue = false;
     sink_.SendStop(task.agent, id);
@@ -571,7 +610,7 @@
       outcome.kind == JobOutcome::Kind::kCompleted || outcome.kind == JobOutcome::Kind::kFailed;
   if (final) {
     job.final_outcome = outcome;
-    ended_.push_back(EndedJob{job.request.id, outcome, now});
+    Remember({job.request.id, outcome, now});
   }
   sink_.Answer(job.request.id, outcome);
 }
@@ -586,9 +625,8 @@
   }
   if (!HasRuns(job)) return Refuse(job, reason, now);
   job.withdrawing = true;
-  ForEachTask(job, [this](Task& task, const RunId& id) {
-    if (task.state == Task::State::kOrdered) Withdraw(task, id);
-  });
+  const auto is_ordered = [](const Task& it) { return it.state == Task::State::kOrdered; };
+  ForEachTask(job, is_ordered, [this](Task& task, const RunId& id) { Withdraw(task, id); });
 }
 
 void JobDispatcher::Withdraw(Task& task, const RunId& id) {
@@ -628,8 +666,22 @@
   Begin(std::move(next), now);
 }
 
+const JobDispatcher::EndedJob* JobDispatcher::FindEnded(const std::string& job) const {
+  if (!ended_ids_.contains(job)) return nullptr;
+  const auto it = std::find_if(ended_.begin(), ended_.end(),
+                               [&job](const EndedJob& ended) { return ended.job == job; });
+  return it == ended_.end() ? nullptr : &*it;
+}
+
+void JobDispatcher::Remember(EndedJob ended) {
+  ended_ids_.insert(ended.job);
+  ended_.push_back(std::move(ended));
+}
+
 void JobDispatcher::ForgetOutcomes(core::TimePoint now) {
-  while (!ended_.empty() && now - ended_.front().time > kOutcomeRetention) ended_.pop_front();
+  for (; !ended_.empty() && now - ended_.front().time > kOutcomeRetention; ended_.pop_front()) {
+    ended_ids_.erase(ended_ids_.find(ended_.front().job));
+  }
 }
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/job_dispatcher_crashes.cc
+++ b/packages/direct/src/job_dispatcher_crashes.cc
@@ -110,7 +110,7 @@
 
 WorkerFleet::Exclusion JobDispatcher::UnusableFor(const Job& job, const StepRequest& step) const {
   if (IsLimited(job, step)) return OutsideIsolation(job);
-  return [](const std::string&) { return false; };
+  return {};
 }
 
 void JobDispatcher::AssignIsolated(core::TimePoint now) {
--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -25,52 +25,96 @@
                                                    const StepRequest& step,
                                                    const std::set<std::string>& excluded,
                                                    const Exclusion& unusable) {
-  auto choice = ChooseAmong(service, step, excluded, unusable);
-  if (!choice && !excluded.empty()) choice = ChooseAmong(service, step, {}, unusable);
+  return ChooseFrom(FindCandidates(service, step, unusable), excluded, {});
+}
+
+std::vector<StepCandidate> WorkerFleet::FindCandidates(const std::string& service,
+                                                       const StepRequest& step,
+                                                       const Exclusion& unusable) {
+  std::vector<StepCandidate> candidates;
+  candidates.reserve(workers_.size());
+  for (auto& [agent, view] : workers_) {
+    if (!MayTakeWork(view, service) || !view.MeetsRequirements(step)) continue;
+    if (unusable && unusable(agent)) continue;
+    StepCandidate& candidate = candidates.emplace_back();
+    candidate.agent = &agent;
+    candidate.view = &view;
+    Evaluate(step, candidate);
+  }
+  return candidates;
+}
+
+void WorkerFleet::Evaluate(const StepRequest& step, StepCandidate& candidate) const {
+  const WorkerView& view = *candidate.view;
+  candidate.start_delay = view.StartDelay(step.need);
+  candidate.run_time = view.RunTime(step, far_factor_);
+  candidate.cost =
+      candidate.start_delay + candidate.run_time + view.FailurePenalty(candidate.run_time);
+  if (view.description().data_centre != data_centre_) candidate.cost += kOtherDataCentreDelay;
+  // Plus one, so that a full backend server has a small weight and not none.
+  const double free = static_cast<double>(view.AvailableCpu()) + 1.0;
+  candidate.weight = free * free;
+}
+
+std::optional<PlacementChoice> WorkerFleet::ChooseFrom(const std::vector<StepCandidate>& candidates,
+                                                       const std::set<std::string>& excluded,
+                                                       const Exclusion& full) {
+  auto choice = Draw(candidates, excluded, full);
+  if (!choice && !excluded.empty()) choice = Draw(candidates, {}, full);
   return choice;
 }
 
-std::optional<PlacementChoice> WorkerFleet::ChooseAmong(const std::string& service,
-                                                        const StepRequest& step,
-                                                        const std::set<std::string>& excluded,
-                                                        const Exclusion& unusable) {
-  struct Candidate {
-    PlacementChoice choice;
-    core::Duration cost{};
-    double free = 0;
-  };
-  std::vector<Candidate> candidates;
+std::optional<PlacementChoice> WorkerFleet::Draw(const std::vector<StepCandidate>& candidates,
+                                                 const std::set<std::string>& excluded,
+                                                 const Exclusion& full) {
+  drawn_from_.clear();
   core::Duration best = core::Duration::max();
-  for (const auto& [agent, view] : workers_) {
-    if (!MayTakeWork(view, service) || !view.MeetsRequirements(step)) continue;
-    if (excluded.contains(agent) || unusable(agent)) continue;
-    const core::Duration delay = view.StartDelay(step.need);
-    const core::Duration run_time = view.RunTime(step, far_factor_);
-    core::Duration cost = delay + run_time + view.FailurePenalty(run_time);
-    if (view.description().data_centre != data_centre_) cost += kOtherDataCentreDelay;
-    best = std::min(best, cost);
-    // Plus one, so that a full backend server has a small weight and not none.
-    const double free = static_cast<double>(view.AvailableCpu()) + 1.0;
-    candidates.push_back({{agent, delay, run_time, view.state_time()}, cost, free});
+  for (const StepCandidate& it : candidates) {
+    if (it.cost > best && it.cost - best > kCostTolerance) continue;
+    if (!excluded.empty() && excluded.contains(*it.agent)) continue;
+    if (full && full(*it.agent)) continue;
+    best = std::min(best, it.cost);
+    drawn_from_.push_back(&it);
   }
-  std::erase_if(candidates,
-                [best](const Candidate& it) { return it.cost > best + kCostTolerance; });
-  if (candidates.empty()) return std::nullopt;
-  std::vector<double> weights;
-  weights.reserve(candidates.size());
-  for (const Candidate& it : candidates) weights.push_back(it.free * it.free);
-  std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
-  return candidates[draw(random_)].choice;
+  if (drawn_from_.empty()) return std::nullopt;
+  std::erase_if(drawn_from_,
+                [best](const StepCandidate* it) { return it->cost > best + kCostTolerance; });
+  double total = 0;
+  for (const StepCandidate* it : drawn_from_) total += it->weight;
+  const StepCandidate* chosen = drawn_from_.back();
+  if (drawn_from_.size() > 1) {
+    // std::discrete_distribution allocates memory for each draw.
+    constexpr std::size_t kDoubleBits = 53;
+    const double drawn = std::generate_canonical<double, kDoubleBits>(random_);
+    double sum = 0;
+    for (const StepCandidate* it : drawn_from_) {
+      sum += it->weight / total;
+      if (sum < drawn) continue;
+      chosen = it;
+      break;
+    }
+  }
+  return PlacementChoice{*chosen->agent, chosen->start_delay, chosen->run_time,
+                         chosen->view->state_time()};
+}
+
+void WorkerFleet::OnOrder(const std::string& agent, const StepRequest& step,
+                          std::vector<StepCandidate>& candidates) {
+  Get(agent).OnOrder(step.need, step.estimate);
+  const auto it = std::find_if(candidates.begin(), candidates.end(),
+                               [&agent](const StepCandidate& c) { return *c.agent == agent; });
+  if (it != candidates.end()) Evaluate(step, *it);
 }
 
 bool WorkerFleet::MayTakeWork(const WorkerView& view, const std::string& service) const {
-  return view.Serves(service) && !evacuated_.contains(view.description().data_centre);
+  return view.Serves(service) &&
+         (evacuated_.empty() || !evacuated_.contains(view.description().data_centre));
 }
 
 std::uint64_t WorkerFleet::Capacity(const std::string& service, const Exclusion& unusable) const {
   std::uint64_t millicores = 0;
   for (const auto& [agent, view] : workers_) {
-    if (!MayTakeWork(view, service) || unusable(agent)) continue;
+    if (!MayTakeWork(view, service) || (unusable && unusable(agent))) continue;
     millicores += view.description().total.cpu_millicores;
   }
   return millicores;
@@ -78,11 +122,12 @@
 
 core::Duration WorkerFleet::Backlog(const std::string& service, const Exclusion& unusable) const {
   std::uint64_t work = 0;
+  std::uint64_t millicores = 0;
   for (const auto& [agent, view] : workers_) {
-    if (!MayTakeWork(view, service) || unusable(agent)) continue;
+    if (!MayTakeWork(view, service) || (unusable && unusable(agent))) continue;
     work += view.state().queued_work;
+    millicores += view.description().total.cpu_millicores;
   }
-  const std::uint64_t millicores = Capacity(service, unusable);
   return millicores == 0 ? core::Duration::zero() : std::chrono::milliseconds(work / millicores);
 }
 
@@ -90,7 +135,7 @@
                                        const StepRequest& step, const Exclusion& unusable) const {
   return static_cast<std::size_t>(
       std::count_if(agents.begin(), agents.end(), [&](const std::string& it) {
-        return workers_.at(it).MeetsRequirements(step) && !unusable(it);
+        return workers_.at(it).MeetsRequirements(step) && !(unusable && unusable(it));
       }));
 }
 
--- a/packages/direct/src/worker_view.cc
+++ b/packages/direct/src/worker_view.cc
@@ -21,22 +21,30 @@
 void WorkerView::OnConnected() {
   connected_ = true;
   pending_.clear();
+  pending_need_ = {};
+  pending_work_ = 0;
   orders_seen_ = 0;
 }
 
 void WorkerView::OnState(const WorkerState& state, std::uint64_t orders_seen, core::TimePoint now) {
   state_ = state;
   state_time_ = now;
-  for (; orders_seen_ < orders_seen && !pending_.empty(); ++orders_seen_) pending_.pop_front();
+  for (; orders_seen_ < orders_seen && !pending_.empty(); ++orders_seen_) {
+    pending_need_.Subtract(pending_.front().need);
+    pending_work_ -= pending_.front().work;
+    pending_.pop_front();
+  }
 }
 
 void WorkerView::OnOrder(const Resources& need, core::Duration estimate) {
   pending_.push_back({need, CpuWork(need, estimate)});
+  pending_need_.Add(need);
+  pending_work_ += pending_.back().work;
 }
 
 Resources WorkerView::AvailableResources() const {
   Resources free = state_.free;
-  for (const PendingOrder& it : pending_) free.Subtract(it.need);
+  free.Subtract(pending_need_);
   return free;
 }
 
@@ -54,8 +62,7 @@
 core::Duration WorkerView::StartDelay(const Resources& need) const {
   if (state_.queued_work == 0 && AvailableResources().Fits(need)) return core::Duration::zero();
   if (description_.total.cpu_millicores == 0) return core::Duration::max() / 4;
-  std::uint64_t sent = 0;
-  for (const PendingOrder& it : pending_) sent += it.work;
+  std::uint64_t sent = pending_work_;
   // Without a queue only the orders that exceed the free resources wait; half
   // of the ordered work is the estimate for them.
   if (state_.queued_work == 0) sent /= 2;
--- a/packages/direct/test/worker_fleet_test.cc
+++ b/packages/direct/test/worker_fleet_test.cc
@@ -2,7 +2,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "direct_samples.h"
 
@@ -18,6 +24,38 @@
   fleet.Get(agent).OnState(state, 0, kStart);
 }
 
+// An entry's views and random numbers, and the choice for one task as the documentation of
+// WorkerFleet::Choose states it: a new pass over all views, and the library's distribution.
+struct Reference {
+  std::map<std::string, WorkerView> workers;
+  std::mt19937_64 random;
+
+  std::string Choose(const StepRequest& step, const std::set<std::string>& excluded,
+                     const std::set<std::string>& full) {
+    std::vector<std::pair<std::string, core::Duration>> costs;
+    core::Duration best = core::Duration::max();
+    for (const auto& [agent, view] : workers) {
+      if (!view.Serves("review") || !view.MeetsRequirements(step)) continue;
+      if (excluded.contains(agent) || full.contains(agent)) continue;
+      const core::Duration run_time = view.RunTime(step, 1.5);
+      const bool far = view.description().data_centre != "a";
+      const core::Duration cost =
+          view.StartDelay(step.need) + run_time + view.FailurePenalty(run_time) + Ms(far ? 4 : 0);
+      best = std::min(best, cost);
+      costs.emplace_back(agent, cost);
+    }
+    std::erase_if(costs, [best](const auto& it) { return it.second > best + Ms(3); });
+    if (costs.empty()) return excluded.empty() ? "" : Choose(step, {}, full);
+    std::vector<double> weights;
+    for (const auto& [agent, cost] : costs) {
+      const double free = static_cast<double>(workers.at(agent).AvailableCpu()) + 1.0;
+      weights.push_back(free * free);
+    }
+    std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
+    return costs[draw(random)].first;
+  }
+};
+
 class WorkerFleetTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WorkerFleetTest);
   CPPUNIT_TEST(EntriesWithTheSameViewSpreadTheirWork);
@@ -27,8 +65,51 @@
   CPPUNIT_TEST(OwnDataCentreIsPreferredWhileItHasFreeResources);
   CPPUNIT_TEST(DataRackIsPreferred);
   CPPUNIT_TEST(UnusableWorkersAreNotChosen);
+  CPPUNIT_TEST(TasksOfAStepArePlacedAsOneByOne);
   CPPUNIT_TEST_SUITE_END();
 
+  // Guards against choices that differ from those of a new pass over all backend servers for
+  // each task, in steps of random size in fleets of random states.
+  void TasksOfAStepArePlacedAsOneByOne() {
+    constexpr int kFleets = 200;
+    for (unsigned seed = 0; seed < kFleets; ++seed) {
+      std::mt19937 random(seed);
+      const auto below = [&random](unsigned n) { return static_cast<unsigned>(random() % n); };
+      WorkerFleet fleet("a", 1.5, seed);
+      Reference reference{{}, std::mt19937_64(seed)};
+      const unsigned workers = below(12);
+      for (unsigned i = 0; i < workers; ++i) {
+        WorkerDescription description = SampleWorker();
+        description.data_centre = below(2) == 0 ? "a" : "b";
+        WorkerState state = IdleWorker();
+        state.ready = below(8) != 0;
+        state.free.cpu_millicores = std::uint64_t{below(60)} * 1000;
+        state.queued_work = below(3) == 0 ? std::uint64_t{below(1000)} * 1000 : 0;
+        state.failure_ratio = below(6) == 0 ? 0.2 : 0;
+        const std::string agent = "agent-" + std::to_string(i);
+        Add(fleet, agent, state, description);
+        reference.workers[agent] = fleet.Get(agent);
+      }
+      for (int job = 0; job < 5; ++job) {
+        const StepRequest step = SampleJob("j", 1 + below(16)).steps[0];
+        std::set<std::string> full;
+        for (unsigned n = below(3); n > 0; --n) full.insert("agent-" + std::to_string(below(12)));
+        auto candidates = fleet.FindCandidates("review", step, {});
+        for (std::uint32_t task = 0; task < step.count; ++task) {
+          std::set<std::string> excluded;
+          if (below(4) == 0) excluded.insert("agent-" + std::to_string(below(12)));
+          const auto choice = fleet.ChooseFrom(
+              candidates, excluded, [&full](const std::string& it) { return full.contains(it); });
+          CPPUNIT_ASSERT_EQUAL(reference.Choose(step, excluded, full),
+                               choice ? choice->agent : std::string());
+          if (!choice) continue;
+          fleet.OnOrder(choice->agent, step, candidates);
+          reference.workers.at(choice->agent).OnOrder(step.need, step.estimate);
+        }
+      }
+    }
+  }
+
   // Many entries have equally old views. Guards against all of them filling the
   // one backend server that had the most free CPU.
   void EntriesWithTheSameViewSpreadTheirWork() {
