Withdraw the store's records of entries that nobody reaches

After the death of all processes every entry waited a whole second before it placed a task: it was not connected to all entries that it knew, since the store still had the record of an entry that had been replaced half a minute earlier. Only an entry that stops by SIGTERM removes its record.

StaleRecords lets the entry that ranks highest for the name withdraw the record once the entry is forgotten, 10 s after anyone has last reached it, and repeats it until the store's topic shows that it is gone. An entry that was only cut off announces itself again, as it does already after a late withdrawal.

--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -479,6 +479,7 @@
 void DirectEntryRuntime::OnPeerConnected(const std::string& entry, bool records_claims,
                                          direct_wire::Frame& frame, core::TimePoint now) {
   CheckPause(now);
+  stale_records_.OnConnected(entry);
   claim_exchange_.OnPeerConnected(entry, records_claims, now);
   for (const auto& [route, last_crash] : dispatcher_.IsolatedRoutes(now)) {
     WriteIsolatedRoute(route, now - last_crash, *frame.add_crashing_routes());
@@ -498,6 +499,10 @@
   claim_exchange_.OnPeerLost(entry, now);
 }
 
+void DirectEntryRuntime::OnEntryForgotten(const std::string& entry) {
+  stale_records_.OnForgotten(entry);
+}
+
 void DirectEntryRuntime::OnPeerFrame(const std::string& entry, const direct_wire::Frame& frame,
                                      core::TimePoint now) {
   CheckPause(now);
@@ -636,6 +641,7 @@
 
 // A record without a value says that the entry has stopped.
 void DirectEntryRuntime::OnEntryRecord(const std::string& name, const std::string& value) {
+  stale_records_.OnRecord(name, !value.empty());
   if (!value.empty()) return links_.AddEntryHint(name);
   // The record of an earlier process of this entry, carried out late.
   if (name == links_.name() && !stopping_) announced_ = false;
@@ -651,11 +657,23 @@
   });
 }
 
+void DirectEntryRuntime::WithdrawStaleRecords(core::TimePoint now) {
+  if (stale_records_.empty() || stopping_ || !operator_topic_->reachable()) return;
+  for (const std::string& it :
+       stale_records_.TakeDue(links_.name(), links_.ConnectedEntries(), now)) {
+    logger_.Info("entry record withdrawn", {{"entry", it}});
+    store_->Append(platform::kEntryTopic, it, "", [this, it](bool done) {
+      if (!done) logger_.Warn("entry record not withdrawn", {{"entry", it}});
+    });
+  }
+}
+
 void DirectEntryRuntime::Tick() {
   const core::TimePoint now = BootNow();
   CheckPause(now);
   links_.Advance([this](const std::string& agent) { return dispatcher_.HasRunsAt(agent); }, now);
   if (!announced_ && !stopping_ && operator_topic_->reachable()) Announce();
+  WithdrawStaleRecords(now);
   claim_exchange_.Advance(now);
   if (stopping_) claims_.Flush();
   dispatcher_.Advance(now);
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -17,6 +17,7 @@
 #include "coltsfoottide/direct/initial_view.h"
 #include "coltsfoottide/direct/job_dispatcher.h"
 #include "coltsfoottide/direct/operator_view.h"
+#include "coltsfoottide/direct/stale_records.h"
 #include "coltsfoottide/http/server.h"
 #include "coltsfoottide/platform/store_client.h"
 #include "entry_links.h"
@@ -111,6 +112,7 @@
                        core::TimePoint now) override;
   void OnPeerStamp(const std::string& entry, direct_wire::Frame& frame) override;
   void OnPeerLost(const std::string& entry, core::TimePoint now) override;
+  void OnEntryForgotten(const std::string& entry) override;
   void OnPeerFrame(const std::string& entry, const direct_wire::Frame& frame,
                    core::TimePoint now) override;
   void OnPeerCrashingRoute(const direct_wire::CrashingRoute& message, core::TimePoint now) override;
@@ -127,6 +129,8 @@
   void FollowStore();
   void Announce();
   void OnEntryRecord(const std::string& name, const std::string& value);
+  // Removes the records of entries that nobody reaches from the store.
+  void WithdrawStaleRecords(core::TimePoint now);
   void SetGauges(core::TimePoint now);
   void Tick();
 
@@ -148,6 +152,7 @@
   std::unique_ptr<platform::StoreClient> store_;
   std::unique_ptr<TopicFollower> operator_topic_;
   std::unique_ptr<TopicFollower> entry_topic_;
+  direct::StaleRecords stale_records_;
   std::map<std::string, Submission> submissions_;
   std::map<std::uint64_t, std::string> jobs_by_request_;
   QTimer tick_;
--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -137,6 +137,13 @@
   return &link.connection->outbox();
 }
 
+std::vector<std::string> EntryLinks::ConnectedEntries() const {
+  std::vector<std::string> names;
+  names.reserve(peers_.size());
+  for (const auto& [name, id] : peers_) names.push_back(name);
+  return names;
+}
+
 direct_wire::Frame* EntryLinks::FrameToEntry(const std::string& entry) {
   const auto it = peers_.find(entry);
   return it == peers_.end() ? nullptr : &links_.at(it->second).connection->outbox();
@@ -359,6 +366,7 @@
   for (const std::string& it : entries_.Forget(now)) {
     dials_.erase(it);
     logger_.Info("entry forgotten", {{"entry", it}});
+    listener_.OnEntryForgotten(it);
   }
   DialPeers(now);
 }
--- a/packages/daemon/src/entry_links.h
+++ b/packages/daemon/src/entry_links.h
@@ -71,6 +71,8 @@
   // agent has runs, in which case a shorter limit for silence applies.
   void Advance(const std::function<bool(const std::string& agent)>& has_runs, core::TimePoint now);
 
+  // Names of the entries that are connected.
+  std::vector<std::string> ConnectedEntries() const;
   std::size_t connected_agents() const { return agents_.size(); }
   std::size_t known_entries() const { return entries_.size(); }
   // Whether every known entry is connected.
--- a/packages/daemon/src/entry_links_listener.h
+++ b/packages/daemon/src/entry_links_listener.h
@@ -37,6 +37,8 @@
   virtual void OnPeerStamp(const std::string& entry, direct_wire::Frame& frame) = 0;
   // The connection to the entry has closed, or another one replaces it.
   virtual void OnPeerLost(const std::string& entry, core::TimePoint now) = 0;
+  // The entry's address is forgotten: nobody reaches it any more.
+  virtual void OnEntryForgotten(const std::string& entry) = 0;
   // A frame of an entry that is connected; called before the calls for its parts.
   virtual void OnPeerFrame(const std::string& entry, const direct_wire::Frame& frame,
                            core::TimePoint now) = 0;
--- a/packages/daemon/test/entry_links_test.cc
+++ b/packages/daemon/test/entry_links_test.cc
@@ -52,6 +52,7 @@
   void OnPeerLost(const std::string& entry, core::TimePoint /*now*/) override {
     lost.push_back(entry);
   }
+  void OnEntryForgotten(const std::string& /*entry*/) override {}
   void OnPeerFrame(const std::string& /*entry*/, const direct_wire::Frame& /*frame*/,
                    core::TimePoint /*now*/) override {}
   void OnPeerConnected(const std::string& /*entry*/, bool /*records_claims*/,
