Use the limit of connection attempts in the early check of silent links

The branch with the cheaper path compared with kOpenLimit, which DialBackoff has replaced; an attempt may now end sooner than any limit of an open connection.

--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -325,9 +325,9 @@
                              core::TimePoint now) {
   std::vector<std::uint64_t> silent;
   for (const auto& [id, link] : links_) {
-    // Not longer than any of the limits below.
-    if (now - link.last_heard <= kOpenLimit) continue;
     const bool opening = link.dialed && !link.connection->open();
+    // The shortest limit of open connections.
+    if (!opening && now - link.last_heard <= kBusySilence) continue;
     const core::Duration limit = opening               ? AttemptLimit(link.name)
                                  : !link.is_agent      ? kPeerSilence
                                  : has_runs(link.name) ? kBusySilence
