--- a/packages/direct/include/coltsfoottide/direct/step_candidate.h
+++ b/packages/direct/include/coltsfoottide/direct/step_candidate.h
@@ -17,6 +17,10 @@
   core::Duration run_time{};
   // What the candidates are compared by: the expected end, with that of failures and distance.
   core::Duration cost{};
+  // Whether backend servers of the service differ in speed.
+  bool uneven = false;
+  // The start delay, or the longest duration if a task takes too long there.
+  core::Duration tolerable_delay{};
   // Of the random choice among candidates of about the same cost.
   double weight = 0;
 };
