Refuse jobs that the entry itself is too slow to answer

Cause: an entry of 0.12 cores at 257 requests a second accepts jobs that it cannot answer in time; admission only knows the delay at the backend servers.

Change: direct::EntryLoad smooths how late the 20 ms timer is served and refuses a new job (503, reason "entry overloaded") if four times this delay and the shortest run of its tasks end after useful_until. A job that another entry cannot have begun is refused before its claim; any other is claimed first, so that the refusal is true, and refused at the grant. New setting cpu_share of the direct entry (Limits.CpuShare), metrics entry_delay_ms, entry_processor_percent and jobs_not_run_by_entry_overloaded.

--- a/packages/daemon/include/coltsfoottide/daemon/settings.h
+++ b/packages/daemon/include/coltsfoottide/daemon/settings.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -60,6 +61,8 @@
   std::chrono::milliseconds configuration_limit = std::chrono::seconds(2);
   // Direct entry: factor by which a task takes longer away from its data.
   double far_factor = 1.0;
+  // Direct entry: limit of the process's processor use, in cores; absent if there is none.
+  std::optional<double> cpu_share;
 };
 
 struct SettingsError {
--- a/packages/daemon/src/claim_exchange.cc
+++ b/packages/daemon/src/claim_exchange.cc
@@ -81,6 +81,10 @@
   frame.mutable_begun_jobs()->Add(jobs.begin(), jobs.end());
 }
 
+bool ClaimExchange::IsNew(const std::string& job, core::TimePoint now) const {
+  return claims_.IsNew(job) && registry_.IsCertainlyUnknown(job, now);
+}
+
 void ClaimExchange::OnPause(core::Duration pause, core::TimePoint now) {
   if (pause < kShortestPause) return;
   registry_.OnPause(now);
--- a/packages/daemon/src/claim_exchange.h
+++ b/packages/daemon/src/claim_exchange.h
@@ -43,6 +43,9 @@
   // A stamp is sent to the entry with `frame`.
   void OnPeerStamp(const std::string& entry, direct_wire::Frame& frame);
 
+  // Whether no entry can have begun the job, as a claim would find without a message.
+  bool IsNew(const std::string& job, core::TimePoint now) const;
+
   // This process has done nothing for the time `pause`.
   void OnPause(core::Duration pause, core::TimePoint now);
 
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -1,5 +1,7 @@
 #include "direct_entry_runtime.h"
 
+#include <time.h>
+
 #include <QCoreApplication>
 #include <QHostAddress>
 #include <algorithm>
@@ -32,6 +34,17 @@
 constexpr std::chrono::milliseconds kBalancerRemovalDelay{2500};
 constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
 constexpr core::Duration kGaugeInterval = std::chrono::seconds(1);
+// Reason of refusals by direct::EntryLoad.
+constexpr char kOverloaded[] = "entry overloaded";
+
+// Processor time that this process has used since its start.
+core::Duration ProcessorTime() {
+  timespec ts{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+  const auto used = std::chrono::seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec);
+  return std::chrono::duration_cast<core::Duration>(used);
+}
+
 std::string WithoutPort(const std::string& host) { return host.substr(0, host.find(':')); }
 
 const char* KindName(direct::JobOutcome::Kind kind) {
@@ -67,6 +80,7 @@
       metrics_(metrics),
       metrics_server_(metrics),
       dispatcher_(MakeTuning(settings), settings.data_centre, settings.far_factor, *this),
+      load_(kTick, settings.cpu_share),
       initial_view_(BootNow()),
       links_(static_cast<std::uint64_t>(BootNow().time_since_epoch().count()), settings.data_centre,
              *this, logger),
@@ -228,6 +242,7 @@
     return;
   }
   const direct::JobRequest& accepted = std::get<direct::JobRequest>(decoded);
+  if (RefuseByLoad(request, accepted, now)) return;
   logger_.Info("job accepted", {{"job", job},
                                 {"route", route.name},
                                 {"tasks", std::to_string(accepted.steps.front().count)},
@@ -249,6 +264,26 @@
   claims_.Claim(std::move(std::get<direct::JobRequest>(decoded)), now);
 }
 
+bool DirectEntryRuntime::RefuseByLoad(const http::Request& request, const direct::JobRequest& job,
+                                      core::TimePoint now) {
+  load_.OnRequest();
+  // Others must be claimed before a refusal can say that nothing of them runs.
+  if (dispatcher_.Knows(job.id, now) || !claim_exchange_.IsNew(job.id, now)) return false;
+  const auto retry_after = load_.Refuse(job, now);
+  if (!retry_after) return false;
+  caller_server_->Respond(request.id,
+                          platform::EncodeRefusal(kUnavailable, kOverloaded, *retry_after));
+  metrics_.Add("jobs_not_run", 1);
+  metrics_.Add(std::string("jobs_not_run_by_") + kOverloaded, 1);
+  logger_.Warn("job refused", {{"job", job.id},
+                               {"route", job.route},
+                               {"status", std::to_string(kUnavailable)},
+                               {"reason", kOverloaded},
+                               {"delay_ms", std::to_string(ToMs(load_.Delay(now)))},
+                               {"retry_after_ms", std::to_string(ToMs(*retry_after))}});
+  return true;
+}
+
 void DirectEntryRuntime::OnInputEnded(std::uint64_t request) {
   const auto it = jobs_by_request_.find(request);
   if (it == jobs_by_request_.end()) return;
@@ -294,6 +329,13 @@
 
 void DirectEntryRuntime::OnClaimGranted(direct::JobRequest request, core::TimePoint now) {
   const std::string job = request.id;
+  // A job whose claim was not certain before. Nothing of it has been placed.
+  if (!request.may_have_run && !dispatcher_.Knows(job, now)) {
+    if (const auto retry_after = load_.Refuse(request, now)) {
+      claims_.Release(job, std::nullopt);
+      return Answer(job, {direct::JobOutcome::Kind::kNotRun, kOverloaded, *retry_after});
+    }
+  }
   dispatcher_.Submit(std::move(request), now);
   // The outcome was remembered, so that no run was placed.
   if (!dispatcher_.HasJob(job)) claims_.Release(job, std::nullopt);
@@ -654,6 +696,7 @@
 void DirectEntryRuntime::Tick() {
   const core::TimePoint now = BootNow();
   CheckPause(now);
+  load_.OnTick(ProcessorTime(), now);
   links_.Advance([this](const std::string& agent) { return dispatcher_.HasRunsAt(agent); }, now);
   if (!announced_ && !stopping_ && operator_topic_->reachable()) Announce();
   claim_exchange_.Advance(now);
@@ -667,6 +710,8 @@
   if (now < gauges_due_) return;
   gauges_due_ = now + kGaugeInterval;
   const auto configuration = view_.configuration();
+  metrics_.Set("entry_delay_ms", static_cast<std::uint64_t>(ToMs(load_.LongestDelay())));
+  metrics_.Set("entry_processor_percent", load_.ProcessorPercent());
   metrics_.Set("jobs_in_progress", dispatcher_.size());
   metrics_.Set("claims", claims_.size());
   metrics_.Set("claims_recorded", claim_exchange_.recorded());
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -13,6 +13,7 @@
 #include "claim_exchange_listener.h"
 #include "coltsfoottide/daemon/runtime.h"
 #include "coltsfoottide/daemon/settings.h"
+#include "coltsfoottide/direct/entry_load.h"
 #include "coltsfoottide/direct/entry_sink.h"
 #include "coltsfoottide/direct/initial_view.h"
 #include "coltsfoottide/direct/job_dispatcher.h"
@@ -89,6 +90,9 @@
   void OnRequest(const http::Request& request);
   void OnJobCall(const http::Request& request, const direct::Route& route, const std::string& job);
   void Submit(const http::Request& request, const direct::Route& route, const std::string& job);
+  // Refuses a new job that this entry is too slow to answer. Returns whether it has.
+  bool RefuseByLoad(const http::Request& request, const direct::JobRequest& job,
+                    core::TimePoint now);
   void OnInputEnded(std::uint64_t request);
   void OnAbandoned(std::uint64_t request);
   void OnReadinessProbe(const http::Request& request);
@@ -135,6 +139,7 @@
   Metrics& metrics_;
   MetricsServer metrics_server_;
   direct::JobDispatcher dispatcher_;
+  direct::EntryLoad load_;
   direct::OperatorView view_;
   direct::InitialView initial_view_;
   // Whether `view_` was settled at the last call of ViewSettled().
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -21,6 +21,9 @@
 constexpr std::uint32_t kMaxLeaseMs = 60'000;
 constexpr std::uint32_t kMaxConfigurationLimitMs = 60'000;
 constexpr double kMaxFarFactor = 100.0;
+// Cores. With less than the minimum an entry could not answer a request a second.
+constexpr double kMinCpuShare = 0.001;
+constexpr double kMaxCpuShare = 1024.0;
 constexpr std::size_t kMaxNameBytes = 64;
 
 // Reads a value that must be one of the given words; the key may be absent.
@@ -109,6 +112,9 @@
   ReadMilliseconds(reader, "configuration_limit_ms", kMaxConfigurationLimitMs,
                    settings.configuration_limit);
   reader.Read("far_factor", settings.far_factor, 1.0, kMaxFarFactor);
+  double share = 0;
+  reader.Read("cpu_share", share, kMinCpuShare, kMaxCpuShare);
+  if (reader.Has("cpu_share")) settings.cpu_share = share;
 }
 
 void RequireKeys(SettingsReader& reader, Role role) {
--- a/packages/daemon/test/settings_test.cc
+++ b/packages/daemon/test/settings_test.cc
@@ -75,6 +75,8 @@
         {"log_url = \"https://10.0.0.1:1\"", "log_url: must be \"http://IP number:port\""},
         {"log_url = \"http://log:80\"", "log_url: must be \"http://IP number:port\""},
         {"drain_limit_ms = 600001", "drain_limit_ms: must be between 0 and 600000"},
+        {"cpu_share = 0", "cpu_share: must be between 0.001000 and 1024.000000"},
+        {"cpu_share = \"1\"", "cpu_share: must be a number"},
         {"slots = 8\nslots = 9", ""},
         {"slots = ", ""},
     };
--- a/packages/direct/include/coltsfoottide/direct/claim_registry.h
+++ b/packages/direct/include/coltsfoottide/direct/claim_registry.h
@@ -53,6 +53,12 @@
   // every few tens of milliseconds.
   void Advance(core::TimePoint now);
 
+  // Whether the job is not recorded here, and would be if another entry had claimed it before its
+  // caller can have come back.
+  bool IsCertainlyUnknown(const std::string& job, core::TimePoint now) const {
+    return IsComplete(now) && !records_.contains(job);
+  }
+
   // Number of recorded jobs, with those whose outcome is remembered.
   std::size_t size() const { return records_.size(); }
 
--- a/packages/direct/include/coltsfoottide/direct/job_claims.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims.h
@@ -46,6 +46,10 @@
   // Whether the job is claimed and not granted yet.
   bool IsPending(const std::string& job) const;
 
+  // Whether no other entry can have begun the job, and it has no claim here; as far as the
+  // messages of others have been read.
+  bool IsNew(const std::string& job) const;
+
   // A further caller of a job that is pending waits until `deadline`.
   void ExtendDeadline(const std::string& job, core::TimePoint deadline);
 
--- a/packages/direct/src/job_claims.cc
+++ b/packages/direct/src/job_claims.cc
@@ -57,6 +57,11 @@
 
 bool JobClaims::IsPending(const std::string& job) const { return pending_.contains(job); }
 
+bool JobClaims::IsNew(const std::string& job) const {
+  return connected_ && reaches_all_ && !claims_.contains(job) &&
+         !begun_elsewhere_.Contains(JobFilter::Hash(job));
+}
+
 void JobClaims::Claim(JobRequest request, core::TimePoint now) {
   const std::string job = request.id;
   ClaimState& claim = claims_[job];
--- a/scripts/lib/entry_profile.py
+++ b/scripts/lib/entry_profile.py
@@ -21,12 +21,13 @@
 import tempfile
 import threading
 import time
+import urllib.request
 
 from fleet import CLOCK_TICKS, Process, wait_until, write_toml
 from platform_standin import BackendServer, Store
 
 LINK_PORT, CALL_PORT, READY_PORT = 17110, 17111, 17112
-REPORT_PORT, BACKEND_PORT, STORE_PORT = 17113, 17114, 17115
+REPORT_PORT, BACKEND_PORT, STORE_PORT, METRICS_PORT = 17113, 17114, 17115, 17116
 BACKEND_CPU, BACKENDS_PER_PROCESS = 64000, 3
 # Share of the jobs, tasks, milliseconds and thousandths of a core of each kind, as in
 # docs/overload-and-recovery.md; the first one has 206 of 843 jobs.
@@ -98,6 +99,17 @@
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
 
 
+def throttle(pid, share, ended):
+    """Lets the process run for a share of each 100 ms only, as a processor limit does to a busy
+    one; unlike a limit, also if it is idle."""
+    period_s = 0.1
+    while not ended.is_set():
+        os.kill(pid, signal.SIGSTOP)
+        time.sleep(period_s * (1 - share))
+        os.kill(pid, signal.SIGCONT)
+        time.sleep(period_s * share)
+
+
 def start_fleet(args, folder):
     slot, build = args.slot, pathlib.Path(args.build)
     daemon = build / "packages/daemon/coltsfoottided"
@@ -113,9 +125,11 @@
     entries, agents = [], []
     for n, ip in enumerate(hosts):
         path = folder / f"entry{n}.toml"
-        write_toml(path, {**common, "role": "direct-entry", "data_centre": "ab"[n % 2],
+        share = {"cpu_share": args.cpu_share} if args.cpu_share else {}
+        write_toml(path, {**common, **share, "role": "direct-entry", "data_centre": "ab"[n % 2],
                           "listen": f"{ip}:{LINK_PORT}", "http_listen": f"{ip}:{CALL_PORT}",
-                          "ready_listen": f"{ip}:{READY_PORT}"})
+                          "ready_listen": f"{ip}:{READY_PORT}",
+                          "metrics_listen": f"{ip}:{METRICS_PORT}"})
         argv = [daemon, f"--settings={path}"]
         if n == 0 and args.tool == "callgrind":
             argv = ["valgrind", "--tool=callgrind", f"--callgrind-out-file={args.out}",
@@ -147,6 +161,8 @@
     parser.add_argument("--slot", type=int, default=90, help="third byte of the addresses")
     parser.add_argument("--tool", choices=("none", "stat", "record", "callgrind"), default="none")
     parser.add_argument("--out", default="entry-profile.out")
+    parser.add_argument("--cpu-share", type=float, help="setting cpu_share of the entries")
+    parser.add_argument("--throttle", type=float, help="share of a core that the first entry gets")
     parser.add_argument("--log", help="file for a copy of the entry's log")
     parser.add_argument("--loaded", type=int, default=1,
                         help="1: jobs are submitted; 0: the entry is idle")
@@ -161,10 +177,14 @@
             tool = subprocess.Popen(["perf", "stat", "-e",
                                      "instructions:u,instructions:k,task-clock", "-p", str(pid)])
         elif args.tool == "record":
-            tool = subprocess.Popen(["perf", "record", "-F", "999", "-g", "-o", args.out, "-p",
+            tool = subprocess.Popen(["perf", "record", "-F", "1999", "-g", "-o", args.out, "-p",
                                      str(pid)])
         elif args.tool == "callgrind":
             subprocess.run(["callgrind_control", "-i", "on", str(pid)], check=True)
+        ended = threading.Event()
+        if args.throttle:
+            throttling = threading.Thread(target=throttle, args=(pid, args.throttle, ended))
+            throttling.start()
         before, wall = processor_s(pid), time.monotonic()
         queue = multiprocessing.Queue()
         if args.loaded:
@@ -175,6 +195,9 @@
         else:
             time.sleep(args.seconds)
             answers, medians = {}, {}
+        if args.throttle:
+            ended.set()
+            throttling.join()
         used, wall = processor_s(pid) - before, time.monotonic() - wall
         if args.tool == "callgrind":
             subprocess.run(["callgrind_control", "-i", "off", str(pid)], check=True)
@@ -182,6 +205,10 @@
             tool.send_signal(signal.SIGINT)
             tool.wait()
         jobs = sum(answers.values())
+        metrics = urllib.request.urlopen(f"http://{hosts[0]}:{METRICS_PORT}/metrics").read()
+        for line in metrics.decode().splitlines():
+            if "entry_" in line or "_not_run" in line:
+                print(line)
         log = (folder / "entry0.out").read_text()
         lines = log.count("\n")
         if args.log:
