Refuse without a claim only what no entry can have begun

The test names the cases: records that are not complete, a job begun here, elsewhere or ended, a silent entry and a lost connection.

--- a/packages/daemon/src/claim_exchange.cc
+++ b/packages/daemon/src/claim_exchange.cc
@@ -82,7 +82,7 @@
 }
 
 bool ClaimExchange::IsNew(const std::string& job, core::TimePoint now) const {
-  return claims_.IsNew(job) && registry_.IsCertainlyUnknown(job, now);
+  return claims_.IsNew(job, now) && registry_.IsCertainlyUnknown(job, now);
 }
 
 void ClaimExchange::OnPause(core::Duration pause, core::TimePoint now) {
--- a/packages/direct/include/coltsfoottide/direct/job_claims.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims.h
@@ -48,7 +48,7 @@
 
   // Whether no other entry can have begun the job, and it has no claim here; as far as the
   // messages of others have been read.
-  bool IsNew(const std::string& job) const;
+  bool IsNew(const std::string& job, core::TimePoint now) const;
 
   // A further caller of a job that is pending waits until `deadline`.
   void ExtendDeadline(const std::string& job, core::TimePoint deadline);
--- a/packages/direct/src/job_claims.cc
+++ b/packages/direct/src/job_claims.cc
@@ -57,9 +57,9 @@
 
 bool JobClaims::IsPending(const std::string& job) const { return pending_.contains(job); }
 
-bool JobClaims::IsNew(const std::string& job) const {
-  return connected_ && reaches_all_ && !claims_.contains(job) &&
-         !begun_elsewhere_.Contains(JobFilter::Hash(job));
+bool JobClaims::IsNew(const std::string& job, core::TimePoint now) const {
+  return connected_ && reaches_all_ && ReadingDelay(now) <= kMaxRequestDelay &&
+         !claims_.contains(job) && !begun_elsewhere_.Contains(JobFilter::Hash(job));
 }
 
 void JobClaims::Claim(JobRequest request, core::TimePoint now) {
--- a/packages/direct/test/job_claims_test.cc
+++ b/packages/direct/test/job_claims_test.cc
@@ -277,6 +277,7 @@
   CPPUNIT_TEST(RestartedRecorderIsNotEnoughForAJobThatHasBegun);
   CPPUNIT_TEST(StoppingEntryLeavesItsOutcomes);
   CPPUNIT_TEST(ReleasedClaimsLeaveNothing);
+  CPPUNIT_TEST(OnlyJobsThatNoEntryCanHaveBegunAreNew);
   CPPUNIT_TEST_SUITE_END();
 
  private:
@@ -657,6 +658,39 @@
     }
   }
 
+  // Whether an overloaded entry may refuse a job without a claim. Guards against an answer that it
+  // has not run although another entry, or this one, has begun it.
+  void OnlyJobsThatNoEntryCanHaveBegunAreNew() {
+    entries_.reaches_all = true;
+    entries_.Reset(4);
+    const auto is_new = [this](const std::string& entry, const std::string& job) {
+      ClaimingEntries::Entry& it = entries_.at(entry);
+      return it.claims.IsNew(job, entries_.now) &&
+             it.registry.IsCertainlyUnknown(job, entries_.now);
+    };
+    // Its records may not be complete yet.
+    CPPUNIT_ASSERT(!is_new("entry-0", "j"));
+    entries_.Advance(Ms(3000));
+    CPPUNIT_ASSERT(is_new("entry-0", "j"));
+    entries_.Submit("entry-1", "j");
+    CPPUNIT_ASSERT(!is_new("entry-1", "j"));
+    entries_.Advance(Ms(40));
+    CPPUNIT_ASSERT(!is_new("entry-0", "j"));
+    CPPUNIT_ASSERT(is_new("entry-0", "k"));
+    entries_.at("entry-1").End("j", JobOutcome::Kind::kCompleted);
+    entries_.Advance(Ms(1000));
+    CPPUNIT_ASSERT(!is_new("entry-0", "j"));
+    // What a silent entry has begun is not known.
+    entries_.paused.insert("entry-1");
+    entries_.Advance(Ms(1300));
+    CPPUNIT_ASSERT(!is_new("entry-0", "k"));
+    entries_.paused.clear();
+    entries_.Advance(Ms(100));
+    CPPUNIT_ASSERT(is_new("entry-0", "k"));
+    entries_.at("entry-0").claims.SetReachesAll(false);
+    CPPUNIT_ASSERT(!is_new("entry-0", "k"));
+  }
+
   // Guards against two coordinators after an entry has lost its connection to a recorder, and so
   // takes others for the recorders.
   void EntryThatHasLostAConnectionAsksAllRecorders() {
