Add a load-shedding policy by priority for entries and agents

Route.priority decides nothing under overload: the bound on admission is that of the tightest job for all kinds, so urgent and less urgent jobs are refused alike.

Adds direct::SheddingPolicy and the setting overload_policy (default "shared", which decides as before). With "priority" an entry bounds the queueing delay of a job by the slack of jobs of the same or a more urgent priority, and counts only the queued work that is not less urgent; agents report that work by priority and let urgent runs that would be late start first. Orders carry the priority.

--- a/packages/daemon/include/coltsfoottide/daemon/settings.h
+++ b/packages/daemon/include/coltsfoottide/daemon/settings.h
@@ -60,6 +60,9 @@
   std::chrono::milliseconds configuration_limit = std::chrono::seconds(2);
   // Direct entry: factor by which a task takes longer away from its data.
   double far_factor = 1.0;
+  // Direct roles: what is delayed or refused under overload, "shared" (all jobs alike) or
+  // "priority" (less urgent ones first).
+  std::string overload_policy = "shared";
 };
 
 struct SettingsError {
--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -17,6 +17,7 @@
 #include "coltsfoottide/platform/worker_reports.h"
 #include "direct_messages.h"
 #include "direct_timing.h"
+#include "overload_setting.h"
 
 namespace coltsfoottide::daemon {
 
@@ -121,7 +122,8 @@
   MakeWorkerClient();
   direct::ReportSink& reports = *this;
   executor_ = std::make_unique<direct::RunExecutor>(
-      direct::RunExecutor::Tuning{settings_.lease, kOwnerLease, kRunLimit}, *worker_, reports);
+      direct::RunExecutor::Tuning{settings_.lease, kOwnerLease, kRunLimit,
+                                   ToOverloadPolicy(settings_.overload_policy)}, *worker_, reports);
   if (auto error = OpenServer()) return error;
   if (auto error = metrics_server_.Open(settings_.metrics_listen)) return error;
   store_ = std::make_unique<platform::StoreClient>(settings_.log_url);
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -17,6 +17,7 @@
 #include "descriptor_limit.h"
 #include "direct_messages.h"
 #include "direct_timing.h"
+#include "overload_setting.h"
 
 namespace coltsfoottide::daemon {
 
@@ -55,6 +56,7 @@
   direct::JobDispatcher::Tuning tuning;
   tuning.silent_agent_timeout = kOwnerLease + direct::MaxLease(settings.lease) + settings.stop_time;
   tuning.seed = std::hash<std::string>()(settings.listen);
+  tuning.overload_policy = ToOverloadPolicy(settings.overload_policy);
   tuning.first_submission = static_cast<std::uint32_t>(MakeRandomId());
   return tuning;
 }
@@ -240,6 +242,7 @@
   Submission& submission = submissions_[job];
   submission.requests.push_back(request.id);
   submission.route = route.name;
+  submission.priority = accepted.priority;
   submission.submitted = now;
   jobs_by_request_[request.id] = job;
   if (claims_.IsPending(job)) return claims_.ExtendDeadline(job, accepted.deadline);
@@ -334,6 +337,7 @@
   const core::Duration elapsed = BootNow() - it->second.submitted;
   const std::string counter = std::string("jobs_") + KindName(outcome.kind);
   metrics_.Add(counter, 1);
+  metrics_.Add(counter + "_priority_" + std::to_string(it->second.priority), 1);
   const bool served = outcome.kind == direct::JobOutcome::Kind::kCompleted;
   if (served) {
     metrics_.Observe(it->second.route, api::URGENT, elapsed);
@@ -345,6 +349,7 @@
   const auto log = served ? &Logger::Info : &Logger::Warn;
   (logger_.*log)("job ended", {{"job", job},
                                {"route", it->second.route},
+                               {"priority", std::to_string(it->second.priority)},
                                {"outcome", KindName(outcome.kind)},
                                {"reason", outcome.reason},
                                {"delivered", std::to_string(delivered)},
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -52,6 +52,7 @@
     // A caller waits at another entry, to which the outcome goes.
     bool awaited_elsewhere = false;
     std::string route;
+    std::uint32_t priority = 0;
     core::TimePoint submitted;
   };
 
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -58,6 +58,7 @@
     group->set_useful_for_us((order.useful_until - now).count());
     group->set_expedited(order.expedited);
     group->set_submission(order.id.submission);
+    group->set_priority(order.priority);
   }
   direct_wire::OrderGroup::Task* task = group->add_tasks();
   task->set_index(order.id.task.index);
@@ -74,6 +75,7 @@
   order.objective = now + core::Duration(group.objective_in_us());
   order.useful_until = now + core::Duration(group.useful_for_us());
   order.expedited = group.expedited();
+  order.priority = group.priority();
   return order;
 }
 
@@ -240,6 +242,11 @@
   WriteResources(state.free, *message.mutable_free());
   message.set_queued_work(state.queued_work);
   message.set_late_work(state.late_work);
+  std::size_t n = state.queued_by_priority.size();
+  while (n > 0 && state.queued_by_priority.at(n - 1) == 0) --n;
+  for (std::size_t i = 0; i < n; ++i) {
+    message.add_queued_work_by_priority(state.queued_by_priority.at(i));
+  }
   message.set_slowness(static_cast<float>(state.slowness));
   message.set_failure_ratio(static_cast<float>(state.failure_ratio));
 }
@@ -251,6 +258,11 @@
   state.free = ReadResources(message.free());
   state.queued_work = message.queued_work();
   state.late_work = message.late_work();
+  for (int i = 0; i < message.queued_work_by_priority_size(); ++i) {
+    const auto priority = static_cast<std::uint32_t>(i);
+    state.queued_by_priority.at(direct::PriorityClass(priority)) +=
+        message.queued_work_by_priority(i);
+  }
   state.slowness = message.slowness();
   state.failure_ratio = message.failure_ratio();
   return state;
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -108,6 +108,7 @@
   ReadMilliseconds(reader, "stop_ms", kMaxLeaseMs, settings.stop_time);
   ReadMilliseconds(reader, "configuration_limit_ms", kMaxConfigurationLimitMs,
                    settings.configuration_limit);
+  ReadChoice(reader, "overload_policy", {"shared", "priority"}, settings.overload_policy);
   reader.Read("far_factor", settings.far_factor, 1.0, kMaxFarFactor);
 }
 
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -9,22 +9,25 @@
 #include <vector>
 
 #include "coltsfoottide/core/time.h"
-#include "coltsfoottide/direct/admission_control.h"
 #include "coltsfoottide/direct/agent_hello.h"
 #include "coltsfoottide/direct/crash_history.h"
 #include "coltsfoottide/direct/crashing_routes.h"
 #include "coltsfoottide/direct/job_outcome.h"
 #include "coltsfoottide/direct/job_request.h"
+#include "coltsfoottide/direct/overload_policy.h"
 #include "coltsfoottide/direct/retry_schedule.h"
 #include "coltsfoottide/direct/route_isolation.h"
 #include "coltsfoottide/direct/run_report.h"
+#include "coltsfoottide/direct/shedding_policy.h"
 #include "coltsfoottide/direct/worker_fleet.h"
 
 namespace coltsfoottide::direct {
 
 class EntrySink;
+struct AdmissionRequest;
 struct Job;
 struct PlacedTask;
+struct PlacementChoice;
 struct Task;
 
 // Coordinates the jobs of one entry: places tasks, retries a task once its
@@ -43,6 +46,8 @@
     // Number of the first submission, see RunId. Random, so that the submissions of a job
     // through different entries have different numbers.
     std::uint32_t first_submission = 1;
+    // What is refused or given up under overload.
+    OverloadPolicy overload_policy = OverloadPolicy::kShared;
   };
 
   // `far_factor`: see WorkerFleet.
@@ -141,6 +146,8 @@
   std::unique_ptr<Job> MakeJob(JobRequest request);
   void Begin(std::unique_ptr<Job> owned, core::TimePoint now);
   bool Admit(Job& job, core::TimePoint now);
+  // The job and the load that it meets at its best backend server.
+  AdmissionRequest LoadFor(const Job& job, const PlacementChoice& choice);
   core::Duration OwnQueueingDelay(const Job& job, core::Duration start_delay) const;
   void PlaceReady(Job& job, core::TimePoint now);
   bool Place(Job& job, std::uint32_t step, std::uint32_t index, std::vector<PlacedTask>& placed,
@@ -186,6 +193,8 @@
   // Removes a finished job once none of its runs is left.
   void RemoveIfEnded(const std::string& id, core::TimePoint now);
   void AdvanceJob(Job& job, core::TimePoint now);
+  // Gives up jobs that shrinking capacity has made late.
+  void ShedWaitingJobs(core::TimePoint now);
   void MoveQueuedRuns(Job& job, core::TimePoint now);
   void ForgetOutcomes(core::TimePoint now);
 
@@ -193,7 +202,7 @@
   std::uint32_t next_submission_;
   EntrySink& sink_;
   WorkerFleet fleet_;
-  AdmissionControl admission_;
+  SheddingPolicy shedding_;
   CrashHistory crash_history_;
   CrashingRoutes crashing_routes_;
   RouteIsolation isolation_;
--- a/packages/direct/include/coltsfoottide/direct/job_request.h
+++ b/packages/direct/include/coltsfoottide/direct/job_request.h
@@ -20,8 +20,8 @@
   // Passed to each task.
   std::string payload;
   std::vector<StepRequest> steps;
-  // Set by the operator, 0 is the most urgent. Only logged; no decision depends
-  // on it, see docs/platform.md.
+  // Set by the operator, 0 is the most urgent. Decides nothing with
+  // OverloadPolicy::kShared.
   std::uint32_t priority = 0;
   // The job fails when one of its tasks has failed this many times.
   std::uint32_t max_attempts = 1;
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -39,6 +39,8 @@
     // No run goes on for longer than this after its owner's latest confirmation, whatever
     // happens to this agent meanwhile.
     core::Duration run_limit;
+    // Order of queued runs.
+    OverloadPolicy overload_policy = OverloadPolicy::kShared;
   };
 
   RunExecutor(const Tuning& tuning, WorkerPort& worker, ReportSink& reports);
--- a/packages/direct/include/coltsfoottide/direct/run_order.h
+++ b/packages/direct/include/coltsfoottide/direct/run_order.h
@@ -21,6 +21,8 @@
   core::TimePoint useful_until;
   // The job is nearly done, so the run goes before those of other jobs.
   bool expedited = false;
+  // Of the job; 0 is the most urgent.
+  std::uint32_t priority = 0;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/run_queue.h
+++ b/packages/direct/include/coltsfoottide/direct/run_queue.h
@@ -7,8 +7,11 @@
 #include <vector>
 
 #include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/overload_policy.h"
+#include "coltsfoottide/direct/priority_class.h"
 #include "coltsfoottide/direct/resources.h"
 #include "coltsfoottide/direct/run_order.h"
+#include "coltsfoottide/direct/shedding_policy.h"
 #include "coltsfoottide/direct/task_id.h"
 
 namespace coltsfoottide::direct {
@@ -18,7 +21,8 @@
 // left, so that one overload does not make every later run late too. Expedited
 // runs, the last ones of jobs that are nearly done, go before both: in an
 // overload a single delayed run of a wide job would waste the work of all the
-// others.
+// others. With OverloadPolicy::kPriority a run gives way to a more urgent one that
+// would otherwise be late.
 class RunQueue {
  public:
   struct Item {
@@ -26,8 +30,12 @@
     std::string owner;
     // Number of runs of lower precedence that were started before this one.
     std::uint32_t overtaken = 0;
+    // How often it has let a more urgent run start before it.
+    std::uint32_t yielded = 0;
   };
 
+  explicit RunQueue(OverloadPolicy policy = OverloadPolicy::kShared);
+
   void Add(RunOrder order, std::string owner);
 
   // Removes and returns the run to start next, or nothing if none fits or the
@@ -55,6 +63,8 @@
   // expedited, and runs that are late.
   std::uint64_t OnTimeWork(core::TimePoint now) const;
   std::uint64_t LateWork(core::TimePoint now) const;
+  // The first by priority.
+  WorkByPriority OnTimeWorkByPriority(core::TimePoint now) const;
   bool Contains(const RunId& id) const;
   bool empty() const { return items_.empty(); }
   const std::list<Item>& items() const { return items_; }
@@ -64,6 +74,11 @@
   template <typename Predicate>
   std::vector<Item> TakeIf(Predicate predicate);
 
+  // Returns the run to start instead of `first`, or `first`.
+  std::list<Item>::iterator ApplyPriorities(std::list<Item>::iterator first, const Resources& free,
+                                            core::TimePoint now);
+
+  SheddingPolicy shedding_;
   std::list<Item> items_;
 };
 
--- a/packages/direct/include/coltsfoottide/direct/worker_fleet.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_fleet.h
@@ -47,6 +47,10 @@
   // can be in time.
   core::Duration Backlog(const std::string& service, const Exclusion& unusable) const;
 
+  // The part of Backlog that is due to less urgent work than this priority.
+  core::Duration LessUrgentBacklog(const std::string& service, std::uint32_t priority,
+                                   const Exclusion& unusable) const;
+
   // Number of these agents whose backend server meets the requirements of the step, without
   // unusable ones.
   std::size_t CountSuitable(const std::vector<std::string>& agents, const StepRequest& step,
--- a/packages/direct/include/coltsfoottide/direct/worker_state.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_state.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/priority_class.h"
 #include "coltsfoottide/direct/resources.h"
 
 namespace coltsfoottide::direct {
@@ -18,6 +19,9 @@
   // time, and what is already late.
   std::uint64_t queued_work = 0;
   std::uint64_t late_work = 0;
+  // `queued_work` by priority, if the agent prefers more urgent runs; otherwise
+  // zeros, and all queued work counts as the most urgent.
+  WorkByPriority queued_by_priority{};
   // Smoothed ratio of run time to estimate; 1 if nothing is known.
   double slowness = 1.0;
   // Smoothed share of the latest starts and runs that failed.
--- a/packages/direct/include/coltsfoottide/direct/worker_view.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_view.h
@@ -36,6 +36,11 @@
   // Expected queueing delay of a task with this need.
   core::Duration StartDelay(const Resources& need) const;
 
+  // Queued work that is less urgent than this priority, in millicore-milliseconds,
+  // and the part of StartDelay that is due to it.
+  std::uint64_t LessUrgentWork(std::uint32_t priority) const;
+  core::Duration LessUrgentDelay(std::uint32_t priority) const;
+
   // Expected run time of a task of the step, by the backend server's measured
   // speed and the location of the data.
   core::Duration RunTime(const StepRequest& step, double far_factor) const;
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -4,10 +4,13 @@
 #include <chrono>
 #include <utility>
 
+#include "coltsfoottide/direct/admission_request.h"
+#include "coltsfoottide/direct/admission_verdict.h"
 #include "coltsfoottide/direct/cpu_work.h"
 #include "coltsfoottide/direct/critical_path.h"
 #include "coltsfoottide/direct/entry_sink.h"
 #include "coltsfoottide/direct/time_bounds.h"
+#include "coltsfoottide/direct/waiting_job.h"
 #include "job.h"
 
 namespace coltsfoottide::direct {
@@ -54,7 +57,8 @@
     : tuning_(tuning),
       next_submission_(tuning.first_submission),
       sink_(sink),
-      fleet_(std::move(data_centre), far_factor, tuning.seed) {}
+      fleet_(std::move(data_centre), far_factor, tuning.seed),
+      shedding_(tuning.overload_policy) {}
 
 JobDispatcher::~JobDispatcher() = default;
 
@@ -100,7 +104,7 @@
   isolation_.OnSubmit(job.request.service, job.request.route, TotalWork(job), now);
   if (isolation_.IsPending(job.request.route, now)) AssignIsolated(now);
   const core::Duration critical_path = CriticalPathTime(job.request.steps);
-  admission_.OnSubmit(job.request.objective - now - critical_path, now);
+  shedding_.OnSubmit(job.request.priority, job.request.objective - now - critical_path, now);
   const auto unusable = UnusableFor(job, first);
   const auto choice = fleet_.Choose(job.request.service, first, {}, unusable);
   // Without a backend server the job waits for one to return; PlaceReady refuses it if its
@@ -114,12 +118,33 @@
   // several tasks, and for several entries that see the same one.
   const core::Duration backlog = fleet_.Backlog(job.request.service, unusable);
   const core::Duration delay = std::max(choice->start_delay, backlog);
-  if (useful && delay <= admission_.LongestDelay()) return true;
+  AdmissionRequest load = LoadFor(job, *choice);
+  load.useful = useful;
+  load.backlog = backlog;
+  const AdmissionVerdict verdict = shedding_.Decide(load, now);
+  if (verdict == AdmissionVerdict::kAdmit) return true;
   job.expected_wait = std::max(wait, delay);
-  GiveUp(job, "backlog", now);
+  GiveUp(job, verdict == AdmissionVerdict::kBacklog ? "backlog" : "more urgent work", now);
   return false;
 }
 
+AdmissionRequest JobDispatcher::LoadFor(const Job& job, const PlacementChoice& choice) {
+  const std::uint32_t priority = job.request.priority;
+  AdmissionRequest load;
+  load.priority = priority;
+  load.work = TotalWork(job);
+  load.start_delay = choice.start_delay;
+  if (tuning_.overload_policy == OverloadPolicy::kShared) return load;
+  const auto unusable = UnusableFor(job, job.request.steps.front());
+  const auto less_urgent = [&](std::uint32_t than) {
+    return fleet_.LessUrgentBacklog(job.request.service, than, unusable);
+  };
+  load.less_urgent_start_delay = fleet_.Get(choice.agent).LessUrgentDelay(priority);
+  load.less_urgent_backlog = less_urgent(priority);
+  if (priority > 0) load.equal_backlog = less_urgent(priority - 1) - load.less_urgent_backlog;
+  return load;
+}
+
 // If there is a queue, the tasks of a wide job also wait for each other.
 core::Duration JobDispatcher::OwnQueueingDelay(const Job& job, core::Duration start_delay) const {
   const auto unusable = UnusableFor(job, job.request.steps.front());
@@ -196,7 +221,8 @@
   placed.push_back(PlacedTask{id, *choice});
   sink_.SendOrder(choice->agent,
                   RunOrder{id, job.request.payload, request.need, request.estimate,
-                           job.request.objective, job.request.useful_until, task.expedited});
+                           job.request.objective, job.request.useful_until, task.expedited,
+                           job.request.priority});
   return true;
 }
 
@@ -497,6 +523,23 @@
     AdvanceJob(*jobs_.at(id), now);
     RemoveIfEnded(id, now);
   }
+  if (tuning_.overload_policy == OverloadPolicy::kPriority) ShedWaitingJobs(now);
+}
+
+void JobDispatcher::ShedWaitingJobs(core::TimePoint now) {
+  // Bounds the messages of one call like the withdrawals.
+  constexpr std::size_t kJobsPerCall = 8;
+  std::vector<WaitingJob> waiting;
+  for (const auto& [id, job] : jobs_) {
+    const JobRequest& request = job->request;
+    if (job->finished || job->withdrawing || !shedding_.MayGiveUp(request.priority, now)) continue;
+    waiting.push_back({id, request.priority, MinRunTime(CriticalPathTime(request.steps)),
+                       request.objective, TotalWork(*job), job->MayHaveRun()});
+  }
+  for (const std::string& it : shedding_.ChooseGivenUp(std::move(waiting), kJobsPerCall, now)) {
+    GiveUp(*jobs_.at(it), "more urgent work", now);
+    RemoveIfEnded(it, now);
+  }
 }
 
 void JobDispatcher::AdvanceJob(Job& job, core::TimePoint now) {
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -78,7 +78,7 @@
 }  // namespace
 
 RunExecutor::RunExecutor(const Tuning& tuning, WorkerPort& worker, ReportSink& reports)
-    : tuning_(tuning), worker_(worker), reports_(reports) {}
+    : tuning_(tuning), worker_(worker), reports_(reports), queue_(tuning.overload_policy) {}
 
 void RunExecutor::Begin(core::TimePoint now) {
   begun_at_ = now;
@@ -410,7 +410,7 @@
       if (run.unanswered_starts > 0) return StopRun(run, now);
       no_start_before_ = now + kNoResourcesDelay;
       const bool stopping = run.state == RunState::kStopping;
-      RunQueue::Item item{run.order, run.owner, 0};
+      RunQueue::Item item{run.order, run.owner, 0, 0};
       if (stopping) return EndRun(id, RunReport::Kind::kLost, now);
       runs_.erase(it);
       reports_.Report(item.owner, RunReport{id, RunReport::Kind::kQueued, {}});
@@ -805,6 +805,9 @@
   state.free = FreeResources();
   state.queued_work = queue_.OnTimeWork(now);
   state.late_work = queue_.LateWork(now);
+  if (tuning_.overload_policy == OverloadPolicy::kPriority) {
+    state.queued_by_priority = queue_.OnTimeWorkByPriority(now);
+  }
   state.slowness = health_.slowness();
   state.failure_ratio = health_.failure_ratio();
   return state;
--- a/packages/direct/src/run_queue.cc
+++ b/packages/direct/src/run_queue.cc
@@ -41,8 +41,10 @@
 
 }  // namespace
 
+RunQueue::RunQueue(OverloadPolicy policy) : shedding_(policy) {}
+
 void RunQueue::Add(RunOrder order, std::string owner) {
-  items_.push_back(Item{std::move(order), std::move(owner), 0});
+  items_.push_back(Item{std::move(order), std::move(owner), 0, 0});
 }
 
 std::optional<RunQueue::Item> RunQueue::TakeNext(const Resources& free, core::TimePoint now) {
@@ -55,11 +57,27 @@
   }
   if (best == items_.end()) return std::nullopt;
   if (best != first && ++first->overtaken > kMaxOvertaken) return std::nullopt;
+  best = ApplyPriorities(best, free, now);
   Item item = std::move(*best);
   items_.erase(best);
   return item;
 }
 
+std::list<RunQueue::Item>::iterator RunQueue::ApplyPriorities(std::list<Item>::iterator first,
+                                                              const Resources& free,
+                                                              core::TimePoint now) {
+  auto best = first;
+  for (auto it = items_.begin(); it != items_.end(); ++it) {
+    if (!free.Fits(it->order.need)) continue;
+    if (!shedding_.Yields(first->order, first->yielded, it->order, now)) continue;
+    const bool more_urgent = it->order.priority < best->order.priority;
+    const bool as_urgent = it->order.priority == best->order.priority;
+    if (more_urgent || (as_urgent && Precedes(*it, *best, now))) best = it;
+  }
+  if (best != first) ++first->yielded;
+  return best;
+}
+
 void RunQueue::Return(Item item) { items_.push_back(std::move(item)); }
 
 template <typename Predicate>
@@ -118,6 +136,15 @@
   return work;
 }
 
+WorkByPriority RunQueue::OnTimeWorkByPriority(core::TimePoint now) const {
+  WorkByPriority work{};
+  for (const Item& it : items_) {
+    if (!it.order.expedited && LatestStart(it.order) < now) continue;
+    work.at(PriorityClass(it.order.priority)) += CpuWork(it.order.need, it.order.estimate);
+  }
+  return work;
+}
+
 bool RunQueue::Contains(const RunId& id) const {
   return std::any_of(items_.begin(), items_.end(),
                      [&id](const Item& it) { return it.order.id == id; });
--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -86,6 +86,17 @@
   return millicores == 0 ? core::Duration::zero() : std::chrono::milliseconds(work / millicores);
 }
 
+core::Duration WorkerFleet::LessUrgentBacklog(const std::string& service, std::uint32_t priority,
+                                              const Exclusion& unusable) const {
+  std::uint64_t work = 0;
+  for (const auto& [agent, view] : workers_) {
+    if (!MayTakeWork(view, service) || unusable(agent)) continue;
+    work += view.LessUrgentWork(priority);
+  }
+  const std::uint64_t millicores = Capacity(service, unusable);
+  return millicores == 0 ? core::Duration::zero() : std::chrono::milliseconds(work / millicores);
+}
+
 std::size_t WorkerFleet::CountSuitable(const std::vector<std::string>& agents,
                                        const StepRequest& step, const Exclusion& unusable) const {
   return static_cast<std::size_t>(
--- a/packages/direct/src/worker_view.cc
+++ b/packages/direct/src/worker_view.cc
@@ -65,6 +65,22 @@
                                 std::chrono::duration<double, std::milli>(wait_ms));
 }
 
+std::uint64_t WorkerView::LessUrgentWork(std::uint32_t priority) const {
+  std::uint64_t work = 0;
+  for (std::size_t i = PriorityClass(priority) + 1; i < kPriorityClasses; ++i) {
+    work += state_.queued_by_priority.at(i);
+  }
+  return work;
+}
+
+core::Duration WorkerView::LessUrgentDelay(std::uint32_t priority) const {
+  if (description_.total.cpu_millicores == 0) return core::Duration::zero();
+  const double wait_ms = static_cast<double>(LessUrgentWork(priority)) /
+                         static_cast<double>(description_.total.cpu_millicores) * Slowness();
+  return std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double, std::milli>(wait_ms));
+}
+
 // Differences that estimate errors explain are ignored: placement by them would
 // leave some backend servers idle and overload others.
 double WorkerView::Slowness() const {
