--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -123,7 +123,8 @@
   direct::ReportSink& reports = *this;
   executor_ = std::make_unique<direct::RunExecutor>(
       direct::RunExecutor::Tuning{settings_.lease, kOwnerLease, kRunLimit,
-                                   ToOverloadPolicy(settings_.overload_policy)}, *worker_, reports);
+                                  ToOverloadPolicy(settings_.overload_policy)},
+      *worker_, reports);
   if (auto error = OpenServer()) return error;
   if (auto error = metrics_server_.Open(settings_.metrics_listen)) return error;
   store_ = std::make_unique<platform::StoreClient>(settings_.log_url);
--- a/packages/daemon/test/direct_messages_test.cc
+++ b/packages/daemon/test/direct_messages_test.cc
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(DurationsOfACrashAreBounded);
   CPPUNIT_TEST(ClaimWithoutItsNeedSaysNothing);
   CPPUNIT_TEST(IsolationIsToldApartFromAFinding);
+  CPPUNIT_TEST(OrderCarriesItsPriority);
+  CPPUNIT_TEST(StateCarriesItsWorkByPriority);
   CPPUNIT_TEST_SUITE_END();
 
   void CrashSurvivesTheWire() {
@@ -35,6 +37,34 @@
     CPPUNIT_ASSERT(read.runs[0].confirmed);
   }
 
+  // Guards against an agent that does not know which run is more urgent. An order of an
+  // earlier version has priority 0.
+  void OrderCarriesItsPriority() {
+    direct::RunOrder order;
+    order.id = {{"job", 0, 1}, 2};
+    order.priority = 2;
+    direct_wire::Frame frame;
+    AddOrder(order, kNow, frame);
+    direct_wire::OrderGroup& group = *frame.mutable_orders(0);
+    CPPUNIT_ASSERT_EQUAL(2U, ReadOrder(group, group.tasks(0), kNow).priority);
+    group.clear_priority();
+    CPPUNIT_ASSERT_EQUAL(0U, ReadOrder(group, group.tasks(0), kNow).priority);
+  }
+
+  // Guards against urgent jobs that are refused for less urgent work. Further classes of a
+  // later version count as the last one.
+  void StateCarriesItsWorkByPriority() {
+    direct::WorkerState state;
+    state.queued_by_priority = {5, 0, 7, 0};
+    direct_wire::WorkerState message;
+    WriteState(state, message);
+    CPPUNIT_ASSERT_EQUAL(3, message.queued_work_by_priority_size());
+    CPPUNIT_ASSERT(ReadState(message).queued_by_priority == state.queued_by_priority);
+    message.add_queued_work_by_priority(1);
+    message.add_queued_work_by_priority(2);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, ReadState(message).queued_by_priority[3]);
+  }
+
   // Guards against times that overflow, which a peer with a fault may send.
   void DurationsOfACrashAreBounded() {
     direct_wire::WorkerCrash message;
--- a/packages/daemon/test/settings_test.cc
+++ b/packages/daemon/test/settings_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(ReadsAgentSettings);
   CPPUNIT_TEST(OverridesTakePrecedence);
   CPPUNIT_TEST(ErrorsNameFileLineAndKey);
+  CPPUNIT_TEST(OverloadPolicyIsSharedByDefault);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -59,6 +60,18 @@
                          ErrorOf(kAgent, {{"nonsense", "x"}}));
   }
 
+  // Guards against a deployment whose behaviour changes without its settings.
+  void OverloadPolicyIsSharedByDefault() {
+    const auto policy = [](const std::string& line) {
+      return std::get<Settings>(ParseSettings(kAgent + line, "a.toml", {})).overload_policy;
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("shared"), policy(""));
+    CPPUNIT_ASSERT_EQUAL(std::string("priority"), policy("overload_policy = \"priority\"\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("a.toml:9: overload_policy: must be \"shared\" or "
+                                     "\"priority\""),
+                         ErrorOf(kAgent + std::string("overload_policy = \"strict\"\n")));
+  }
+
   // Guards against settings errors that do not name the file, the line and the
   // key, from which an operator has to find the mistake.
   void ErrorsNameFileLineAndKey() {
--- a/packages/direct/include/coltsfoottide/direct/shedding_policy.h
+++ b/packages/direct/include/coltsfoottide/direct/shedding_policy.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,8 @@
   // Longest queueing delay at which jobs of the class and of more urgent ones are
   // in time.
   core::Duration LongestDelay(std::size_t priority_class, core::TimePoint now) const;
+  // Records whether a submission has found free resources.
+  void ObserveLoad(bool free_resources, core::TimePoint now);
   bool MoreUrgentPresent(std::size_t priority_class, core::TimePoint now) const;
   // Whether the class has less than its share of the admitted work.
   bool BelowShare(std::size_t priority_class) const;
@@ -67,6 +70,9 @@
   // Work of admitted jobs in millicore-milliseconds, halved once in an interval.
   std::array<std::uint64_t, kPriorityClasses> admitted_{};
   core::TimePoint halved_at_;
+  // Since when no submission has found free resources.
+  std::optional<core::TimePoint> busy_since_;
+  core::TimePoint overloaded_until_;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/worker_view.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_view.h
@@ -25,7 +25,7 @@
   // The backend server has crashed; the next state says when it is back.
   void OnCrash() { state_.ready = false; }
   // Records an order that no state accounts for yet.
-  void OnOrder(const Resources& need, core::Duration estimate);
+  void OnOrder(const Resources& need, core::Duration estimate, std::uint32_t priority = 0);
 
   // Whether it accepts work of the service now.
   bool Serves(const std::string& service) const;
@@ -62,6 +62,7 @@
   struct PendingOrder {
     Resources need;
     std::uint64_t work = 0;
+    std::size_t priority_class = 0;
   };
 
   Resources AvailableResources() const;
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -129,7 +129,7 @@
 }
 
 AdmissionRequest JobDispatcher::LoadFor(const Job& job, const PlacementChoice& choice) {
-  const std::uint32_t priority = job.request.priority;
+  const auto priority = static_cast<std::uint32_t>(PriorityClass(job.request.priority));
   AdmissionRequest load;
   load.priority = priority;
   load.work = TotalWork(job);
@@ -216,13 +216,12 @@
   task.expedited = job.NearlyDone();
   ++task.run_number;
   ++runs_at_[choice->agent];
-  fleet_.Get(choice->agent).OnOrder(request.need, request.estimate);
+  fleet_.Get(choice->agent).OnOrder(request.need, request.estimate, job.request.priority);
   const RunId id{TaskId{job.request.id, step, index}, task.run_number, job.submission};
   placed.push_back(PlacedTask{id, *choice});
-  sink_.SendOrder(choice->agent,
-                  RunOrder{id, job.request.payload, request.need, request.estimate,
-                           job.request.objective, job.request.useful_until, task.expedited,
-                           job.request.priority});
+  sink_.SendOrder(choice->agent, RunOrder{id, job.request.payload, request.need, request.estimate,
+                                          job.request.objective, job.request.useful_until,
+                                          task.expedited, job.request.priority});
   return true;
 }
 
@@ -533,8 +532,9 @@
   for (const auto& [id, job] : jobs_) {
     const JobRequest& request = job->request;
     if (job->finished || job->withdrawing || !shedding_.MayGiveUp(request.priority, now)) continue;
+    if (job->MayHaveRun()) continue;
     waiting.push_back({id, request.priority, MinRunTime(CriticalPathTime(request.steps)),
-                       request.objective, TotalWork(*job), job->MayHaveRun()});
+                       request.objective, TotalWork(*job), false});
   }
   for (const std::string& it : shedding_.ChooseGivenUp(std::move(waiting), kJobsPerCall, now)) {
     GiveUp(*jobs_.at(it), "more urgent work", now);
--- a/packages/direct/src/shedding_policy.cc
+++ b/packages/direct/src/shedding_policy.cc
@@ -7,6 +7,7 @@
 
 #include "coltsfoottide/direct/admission_request.h"
 #include "coltsfoottide/direct/run_order.h"
+#include "coltsfoottide/direct/time_bounds.h"
 #include "coltsfoottide/direct/waiting_job.h"
 
 namespace coltsfoottide::direct {
@@ -25,9 +26,19 @@
 constexpr core::Duration kPresence = std::chrono::seconds(2);
 // Time until a full backend server has resources for the next run, about one short task.
 constexpr core::Duration kNextStartDelay = std::chrono::milliseconds(30);
-// How often a run lets more urgent ones start before it. A full backend server of
-// the target deployments starts about this many runs in 30 ms.
-constexpr std::uint32_t kMaxYields = 6;
+// How often a run lets more urgent ones start before it: the tasks of two jobs of the
+// most urgent kind of the target deployments.
+constexpr std::uint32_t kMaxYields = 16;
+// Percentage of the longest delay that is left to a class under overload, for each more
+// urgent class that is present. Has the most jobs in time in simulated overloads, see
+// docs/design/load-shedding.md.
+constexpr int kDelayPercent = 70;
+// Backend servers count as overloaded once no submission has found free resources for
+// kBusyPeriod, a little more than two states of an agent are apart, and for
+// kOverloadPeriod after that: while less urgent jobs are refused there are free
+// resources again.
+constexpr core::Duration kBusyPeriod = std::chrono::milliseconds(50);
+constexpr core::Duration kOverloadPeriod = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -50,6 +61,7 @@
   const core::Duration backlog = request.backlog - request.less_urgent_backlog;
   const core::Duration delay =
       std::max(request.start_delay - request.less_urgent_start_delay, backlog);
+  ObserveLoad(request.start_delay == core::Duration::zero(), now);
   bool admit = delay <= LongestDelay(own, now);
   const bool for_more_urgent =
       !admit && MoreUrgentPresent(own, now) && delay <= slack_.at(own).LongestDelay();
@@ -72,8 +84,9 @@
   if (first.expedited || PriorityClass(other.priority) >= PriorityClass(first.priority)) {
     return false;
   }
-  const core::TimePoint latest_start = other.objective - other.estimate;
-  return latest_start >= now && latest_start < now + kNextStartDelay;
+  // Estimates are off: a run counts as late only if its shortest run time is too long.
+  const bool in_time = now + MinRunTime(other.estimate) <= other.objective;
+  return in_time && now + kNextStartDelay + other.estimate > other.objective;
 }
 
 bool SheddingPolicy::MayGiveUp(std::uint32_t priority, core::TimePoint now) const {
@@ -104,9 +117,23 @@
   for (std::size_t i = 0; i <= priority_class; ++i) {
     if (now <= present_until_.at(i)) longest = std::min(longest, slack_.at(i).LongestDelay());
   }
+  if (longest == core::Duration::max() || now > overloaded_until_) return longest;
+  constexpr int kWhole = 100;
+  for (std::size_t i = 0; i < priority_class; ++i) {
+    if (now <= present_until_.at(i)) longest = longest * kDelayPercent / kWhole;
+  }
   return longest;
 }
 
+void SheddingPolicy::ObserveLoad(bool free_resources, core::TimePoint now) {
+  if (free_resources) {
+    busy_since_.reset();
+    return;
+  }
+  if (!busy_since_) busy_since_ = now;
+  if (now - *busy_since_ >= kBusyPeriod) overloaded_until_ = now + kOverloadPeriod;
+}
+
 bool SheddingPolicy::MoreUrgentPresent(std::size_t priority_class, core::TimePoint now) const {
   return std::any_of(present_until_.begin(),
                      present_until_.begin() + static_cast<std::ptrdiff_t>(priority_class),
@@ -121,9 +148,11 @@
 
 void SheddingPolicy::RecordAdmitted(std::size_t priority_class, std::uint64_t work,
                                     core::TimePoint now) {
-  if (now - halved_at_ >= kShareInterval) {
+  // Older work counts for nothing.
+  constexpr int kMaxHalvings = 32;
+  halved_at_ = std::max(halved_at_, now - kShareInterval * kMaxHalvings);
+  for (; now - halved_at_ >= kShareInterval; halved_at_ += kShareInterval) {
     for (std::uint64_t& it : admitted_) it /= 2;
-    halved_at_ = now;
   }
   admitted_.at(priority_class) += work;
 }
--- a/packages/direct/src/worker_view.cc
+++ b/packages/direct/src/worker_view.cc
@@ -30,8 +30,8 @@
   for (; orders_seen_ < orders_seen && !pending_.empty(); ++orders_seen_) pending_.pop_front();
 }
 
-void WorkerView::OnOrder(const Resources& need, core::Duration estimate) {
-  pending_.push_back({need, CpuWork(need, estimate)});
+void WorkerView::OnOrder(const Resources& need, core::Duration estimate, std::uint32_t priority) {
+  pending_.push_back({need, CpuWork(need, estimate), PriorityClass(priority)});
 }
 
 Resources WorkerView::AvailableResources() const {
@@ -75,7 +75,13 @@
 
 core::Duration WorkerView::LessUrgentDelay(std::uint32_t priority) const {
   if (description_.total.cpu_millicores == 0) return core::Duration::zero();
-  const double wait_ms = static_cast<double>(LessUrgentWork(priority)) /
+  std::uint64_t sent = 0;
+  for (const PendingOrder& it : pending_) {
+    if (it.priority_class > PriorityClass(priority)) sent += it.work;
+  }
+  // As in StartDelay.
+  if (state_.queued_work == 0) sent /= 2;
+  const double wait_ms = static_cast<double>(LessUrgentWork(priority) + sent) /
                          static_cast<double>(description_.total.cpu_millicores) * Slowness();
   return std::chrono::duration_cast<core::Duration>(
       std::chrono::duration<double, std::milli>(wait_ms));
