Show what is queued and given up by priority

Agents publish their queued work by priority, and a job that is given up has a reason of its own, so that logs and metrics tell delayed, refused and given-up work apart.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -495,10 +495,17 @@
   metrics_.Set("worker_ready", state.ready ? 1 : 0);
   metrics_.Set("worker_free_millicores", state.free.cpu_millicores);
   metrics_.Set("queued_work", state.queued_work + state.late_work);
+  std::string by_priority;
+  for (std::size_t i = 0; i < direct::kPriorityClasses; ++i) {
+    const std::uint64_t work = state.queued_by_priority.at(i);
+    metrics_.Set("queued_work_priority_" + std::to_string(i), work);
+    by_priority += (i == 0 ? "" : ",") + std::to_string(work);
+  }
   logger_.Info("backend server load",
                {{"free_millicores", std::to_string(state.free.cpu_millicores)},
                 {"millicores", std::to_string(executor_->Description().total.cpu_millicores)},
                 {"queued_work", std::to_string(state.queued_work)},
+                {"queued_by_priority", by_priority},
                 {"late_work", std::to_string(state.late_work)},
                 {"slowness", std::to_string(state.slowness)},
                 {"failure_ratio", std::to_string(state.failure_ratio)}});
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -537,7 +537,7 @@
                        request.objective, TotalWork(*job), false});
   }
   for (const std::string& it : shedding_.ChooseGivenUp(std::move(waiting), kJobsPerCall, now)) {
-    GiveUp(*jobs_.at(it), "more urgent work", now);
+    GiveUp(*jobs_.at(it), "late beside more urgent work", now);
     RemoveIfEnded(it, now);
   }
 }
--- a/packages/direct/test/shedding_policy_property_test.cc
+++ b/packages/direct/test/shedding_policy_property_test.cc
@@ -164,7 +164,9 @@
         const auto item = queue.TakeNext(free, kStart + Ms(i * 10));
         RC_ASSERT(item.has_value());
         RC_ASSERT(waiting.erase(item->order.id.task.job) == 1);
-        for (const RunQueue::Item& it : queue.items()) RC_ASSERT(it.yielded <= 16U);
+        for (const RunQueue::Item& it : queue.items()) {
+          RC_ASSERT(it.yielded <= 16U);
+        }
       }
       while (auto item = queue.TakeNext(free, kStart + Ms(1200))) {
         RC_ASSERT(waiting.erase(item->order.id.task.job) == 1);
