--- a/packages/daemon/include/coltsfoottide/daemon/settings.h
+++ b/packages/daemon/include/coltsfoottide/daemon/settings.h
@@ -63,6 +63,9 @@
   double far_factor = 1.0;
   // Direct entry: limit of the process's processor use, in cores; absent if there is none.
   std::optional<double> cpu_share;
+  // Direct roles: what is delayed or refused under overload, "shared" (all jobs alike) or
+  // "priority" (less urgent ones first).
+  std::string overload_policy = "shared";
 };
 
 struct SettingsError {
--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -17,6 +17,7 @@
 #include "coltsfoottide/platform/worker_reports.h"
 #include "direct_messages.h"
 #include "direct_timing.h"
+#include "overload_setting.h"
 
 namespace coltsfoottide::daemon {
 
@@ -115,7 +116,9 @@
   MakeWorkerClient();
   direct::ReportSink& reports = *this;
   executor_ = std::make_unique<direct::RunExecutor>(
-      direct::RunExecutor::Tuning{settings_.lease, kOwnerLease, kRunLimit}, *worker_, reports);
+      direct::RunExecutor::Tuning{settings_.lease, kOwnerLease, kRunLimit,
+                                  ToOverloadPolicy(settings_.overload_policy)},
+      *worker_, reports);
   if (auto error = OpenServer()) return error;
   if (auto error = metrics_server_.Open(settings_.metrics_listen)) return error;
   store_ = std::make_unique<platform::StoreClient>(settings_.log_url);
@@ -487,10 +490,17 @@
   metrics_.Set("worker_ready", state.ready ? 1 : 0);
   metrics_.Set("worker_free_millicores", state.free.cpu_millicores);
   metrics_.Set("queued_work", state.queued_work + state.late_work);
+  std::string by_priority;
+  for (std::size_t i = 0; i < direct::kPriorityClasses; ++i) {
+    const std::uint64_t work = state.queued_by_priority.at(i);
+    metrics_.Set("queued_work_priority_" + std::to_string(i), work);
+    by_priority += (i == 0 ? "" : ",") + std::to_string(work);
+  }
   logger_.Info("backend server load",
                {{"free_millicores", std::to_string(state.free.cpu_millicores)},
                 {"millicores", std::to_string(executor_->Description().total.cpu_millicores)},
                 {"queued_work", std::to_string(state.queued_work)},
+                {"queued_by_priority", by_priority},
                 {"late_work", std::to_string(state.late_work)},
                 {"slowness", std::to_string(state.slowness)},
                 {"run_time_ratio", std::to_string(state.run_time_ratio)},
--- a/packages/direct/include/coltsfoottide/direct/worker_fleet.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_fleet.h
@@ -53,7 +53,7 @@
                                             const std::set<std::string>& excluded,
                                             const Exclusion& full);
   // Records an order of a task of the step at the agent, which the candidates then account for.
-  void OnOrder(const std::string& agent, const StepRequest& step,
+  void OnOrder(const std::string& agent, const StepRequest& step, std::uint32_t priority,
                std::vector<StepCandidate>& candidates);
 
   // Total CPU, in millicores at average speed, of the backend servers that may
@@ -69,6 +69,9 @@
   // server, because that one is slower.
   bool EndsSoonerAt(const std::string& agent, const StepRequest& step,
                     const PlacementChoice& choice) const;
+  // The part of Backlog that is due to less urgent work than this priority.
+  core::Duration LessUrgentBacklog(const std::string& service, std::uint32_t priority,
+                                   const Exclusion& unusable) const;
 
   // Number of these agents whose backend server meets the requirements of the step, without
   // unusable ones.
--- a/packages/direct/include/coltsfoottide/direct/worker_view.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_view.h
@@ -25,7 +25,7 @@
   // The backend server has crashed; the next state says when it is back.
   void OnCrash() { state_.ready = false; }
   // Records an order that no state accounts for yet.
-  void OnOrder(const Resources& need, core::Duration estimate);
+  void OnOrder(const Resources& need, core::Duration estimate, std::uint32_t priority = 0);
   // Sets its run time relative to the other backend servers of its service, 1 if
   // the difference does not count.
   void set_relative_run_time(double factor) { relative_run_time_ = factor; }
@@ -40,6 +40,11 @@
   // Expected queueing delay of a task with this need.
   core::Duration StartDelay(const Resources& need) const;
 
+  // Queued work that is less urgent than this priority, in millicore-milliseconds,
+  // and the part of StartDelay that is due to it.
+  std::uint64_t LessUrgentWork(std::uint32_t priority) const;
+  core::Duration LessUrgentDelay(std::uint32_t priority) const;
+
   // Expected run time of a task of the step, by the backend server's measured
   // speed and the location of the data.
   core::Duration RunTime(const StepRequest& step, double far_factor) const;
@@ -64,6 +69,7 @@
   struct PendingOrder {
     Resources need;
     std::uint64_t work = 0;
+    std::size_t priority_class = 0;
   };
 
   Resources AvailableResources() const;
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -4,10 +4,13 @@
 #include <chrono>
 #include <utility>
 
+#include "coltsfoottide/direct/admission_request.h"
+#include "coltsfoottide/direct/admission_verdict.h"
 #include "coltsfoottide/direct/cpu_work.h"
 #include "coltsfoottide/direct/critical_path.h"
 #include "coltsfoottide/direct/entry_sink.h"
 #include "coltsfoottide/direct/time_bounds.h"
+#include "coltsfoottide/direct/waiting_job.h"
 #include "job.h"
 
 namespace coltsfoottide::direct {
@@ -66,7 +69,8 @@
     : tuning_(tuning),
       next_submission_(tuning.first_submission),
       sink_(sink),
-      fleet_(std::move(data_centre), far_factor, tuning.seed) {}
+      fleet_(std::move(data_centre), far_factor, tuning.seed),
+      shedding_(tuning.overload_policy) {}
 
 JobDispatcher::~JobDispatcher() = default;
 
@@ -112,7 +116,7 @@
   isolation_.OnSubmit(job.request.service, job.request.route, TotalWork(job), now);
   if (isolation_.IsPending(job.request.route, now)) AssignIsolated(now);
   const core::Duration critical_path = CriticalPathTime(job.request.steps);
-  admission_.OnSubmit(job.request.objective - now - critical_path, now);
+  shedding_.OnSubmit(job.request.priority, job.request.objective - now - critical_path, now);
   const auto unusable = UnusableFor(job, first);
   const auto choice = fleet_.Choose(job.request.service, first, {}, unusable);
   // Without a backend server the job waits for one to return; PlaceReady refuses it if its
@@ -126,12 +130,34 @@
   // several tasks, and for several entries that see the same one.
   const core::Duration backlog = fleet_.Backlog(job.request.service, unusable);
   const core::Duration delay = std::max(choice->least_delay, backlog);
-  if (useful && delay <= admission_.LongestDelay()) return true;
+  AdmissionRequest load = LoadFor(job, *choice);
+  load.useful = useful;
+  load.backlog = backlog;
+  const AdmissionVerdict verdict = shedding_.Decide(load, now);
+  if (verdict == AdmissionVerdict::kAdmit) return true;
   job.expected_wait = std::max(wait, delay);
-  GiveUp(job, "backlog", now);
+  GiveUp(job, verdict == AdmissionVerdict::kBacklog ? "backlog" : "more urgent work", now);
   return false;
 }
 
+AdmissionRequest JobDispatcher::LoadFor(const Job& job, const PlacementChoice& choice) {
+  const auto priority = static_cast<std::uint32_t>(PriorityClass(job.request.priority));
+  AdmissionRequest load;
+  load.priority = priority;
+  load.work = TotalWork(job);
+  load.start_delay = choice.least_delay;
+  if (tuning_.overload_policy == OverloadPolicy::kShared) return load;
+  const auto unusable = UnusableFor(job, job.request.steps.front());
+  const auto less_urgent = [&](std::uint32_t than) {
+    return fleet_.LessUrgentBacklog(job.request.service, than, unusable);
+  };
+  load.less_urgent_start_delay =
+      std::min(fleet_.Get(choice.agent).LessUrgentDelay(priority), load.start_delay);
+  load.less_urgent_backlog = less_urgent(priority);
+  if (priority > 0) load.equal_backlog = less_urgent(priority - 1) - load.less_urgent_backlog;
+  return load;
+}
+
 // If there is a queue, the tasks of a wide job also wait for each other.
 core::Duration JobDispatcher::OwnQueueingDelay(const Job& job, core::Duration start_delay) const {
   if (start_delay == core::Duration::zero()) return core::Duration::zero();
@@ -209,12 +235,12 @@
   task.expedited = job.NearlyDone();
   ++task.run_number;
   ++runs_at_[choice->agent];
-  fleet_.OnOrder(choice->agent, request, candidates);
+  fleet_.OnOrder(choice->agent, request, job.request.priority, candidates);
   const RunId id{TaskId{job.request.id, step, index}, task.run_number, job.submission};
   placed.push_back(PlacedTask{id, *choice});
-  sink_.SendOrder(choice->agent,
-                  RunOrder{id, job.request.payload, request.need, request.estimate,
-                           job.request.objective, job.request.useful_until, task.expedited});
+  sink_.SendOrder(choice->agent, RunOrder{id, job.request.payload, request.need, request.estimate,
+                                          job.request.objective, job.request.useful_until,
+                                          task.expedited, job.request.priority});
   return true;
 }
 
@@ -522,6 +548,24 @@
     AdvanceJob(*jobs_.at(id), now);
     RemoveIfEnded(id, now);
   }
+  if (tuning_.overload_policy == OverloadPolicy::kPriority) ShedWaitingJobs(now);
+}
+
+void JobDispatcher::ShedWaitingJobs(core::TimePoint now) {
+  // Bounds the messages of one call like the withdrawals.
+  constexpr std::size_t kJobsPerCall = 8;
+  std::vector<WaitingJob> waiting;
+  for (const auto& [id, job] : jobs_) {
+    const JobRequest& request = job->request;
+    if (job->finished || job->withdrawing || !shedding_.MayGiveUp(request.priority, now)) continue;
+    if (job->MayHaveRun()) continue;
+    waiting.push_back({id, request.priority, MinRunTime(CriticalPathTime(request.steps)),
+                       request.objective, TotalWork(*job), false});
+  }
+  for (const std::string& it : shedding_.ChooseGivenUp(std::move(waiting), kJobsPerCall, now)) {
+    GiveUp(*jobs_.at(it), "late beside more urgent work", now);
+    RemoveIfEnded(it, now);
+  }
 }
 
 // Whether AdvanceJob or RemoveIfEnded may have something to do. Most jobs only wait for reports.
--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -157,9 +157,9 @@
                          std::min(chosen->start_delay, least_delay), chosen->view->state_time()};
 }
 
-void WorkerFleet::OnOrder(const std::string& agent, const StepRequest& step,
+void WorkerFleet::OnOrder(const std::string& agent, const StepRequest& step, std::uint32_t priority,
                           std::vector<StepCandidate>& candidates) {
-  Get(agent).OnOrder(step.need, step.estimate);
+  Get(agent).OnOrder(step.need, step.estimate, priority);
   const auto it = std::find_if(candidates.begin(), candidates.end(),
                                [&agent](const StepCandidate& c) { return *c.agent == agent; });
   if (it != candidates.end()) Evaluate(step, *it);
@@ -198,6 +198,17 @@
   return millicores == 0 ? core::Duration::zero() : std::chrono::milliseconds(work / millicores);
 }
 
+core::Duration WorkerFleet::LessUrgentBacklog(const std::string& service, std::uint32_t priority,
+                                              const Exclusion& unusable) const {
+  std::uint64_t work = 0;
+  for (const auto& [agent, view] : workers_) {
+    if (!MayTakeWork(view, service) || unusable(agent)) continue;
+    work += view.LessUrgentWork(priority);
+  }
+  const std::uint64_t millicores = Capacity(service, unusable);
+  return millicores == 0 ? core::Duration::zero() : std::chrono::milliseconds(work / millicores);
+}
+
 std::size_t WorkerFleet::CountSuitable(const std::vector<std::string>& agents,
                                        const StepRequest& step, const Exclusion& unusable) const {
   return static_cast<std::size_t>(
--- a/packages/direct/src/worker_view.cc
+++ b/packages/direct/src/worker_view.cc
@@ -36,8 +36,8 @@
   }
 }
 
-void WorkerView::OnOrder(const Resources& need, core::Duration estimate) {
-  pending_.push_back({need, CpuWork(need, estimate)});
+void WorkerView::OnOrder(const Resources& need, core::Duration estimate, std::uint32_t priority) {
+  pending_.push_back({need, CpuWork(need, estimate), PriorityClass(priority)});
   pending_need_.Add(need);
   pending_work_ += pending_.back().work;
 }
@@ -72,6 +72,28 @@
                                 std::chrono::duration<double, std::milli>(wait_ms));
 }
 
+std::uint64_t WorkerView::LessUrgentWork(std::uint32_t priority) const {
+  std::uint64_t work = 0;
+  for (std::size_t i = PriorityClass(priority) + 1; i < kPriorityClasses; ++i) {
+    work += state_.queued_by_priority.at(i);
+  }
+  return work;
+}
+
+core::Duration WorkerView::LessUrgentDelay(std::uint32_t priority) const {
+  if (description_.total.cpu_millicores == 0) return core::Duration::zero();
+  std::uint64_t sent = 0;
+  for (const PendingOrder& it : pending_) {
+    if (it.priority_class > PriorityClass(priority)) sent += it.work;
+  }
+  // As in StartDelay.
+  if (state_.queued_work == 0) sent /= 2;
+  const double wait_ms = static_cast<double>(LessUrgentWork(priority) + sent) /
+                         static_cast<double>(description_.total.cpu_millicores) * Slowness();
+  return std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double, std::milli>(wait_ms));
+}
+
 // Differences that estimate errors explain are ignored: placement by them would
 // leave some backend servers idle and overload others.
 double WorkerView::Slowness() const {
--- a/packages/direct/test/worker_fleet_test.cc
+++ b/packages/direct/test/worker_fleet_test.cc
@@ -108,7 +108,7 @@
           CPPUNIT_ASSERT_EQUAL(reference.Choose(step, excluded, full),
                                choice ? choice->agent : std::string());
           if (!choice) continue;
-          fleet.OnOrder(choice->agent, step, candidates);
+          fleet.OnOrder(choice->agent, step, 0, candidates);
           reference.workers.at(choice->agent).OnOrder(step.need, step.estimate);
         }
       }
