Test which runs behind their estimate are reported, and log expected run times

The share done of other runs was compared with the present time, so a run that the same answer lists later counted with an old percentage: a task of seven times its estimate beside five normal ones was reported as a straggler. The time of the listing is compared now, and the percentage, which is rounded down, plus one.

tasks placed has expected_run_ms, the agents' lines have run_time_ratio, and worker_run_time_percent is a metric of the agents.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -493,6 +493,9 @@
   metrics_.Set("worker_ready", state.ready ? 1 : 0);
   metrics_.Set("worker_free_millicores", state.free.cpu_millicores);
   metrics_.Set("queued_work", state.queued_work + state.late_work);
+  constexpr double kPercent = 100;
+  metrics_.Set("worker_run_time_percent",
+               static_cast<std::uint64_t>(state.run_time_ratio * kPercent));
   logger_.Info("backend server load",
                {{"free_millicores", std::to_string(state.free.cpu_millicores)},
                 {"millicores", std::to_string(executor_->Description().total.cpu_millicores)},
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -367,11 +367,13 @@
   // Keeps the line of the largest jobs under the size limit of a log line.
   constexpr std::size_t kMaxListedTasks = 64;
   core::Duration max_wait{};
+  core::Duration max_run_time{};
   core::Duration max_age{};
   std::string tasks;
   for (std::size_t i = 0; i < placed.size(); ++i) {
     const direct::PlacementChoice& choice = placed[i].choice;
     max_wait = std::max(max_wait, choice.start_delay);
+    max_run_time = std::max(max_run_time, choice.run_time);
     max_age = std::max(max_age, now - choice.state_time);
     if (i >= kMaxListedTasks) continue;
     const direct::RunId& id = placed[i].id;
@@ -383,6 +385,7 @@
                                 {"count", std::to_string(placed.size())},
                                 {"tasks", tasks},
                                 {"expected_wait_ms", std::to_string(ToMs(max_wait))},
+                                {"expected_run_ms", std::to_string(ToMs(max_run_time))},
                                 {"state_age_ms", std::to_string(ToMs(max_age))}});
 }
 
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -125,6 +125,8 @@
     core::TimePoint stop_due;
     core::TimePoint reported_at;
     int percent = 0;
+    // When the percentage was last seen.
+    core::TimePoint listed_at;
     // When the percentage last rose.
     core::TimePoint progressed_at;
     // Number of renewal answers in a row that should have listed the run and did
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -715,6 +715,7 @@
   Run& run = it->second;
   if (running.percent > run.percent) run.progressed_at = now;
   run.percent = running.percent;
+  run.listed_at = now;
   run.missing_from_answers = 0;
   run.listed = true;
   if (run.state == RunState::kRunning) ReportStraggler(run, now);
@@ -759,9 +760,10 @@
     const core::Duration estimate = other.order.estimate;
     if (&other == &run || other.state != RunState::kRunning || !other.listed) continue;
     // Before this time the share that is done says too little.
-    const core::Duration elapsed = now - other.started_at;
+    const core::Duration elapsed = other.listed_at - other.started_at;
     if (estimate <= core::Duration::zero() || elapsed < kMinComparedTime) continue;
-    const double done = std::max(other.percent, 1) / 100.0;
+    // The percentage is rounded down.
+    const double done = (other.percent + 1) / 100.0;
     ratios.push_back(static_cast<double>(elapsed.count()) /
                      (static_cast<double>(estimate.count()) * done));
   }
