--- a/packages/daemon/test/direct_messages_test.cc
+++ b/packages/daemon/test/direct_messages_test.cc
@@ -13,6 +13,7 @@
 class DirectMessagesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DirectMessagesTest);
   CPPUNIT_TEST(CrashSurvivesTheWire);
+  CPPUNIT_TEST(SpeedSurvivesTheWire);
   CPPUNIT_TEST(DurationsOfACrashAreBounded);
   CPPUNIT_TEST(ClaimWithoutItsNeedSaysNothing);
   CPPUNIT_TEST(IsolationIsToldApartFromAFinding);
@@ -35,6 +36,17 @@
     CPPUNIT_ASSERT(read.runs[0].confirmed);
   }
 
+  // Guards against an unknown speed of an agent of an earlier version that reads as a high one.
+  void SpeedSurvivesTheWire() {
+    direct::WorkerState state;
+    state.run_time_ratio = 1.75;
+    direct_wire::WorkerState message;
+    WriteState(state, message);
+    CPPUNIT_ASSERT_EQUAL(1.75, ReadState(message).run_time_ratio);
+    message.clear_run_time_ratio();
+    CPPUNIT_ASSERT_EQUAL(0.0, ReadState(message).run_time_ratio);
+  }
+
   // Guards against times that overflow, which a peer with a fault may send.
   void DurationsOfACrashAreBounded() {
     direct_wire::WorkerCrash message;
--- a/packages/direct/test/uneven_servers_test.cc
+++ b/packages/direct/test/uneven_servers_test.cc
@@ -7,7 +7,9 @@
 #include <utility>
 #include <vector>
 
+#include "coltsfoottide/direct/job_dispatcher.h"
 #include "direct_samples.h"
+#include "recording_entry_sink.h"
 #include "simulated_fleet.h"
 
 namespace coltsfoottide::direct {
@@ -79,6 +81,7 @@
   CPPUNIT_TEST_SUITE(UnevenServersTest);
   CPPUNIT_TEST(SlowServersMakeFewerJobsLateBelowTheCapacity);
   CPPUNIT_TEST(SlowServersAreUsedNearTheCapacity);
+  CPPUNIT_TEST(JobsAreAdmittedWhileSlowServersAreFree);
   CPPUNIT_TEST(LongTasksAreNotRunAgain);
   CPPUNIT_TEST(SimilarServersAreUsedAsBefore);
   CPPUNIT_TEST_SUITE_END();
@@ -116,10 +119,48 @@
     CPPUNIT_ASSERT(Gain(0.95, &in_time) >= 0.05);
     CPPUNIT_ASSERT(in_time >= 0.7);
     const Result result = Play(0.95, Uneven(), kSeeds[0]);
-    // They have a ninth of the speed together, so a sixth of the tasks for each fast one.
+    // Each has 0.46 of the speed of a fast one, and the tasks that it gets are mostly short.
     CPPUNIT_ASSERT(result.starts.at("agent-0") * 4 >= result.starts.at("agent-1"));
   }
 
+  // Short jobs bound the queueing delay to 55 ms, four fast backend servers have 60 ms of queued
+  // work each, and a slow one is idle. Guards against refusing a long job, which ends sooner
+  // behind such a queue, although there is room; and against admitting it when there is none.
+  void JobsAreAdmittedWhileSlowServersAreFree() {
+    for (const bool free : {true, false}) {
+      RecordingEntrySink sink;
+      JobDispatcher dispatcher({Ms(1800), 1}, "a", 1.5, sink);
+      for (int i = 0; i < 5; ++i) {
+        const std::string agent = "agent-" + std::to_string(i);
+        const bool slow = i == 4;
+        WorkerState state = IdleWorker();
+        state.run_time_ratio = slow ? 1.82 : 0.83;
+        if (!slow || !free) {
+          state.free = {};
+          state.queued_work = SampleWorker().total.cpu_millicores * 60;
+        }
+        dispatcher.OnAgentHello({agent, 1, true, {}, {}}, kStart);
+        dispatcher.OnWorkerDescription(agent, SampleWorker());
+        dispatcher.OnWorkerState(agent, state, 0, kStart + Ms(300 * i));
+      }
+      const core::TimePoint now = kStart + Ms(1500);
+      dispatcher.Submit(JobAt("short", Ms(51), now), now);
+      const std::size_t orders = sink.orders.size();
+      dispatcher.Submit(JobAt("long", Ms(760), now), now);
+      CPPUNIT_ASSERT_EQUAL(orders + (free ? 1 : 0), sink.orders.size());
+      if (free) CPPUNIT_ASSERT(sink.orders.back().agent != "agent-4");
+    }
+  }
+
+  static JobRequest JobAt(const std::string& id, core::Duration estimate, core::TimePoint now) {
+    JobRequest job = SampleJob(id, 1);
+    job.steps.front().estimate = estimate;
+    job.objective = now + estimate * 16 / 10 + Ms(60);
+    job.useful_until = now + (estimate * 16 / 10 + Ms(60)) * 3;
+    job.deadline = job.useful_until;
+    return job;
+  }
+
   // 10 of 100 tasks take seven times their estimate on any backend server, all of which are
   // equally fast and half empty. Guards against stopping them and starting them again elsewhere,
   // where they take as long.
