--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -496,6 +496,9 @@
     metrics_.Set("queued_work_priority_" + std::to_string(i), work);
     by_priority += (i == 0 ? "" : ",") + std::to_string(work);
   }
+  constexpr double kPercent = 100;
+  metrics_.Set("worker_run_time_percent",
+               static_cast<std::uint64_t>(state.run_time_ratio * kPercent));
   logger_.Info("backend server load",
                {{"free_millicores", std::to_string(state.free.cpu_millicores)},
                 {"millicores", std::to_string(executor_->Description().total.cpu_millicores)},
