--- a/packages/http/include/coltsfoottide/http/memory_budget.h
+++ b/packages/http/include/coltsfoottide/http/memory_budget.h
@@ -52,6 +52,9 @@
   // is exceeded or others wait, and grants reservations.
   void Advance(Clock::time_point now);
 
+  // Reclaims as far as the budget is exceeded, like Advance, and grants nothing.
+  void ReclaimExcess(Clock::time_point now);
+
   // Whether clients hold more than the limit, without those that are being closed.
   bool IsExceeded() const { return held_ - closing_ > limit_; }
 
--- a/packages/http/include/coltsfoottide/http/memory_holder.h
+++ b/packages/http/include/coltsfoottide/http/memory_holder.h
@@ -2,8 +2,8 @@
 
 namespace coltsfoottide::http {
 
-// One connection whose memory a MemoryBudget counts. Both functions are called from
-// MemoryBudget::Advance only and may use the budget.
+// One connection whose memory a MemoryBudget counts. The functions are called from
+// MemoryBudget::Advance, the second one also from ReclaimExcess, and may use the budget.
 class MemoryHolder {
  public:
   virtual ~MemoryHolder() = default;
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -213,14 +213,16 @@
 }
 
 // From the event loop, because the budget may be advanced from within a call of this class.
+// A request that has been refused meanwhile gets its response.
 void Connection::OnMemoryReclaimed() {
+  reclaimed_ = true;
   QMetaObject::invokeMethod(
       this,
       [this] {
         if (state_ == State::kHalfClosed || state_ == State::kProbing) {
           half_closed_.reset();
           OnPeerClosed();
-        } else if (state_ != State::kClosed) {
+        } else if (state_ != State::kClosed && state_ != State::kLingering) {
           half_closed_.reset();
           socket_.abort();
         }
@@ -291,11 +293,11 @@
 void Connection::Parse() {
   RequestFramer::Complete request = framer_.Take();
   state_ = State::kParsing;
-  const bool is_large = request.body.size() > MemoryBudget::kSmallBytes;
-  if (limits_.memory->IsExceeded() && !is_large) return RefuseForMemory();
+  limits_.memory->ReclaimExcess(std::chrono::steady_clock::now());
+  if (reclaimed_ || limits_.memory->IsExceeded()) return RefuseForMemory();
   body_memory_ = BodyMemory::kNone;
   used_ = true;
-  if (is_large) socket_.setReadBufferSize(kReadBufferBytes);
+  if (request.body.size() > MemoryBudget::kSmallBytes) socket_.setReadBufferSize(kReadBufferBytes);
   request_bytes_ = static_cast<std::size_t>(request.header.size()) + request.body.size();
   body_ = std::move(request.body);
   // The parser gets no body, since it would keep it until the next request.
--- a/packages/http/src/connection.h
+++ b/packages/http/src/connection.h
@@ -131,6 +131,8 @@
   bool close_after_response_ = false;
   BodyMemory body_memory_ = BodyMemory::kNone;
   int unread_checks_ = 0;
+  // The memory budget has chosen this connection to be closed.
+  bool reclaimed_ = false;
   // Whether a request has been read.
   bool used_ = false;
   // Counted for the request in progress.
--- a/packages/http/src/memory_budget.cc
+++ b/packages/http/src/memory_budget.cc
@@ -57,12 +57,15 @@
   return held_ + bytes <= limit_ - limit_ / kSmallPart;
 }
 
+void MemoryBudget::ReclaimExcess(Clock::time_point now) {
+  if (!IsExceeded()) return;
+  const std::size_t target = limit_ - limit_ / kFreedPart;
+  Reclaim(target, false, Clock::duration::zero(), now);
+  if (IsExceeded()) Reclaim(target, true, Clock::duration::zero(), now);
+}
+
 void MemoryBudget::Advance(Clock::time_point now) {
-  if (IsExceeded()) {
-    const std::size_t target = limit_ - limit_ / kFreedPart;
-    Reclaim(target, false, Clock::duration::zero(), now);
-    if (IsExceeded()) Reclaim(target, true, Clock::duration::zero(), now);
-  }
+  ReclaimExcess(now);
   GrantWaiting(now);
   if (waiting_.empty()) return;
   const std::size_t wanted = accounts_.at(waiting_.front()).wanted;
