--- a/packages/http/include/coltsfoottide/http/server.h
+++ b/packages/http/include/coltsfoottide/http/server.h
@@ -101,7 +101,7 @@
 // used and destroyed on a thread with a Qt event loop.
 std::variant<std::unique_ptr<Server>, ServerError> MakeServer(const std::string& address,
                                                               std::uint16_t port,
-                                                              ServerLimits limits,
+                                                              const ServerLimits& limits,
                                                               ServerCallbacks callbacks);
 
 }  // namespace coltsfoottide::http
--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -240,8 +240,9 @@
   const auto unread = static_cast<std::size_t>(socket_.bytesAvailable());
   n += unread + static_cast<std::size_t>(socket_.bytesToWrite());
   // The read buffer is full, so the kernel's may be as well.
-  if (unread >= static_cast<std::size_t>(kReadBufferBytes))
+  if (unread >= static_cast<std::size_t>(kReadBufferBytes)) {
     n += 2 * std::size_t{kKernelBufferBytes};
+  }
   if (state_ == State::kUnread) n += UnreadBytes();
   const bool in_progress = state_ == State::kInProgress || state_ == State::kHalfClosed;
   limits_.memory->Set(*this, n, in_progress, std::chrono::steady_clock::now());
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -140,7 +140,7 @@
 
 std::variant<std::unique_ptr<Server>, ServerError> MakeServer(const std::string& address,
                                                               std::uint16_t port,
-                                                              ServerLimits limits,
+                                                              const ServerLimits& limits,
                                                               ServerCallbacks callbacks) {
   QHostAddress host;
   if (!host.setAddress(QString::fromStdString(address))) {
