--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "client_memory.h"
 #include "coltsfoottide/daemon/runtime.h"
 #include "coltsfoottide/daemon/settings.h"
 #include "coltsfoottide/direct/dial_backoff.h"
@@ -104,6 +105,7 @@
   Settings settings_;
   Logger& logger_;
   Metrics& metrics_;
+  ClientMemory client_memory_;
   MetricsServer metrics_server_;
   std::string name_;
   std::uint16_t link_port_ = 0;
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -17,7 +17,6 @@
 #include "coltsfoottide/platform/job_calls.h"
 #include "coltsfoottide/platform/operator_records.h"
 #include "coltsfoottide/platform/route_lookup.h"
-#include "descriptor_limit.h"
 #include "direct_messages.h"
 #include "direct_timing.h"
 #include "overload_setting.h"
@@ -74,12 +73,23 @@
   return tuning;
 }
 
+// Memory that a job in progress uses.
+std::size_t DecodedBytes(const direct::JobRequest& job) {
+  constexpr std::size_t kJobBytes = 2048;
+  constexpr std::size_t kStepBytes = 512;
+  constexpr std::size_t kTaskBytes = 512;
+  std::size_t n = kJobBytes + job.payload.size();
+  for (const direct::StepRequest& it : job.steps) n += kStepBytes + it.count * kTaskBytes;
+  return n;
+}
+
 }  // namespace
 
 DirectEntryRuntime::DirectEntryRuntime(const Settings& settings, Logger& logger, Metrics& metrics)
     : settings_(settings),
       logger_(logger),
       metrics_(metrics),
+      client_memory_(settings, logger, metrics),
       metrics_server_(metrics),
       dispatcher_(MakeTuning(settings), settings.data_centre, settings.far_factor, *this),
       load_(kTick, settings.cpu_share),
@@ -95,7 +105,9 @@
 
 std::optional<RuntimeError> DirectEntryRuntime::Start() {
   if (auto error = OpenServers()) return error;
-  if (auto error = metrics_server_.Open(settings_.metrics_listen)) return error;
+  if (auto error = metrics_server_.Open(settings_.metrics_listen, client_memory_.Limits())) {
+    return error;
+  }
   for (const std::string& it : settings_.entries) {
     links_.AddConfiguredEntry(ParseEndpoint(it)->address);
   }
@@ -121,17 +133,14 @@
     const Endpoint endpoint = *ParseEndpoint(address);
     return http::MakeServer(endpoint.address, endpoint.port, limits, std::move(callbacks));
   };
-  http::ServerLimits caller_limits;
-  caller_limits.max_connections =
-      std::min(caller_limits.max_connections, MaxCallerConnections(DescriptorLimit()));
-  auto callers = open(settings_.http_listen, caller_limits,
+  auto callers = open(settings_.http_listen, client_memory_.Limits(),
                       {[this](const http::Request& request) { OnRequest(request); },
                        [this](std::uint64_t id) { OnAbandoned(id); },
                        [this](std::uint64_t id) { OnInputEnded(id); }});
   if (auto* error = std::get_if<http::ServerError>(&callers)) return RuntimeError{error->message};
   caller_server_ = std::move(std::get<std::unique_ptr<http::Server>>(callers));
   auto probes =
-      open(settings_.ready_listen, {},
+      open(settings_.ready_listen, client_memory_.Limits(),
            {[this](const http::Request& request) { OnReadinessProbe(request); }, nullptr});
   if (auto* error = std::get_if<http::ServerError>(&probes)) return RuntimeError{error->message};
   readiness_server_ = std::move(std::get<std::unique_ptr<http::Server>>(probes));
@@ -254,6 +263,7 @@
                                 {"deadline_ms", std::to_string(ToMs(accepted.deadline - now))},
                                 {"agents", std::to_string(links_.connected_agents())},
                                 {"config_version", ConfigurationVersion()}});
+  caller_server_->CountDecoded(request.id, DecodedBytes(accepted));
   Submission& submission = submissions_[job];
   submission.requests.push_back(request.id);
   submission.route = route.name;
@@ -609,6 +619,9 @@
 
 void DirectEntryRuntime::OnViewChanged(const std::string& source) {
   dispatcher_.SetEvacuated(view_.evacuated());
+  if (const auto configuration = view_.configuration()) {
+    caller_server_->SetMaxBodyBytes(configuration->max_body_bytes);
+  }
   std::string evacuated;
   for (const std::string& it : view_.evacuated()) evacuated += (evacuated.empty() ? "" : ",") + it;
   logger_.Info("configuration in force", {{"version", ConfigurationVersion()},
@@ -738,6 +751,7 @@
   const auto configuration = view_.configuration();
   metrics_.Set("entry_delay_ms", static_cast<std::uint64_t>(ToMs(load_.LongestDelay())));
   metrics_.Set("entry_processor_percent", load_.ProcessorPercent());
+  client_memory_.Report();
   metrics_.Set("jobs_in_progress", dispatcher_.size());
   metrics_.Set("claims", claims_.size());
   metrics_.Set("claims_recorded", claim_exchange_.recorded());
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -116,6 +116,7 @@
   double share = 0;
   reader.Read("cpu_share", share, kMinCpuShare, kMaxCpuShare);
   if (reader.Has("cpu_share")) settings.cpu_share = share;
+  reader.Read("memory_limit_mb", settings.memory_limit_mb, 0);
 }
 
 void RequireKeys(SettingsReader& reader, Role role) {
