--- a/packages/daemon/test/entry_overload_test.cc
+++ b/packages/daemon/test/entry_overload_test.cc
@@ -4,11 +4,11 @@
 #include <QCoreApplication>
 #include <QEventLoop>
 #include <QTcpServer>
-#include <QThread>
 #include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "coltsfoottide/daemon/boot_clock.h"
 #include "coltsfoottide/daemon/logging.h"
@@ -89,7 +89,7 @@
   void RunUntil(Done done, std::chrono::milliseconds delay) {
     const core::TimePoint end = BootNow() + kHang;
     while (!done() && BootNow() < end) {
-      if (delay.count() > 0) QThread::msleep(static_cast<unsigned long>(delay.count()));
+      if (delay.count() > 0) std::this_thread::sleep_for(delay);
       QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
     }
     CPPUNIT_ASSERT(done());
@@ -127,7 +127,7 @@
     CPPUNIT_ASSERT(!IsRefusedByLoad(fast));
     constexpr std::chrono::milliseconds kDelay{400};
     for (int i = 0; i < 4; ++i) {
-      QThread::msleep(static_cast<unsigned long>(kDelay.count()));
+      std::this_thread::sleep_for(kDelay);
       QCoreApplication::processEvents(QEventLoop::AllEvents, 1);
     }
     CPPUNIT_ASSERT(IsRefusedByLoad(Submit("00000000000000a2", kDelay)));
