--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -202,7 +202,7 @@
                                               const Exclusion& unusable) const {
   std::uint64_t work = 0;
   for (const auto& [agent, view] : workers_) {
-    if (!MayTakeWork(view, service) || unusable(agent)) continue;
+    if (!MayTakeWork(view, service) || (unusable && unusable(agent))) continue;
     work += view.LessUrgentWork(priority);
   }
   const std::uint64_t millicores = Capacity(service, unusable);
