--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -46,7 +46,6 @@
   return std::chrono::duration_cast<core::Duration>(used);
 }
 
-
 const char* KindName(direct::JobOutcome::Kind kind) {
   using Kind = direct::JobOutcome::Kind;
   switch (kind) {
