Insert the Retry-After header without an assignment of a literal

GCC 12 warns in the release build (-O3, -Wrestrict) about the assignment, so the build of deploy/system.toml failed; the build with debug information does not show it.

--- a/packages/http/src/connection.cc
+++ b/packages/http/src/connection.cc
@@ -350,7 +350,7 @@
   Response response;
   response.status = status;
   response.content_type = "text/plain";
-  if (status == kUnavailable) response.headers["Retry-After"] = kMemoryRetryAfterSeconds;
+  if (status == kUnavailable) response.headers.emplace("Retry-After", kMemoryRetryAfterSeconds);
   if (state_ == State::kParsing && half_closed_) {
     half_closed_->SendFinalResponse(FormatResponse(response, false, true));
     return EndHalfClosed();
