Leave differences in speed to the queues unless backend_speeds says so

The comparison keeps slow backend servers free while fast ones have queues, and the queues refuse jobs that the slow ones would have ended in time.

The new setting backend_speeds of the direct entry is "ignored" by default; no template sets it. Tests of the comparison switch it on. Runs of tasks that are long in themselves are still not moved.

--- a/packages/daemon/include/coltsfoottide/daemon/settings.h
+++ b/packages/daemon/include/coltsfoottide/daemon/settings.h
@@ -66,6 +66,9 @@
   // Direct roles: what is delayed or refused under overload, "shared" (all jobs alike) or
   // "priority" (less urgent ones first).
   std::string overload_policy = "shared";
+  // Direct entry: whether lasting differences in speed between backend servers count in
+  // placement, "ignored" or "measured".
+  std::string backend_speeds = "ignored";
   // Direct roles: memory of the machine or process, or 0 for the limit of its cgroup or
   // resources.
   std::uint32_t memory_limit_mb = 0;
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -68,6 +68,7 @@
   tuning.silent_agent_timeout = kOwnerLease + direct::MaxLease(settings.lease) + settings.stop_time;
   tuning.seed = std::hash<std::string>()(settings.listen);
   tuning.overload_policy = ToOverloadPolicy(settings.overload_policy);
+  tuning.compare_speeds = settings.backend_speeds == "measured";
   tuning.first_submission = static_cast<std::uint32_t>(MakeRandomId());
   return tuning;
 }
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -112,6 +112,7 @@
   ReadMilliseconds(reader, "configuration_limit_ms", kMaxConfigurationLimitMs,
                    settings.configuration_limit);
   ReadChoice(reader, "overload_policy", {"shared", "priority"}, settings.overload_policy);
+  ReadChoice(reader, "backend_speeds", {"ignored", "measured"}, settings.backend_speeds);
   reader.Read("far_factor", settings.far_factor, 1.0, kMaxFarFactor);
   double share = 0;
   reader.Read("cpu_share", share, kMinCpuShare, kMaxCpuShare);
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -49,6 +49,8 @@
     std::uint32_t first_submission = 1;
     // What is refused or given up under overload.
     OverloadPolicy overload_policy = OverloadPolicy::kShared;
+    // Whether lasting differences in speed between backend servers count in placement.
+    bool compare_speeds = false;
   };
 
   // `far_factor`: see WorkerFleet.
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -321,7 +321,7 @@
   WorkerView& view = fleet_.Get(agent);
   const bool returned = state.ready && !view.state().ready;
   view.OnState(state, orders_seen, now);
-  if (now >= compare_speeds_due_) {
+  if (tuning_.compare_speeds && now >= compare_speeds_due_) {
     fleet_.CompareSpeeds();
     compare_speeds_due_ = now + kSpeedInterval;
   }
--- a/packages/direct/test/simulated_fleet.h
+++ b/packages/direct/test/simulated_fleet.h
@@ -215,7 +215,8 @@
         : fleet(owner),
           number(position),
           name("entry-" + std::to_string(position) + '#' + std::to_string(process)),
-          dispatcher({std::chrono::milliseconds(1800), process}, "a", 1.5, *this) {}
+          dispatcher({std::chrono::milliseconds(1800), process, 1, OverloadPolicy::kShared, true},
+                     "a", 1.5, *this) {}
 
     void Answer(const std::string& job, const JobOutcome& outcome) override {
       Job& answered = fleet.jobs_.at(job);
--- a/packages/direct/test/uneven_servers_test.cc
+++ b/packages/direct/test/uneven_servers_test.cc
@@ -129,7 +129,7 @@
   void JobsAreAdmittedWhileSlowServersAreFree() {
     for (const bool free : {true, false}) {
       RecordingEntrySink sink;
-      JobDispatcher dispatcher({Ms(1800), 1}, "a", 1.5, sink);
+      JobDispatcher dispatcher({Ms(1800), 1, 1, OverloadPolicy::kShared, true}, "a", 1.5, sink);
       for (int i = 0; i < 5; ++i) {
         const std::string agent = "agent-" + std::to_string(i);
         const bool slow = i == 4;
