--- a/packages/console/test/config_check_test.cc
+++ b/packages/console/test/config_check_test.cc
@@ -99,7 +99,7 @@
                    std::string::npos);
   }
 
-  // Guards against a check that ends, or passes for compared, when the store is gone.
+  // Guards against a check that fails, or reports no differences, when the store is unreachable.
   void ChecksTheFileWithoutTheStore() {
     platform::FakePlatform empty(StoreWith(""));
     options_.against = "http://" + empty.address();
--- a/packages/daemon/include/coltsfoottide/daemon/settings.h
+++ b/packages/daemon/include/coltsfoottide/daemon/settings.h
@@ -66,8 +66,8 @@
   // Direct roles: what is delayed or refused under overload, "shared" (all jobs alike) or
   // "priority" (less urgent ones first).
   std::string overload_policy = "shared";
-  // Direct entry: whether lasting differences in speed between backend servers count in
-  // placement, "ignored" or "measured".
+  // Direct entry: "measured" places tasks by the speeds of backend servers that differ lastingly,
+  // "ignored" does not.
   std::string backend_speeds = "ignored";
   // Direct roles: memory of the machine or process, or 0 for the limit of its cgroup or
   // resources.
--- a/packages/daemon/src/claim_exchange.cc
+++ b/packages/daemon/src/claim_exchange.cc
@@ -23,8 +23,8 @@
 
 // Pause after which messages may wait to be read. Several intervals of the timer.
 constexpr core::Duration kShortestPause = std::chrono::milliseconds(60);
-// An entry that has started or stood still waits until it is connected to all entries that it
-// knows, but no longer than this: some may be gone for good.
+// Longest time that an entry waits, after its start or a pause, for connections to all entries that
+// it knows. Some of them may have been removed.
 constexpr core::Duration kMaxConnectionWait = std::chrono::seconds(1);
 // Shortest wait of an entry that has started. Others claim their jobs here again when they
 // connect, which takes them a round trip.
--- a/packages/direct/include/coltsfoottide/direct/claim_registry.h
+++ b/packages/direct/include/coltsfoottide/direct/claim_registry.h
@@ -53,8 +53,8 @@
   // every few tens of milliseconds.
   void Advance(core::TimePoint now);
 
-  // Whether the job is not recorded here, and would be if another entry had claimed it before its
-  // caller can have come back.
+  // Whether no other entry can have claimed the job: it is not recorded here, and the records are
+  // complete for every caller that can submit a job again by now.
   bool IsCertainlyUnknown(const std::string& job, core::TimePoint now) const {
     return IsComplete(now) && !records_.contains(job);
   }
--- a/packages/direct/include/coltsfoottide/direct/dial_backoff.h
+++ b/packages/direct/include/coltsfoottide/direct/dial_backoff.h
@@ -6,7 +6,8 @@
 
 // Paces the attempts to connect to one peer. After a loss of all machines the
 // peers start within some tenths of a second of each other, so the first attempts
-// follow each other closely; later ones are for a peer that may be gone for good.
+// follow each other closely. A peer that does not answer them may have been removed
+// and is dialed less often.
 class DialBackoff {
  public:
   // `max_interval`: the longest interval between two attempts.
--- a/packages/direct/include/coltsfoottide/direct/entry_load.h
+++ b/packages/direct/include/coltsfoottide/direct/entry_load.h
@@ -28,7 +28,8 @@
 
   // Returns the retry delay if the job has to be refused: the delay of this entry alone makes
   // its answer useless, even if its tasks take the shortest time that their estimates allow.
-  // Refused callers are told to return one after the other. Refuses nothing without samples.
+  // Retry delays of consecutive refusals differ by the time of one request, so that callers return
+  // one after the other. Without samples nothing is refused.
   std::optional<core::Duration> Refuse(const JobRequest& request, core::TimePoint now);
 
   // Expected time that what is read now has waited: the smoothed delay of the timer, with the
--- a/packages/direct/include/coltsfoottide/direct/stale_records.h
+++ b/packages/direct/include/coltsfoottide/direct/stale_records.h
@@ -12,8 +12,8 @@
 // Decides which entries' records in the store this entry withdraws, because nobody
 // has reached the entry for so long that its address is forgotten. A record that
 // outlives its entry makes every starting entry wait for a connection to it. An
-// entry that was only cut off sees that its record is gone and announces itself
-// again.
+// entry that was only partitioned reads the removal of its record and announces
+// itself again.
 class StaleRecords {
  public:
   // The store has a record of the entry, or has none any more.
--- a/packages/direct/include/coltsfoottide/direct/worker_fleet.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_fleet.h
@@ -25,9 +25,8 @@
   WorkerView& Get(const std::string& agent) { return workers_[agent]; }
   void SetEvacuated(std::set<std::string> data_centres) { evacuated_ = std::move(data_centres); }
 
-  // Compares the measured speeds of the backend servers of each service. The work
-  // grows with the connected agents, so it is to be done at an interval and not
-  // with each placement.
+  // Compares the measured speeds of the backend servers of each service. Linear in
+  // the connected agents, so call it at an interval and not for each placement.
   void CompareSpeeds();
 
   // Whether an agent is not to be used. If empty, all may be used.
--- a/packages/direct/src/entry_load.cc
+++ b/packages/direct/src/entry_load.cc
@@ -18,9 +18,8 @@
 // delay do.
 constexpr int kSmoothing = 4;
 // A job waits for three iterations of the event loop: its connection is accepted, its request is
-// read, and the reports of its tasks are. The fourth is for iterations that grow meanwhile: in the
-// test at 1.5 times the capacity three made 13% of the answers useless, four none, with as many
-// answers.
+// read, and the reports of its tasks are read. The fourth allows for iterations that take longer
+// meanwhile, as they do while an overload begins.
 constexpr int kWaits = 4;
 // Until the first second is over; the time that one request takes at half a core was measured
 // as 1.7 ms with that of the kernel.
--- a/packages/direct/src/shedding_policy.cc
+++ b/packages/direct/src/shedding_policy.cc
@@ -30,8 +30,8 @@
 // most urgent kind of the target deployments.
 constexpr std::uint32_t kMaxYields = 16;
 // Percentage of the longest delay that is left to a class under overload, for each more
-// urgent class that is present. Has the most jobs in time in simulated overloads, see
-// docs/design/load-shedding.md.
+// urgent class that is present, so that the least urgent class is refused first as queues
+// grow. See docs/design/load-shedding.md.
 constexpr int kDelayPercent = 70;
 // Backend servers count as overloaded once no submission has found free resources for
 // kBusyPeriod, a little more than two states of an agent are apart, and for
--- a/packages/direct/src/speed_estimate.cc
+++ b/packages/direct/src/speed_estimate.cc
@@ -12,8 +12,8 @@
 // With estimates that are off by up to 40% the median of this many runs has a
 // standard error of 4%; a loaded backend server ends as many in 3 s.
 constexpr std::size_t kMaxSamples = 128;
-// The standard error is 5%. With 32 runs it was 7%, and a backend server at a speed
-// of 0.8 at times seemed to be 1.5 times slower than its peers.
+// The standard error is 5%. With half as many runs it is 7%, which makes a backend
+// server at a speed of 0.8 look 1.5 times slower than its peers at times.
 constexpr std::size_t kMinSamples = 64;
 // Known faults of backend servers last 4 to 7 s. A backend server that gets no
 // work because it was slow is taken as average after this time, and so tried again.
--- a/packages/direct/src/worker_fleet.cc
+++ b/packages/direct/src/worker_fleet.cc
@@ -23,11 +23,9 @@
 // about a fault, which `slowness` covers, than about the machine.
 constexpr double kMaxSpeedDifference = 4.0;
 // Weight of the start delay in the cost while the backend servers of a service
-// differ in speed. A task that waits at a fast one also delays those behind it,
-// one that takes a free slow one delays none. At 0.95 of the capacity, with a
-// quarter of the backend servers at 0.55, 0.68 of the jobs are in time with a
-// weight of 1, 0.73 with 2 and 0.74 with 3; at 1.2 of it 0.54, 0.59 and 0.58
-// (mean of three seeds, in simulated time).
+// differ in speed: a task that waits at a fast one also delays those behind it,
+// one that takes a free slow one delays none. See
+// docs/design/uneven-backend-servers.md.
 constexpr int kUnevenDelayWeight = 2;
 // Run time, in multiples of the estimate, beyond which a backend server with free
 // resources is no alternative to waiting.
--- a/packages/direct/test/overload_loads.h
+++ b/packages/direct/test/overload_loads.h
@@ -7,9 +7,9 @@
 // Loads for the tests of load shedding.
 namespace coltsfoottide::direct {
 
-// The kinds of `lsdl-sched-grown` and their shares of its work, see
-// docs/overload-and-recovery.md.
-inline std::vector<OverloadSimulation::Kind> GrownKinds() {
+// Three kinds of different length and width with their shares of the work, those of
+// the first deployment in docs/overload-and-recovery.md.
+inline std::vector<OverloadSimulation::Kind> MixedKinds() {
   return {{0, 8, 60, 0.21}, {1, 2, 200, 0.51}, {2, 4, 900, 0.28}};
 }
 
@@ -17,7 +17,7 @@
 inline OverloadSimulation::Load SteadyLoad(OverloadPolicy policy, double offered) {
   OverloadSimulation::Load load;
   load.policy = policy;
-  load.kinds = GrownKinds();
+  load.kinds = MixedKinds();
   load.offered = [offered](std::size_t /*kind*/, int /*ms*/) { return offered; };
   return load;
 }
