--- a/review/6/case.py
+++ b/review/6/case.py
@@ -51,7 +51,7 @@
                 return
 
 
-def case(trouble, record):
+def case(record):
     runs = s.Overlaps()
     store = s.Store(STORE_IP, STORE)
     store.write_configuration(1, [s.route()])
@@ -82,12 +82,12 @@
                 record("no time for a further cut")
                 break
             known = len(runs.errors)
-            clients = [Client(record, f"5c0e7a2{n}{job:08x}", trouble and job < LEAVING)
+            clients = [Client(record, f"5c0e7a2{n}{job:08x}", s.TROUBLE and job < LEAVING)
                        for job in range(JOBS)]
             for it in clients:
                 it.start()
             s.wait_until(lambda n=n: len(runs.begun) == (n + 1) * JOBS, "all jobs begun", 1.2)
-            if trouble:
+            if s.TROUBLE:
                 # e1 has the lowest address, so that the others open all connections to it.
                 record(f"the machine of e1 is cut off for {cut_s:g} s")
                 for it in (links["e1"], fronts["e1"], to_store):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -19,7 +19,7 @@
 CUT_S, DOWN_S, JOBS, TASK_MS, BUDGET_MS = 1.0, 0.3, 6, 1800, 8000
 
 
-def case(trouble, record):
+def case(record):
     wrong, begun = [], set()
 
     def on_start(worker, task, run):
@@ -55,7 +55,7 @@
         for it in clients:
             it.start()
         s.wait_until(lambda: len(begun) == JOBS, "all jobs begun", 1.0)
-        if trouble:
+        if s.TROUBLE:
             record("the machine of w2 is cut off from the entries")
             for it in ways:
                 it.held_all = True
--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -31,6 +31,8 @@
 CANCEL_S, EVACUATE_S, STOP_S, STABILITY_S = 3.0, 5.0, 0.05, 3.0
 HEARTBEAT_S = 1.5
 BEGUN = time.monotonic()
+# Whether a script brings its disruption about; TROUBLE=0 leaves it out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
 def now():
@@ -589,12 +591,11 @@
 
 
 def main(folder, case):
-    """Runs `case(trouble, record)`, which returns the list of what broke the rule."""
+    """Runs `case(record)`, which returns the list of what broke the rule."""
     record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record(f"trouble: {'yes' if trouble else 'no'}")
+    record(f"trouble: {'yes' if TROUBLE else 'no'}")
     try:
-        broken = case(trouble, record)
+        broken = case(record)
     except (CannotRun, OSError) as error:
         record(f"could not run: {error}")
         print(f"could not run: {error}")
