Give up a job whose claim no other entry has confirmed lately

An entry is cut off from everything; callers whose jobs it has begun submit them through another one. Behind the cut the first entry started the tasks again, beside the runs of the second one.

Cause: a recorder lets a claim lapse 1.25 s after the connection to its coordinator has closed, or 2.2 s after the last message. Nothing lapsed at the coordinator, which went on with the job as soon as it reached an agent.

Change: a claim is a lease of 1.15 s, counted from when the latest claim that another entry has confirmed was sent; verdicts return that time, so that a delayed answer extends nothing. A coordinator whose lease has ended gives the job up and stops its runs, before a recorder may grant the claim to another entry. Looked at before each event that may start or continue runs.

With the lease counted from the latest claim instead of the confirmed one, DelayedConfirmationExtendsNoLease fails.

--- a/packages/daemon/src/claim_exchange.cc
+++ b/packages/daemon/src/claim_exchange.cc
@@ -152,6 +152,10 @@
   listener_.OnClaimLost(job, holder, now);
 }
 
+void ClaimExchange::OnClaimExpired(const std::string& job, core::TimePoint now) {
+  listener_.OnClaimExpired(job, now);
+}
+
 void ClaimExchange::OnAwaitedElsewhere(const direct::RivalClaim& message, core::TimePoint now) {
   listener_.OnAwaitedElsewhere(message.job, message.entry, now + message.wait, now);
 }
--- a/packages/daemon/src/claim_exchange.h
+++ b/packages/daemon/src/claim_exchange.h
@@ -60,6 +60,7 @@
   void OnGranted(direct::JobRequest request, core::TimePoint now) override;
   void OnOutcome(const std::string& job, const direct::JobOutcome& outcome) override;
   void OnClaimLost(const std::string& job, const std::string& holder, core::TimePoint now) override;
+  void OnClaimExpired(const std::string& job, core::TimePoint now) override;
   void OnAwaitedElsewhere(const direct::RivalClaim& message, core::TimePoint now) override;
   void OnTakenElsewhere(const std::string& job, const std::string& holder) override;
   void OnUnanswered(const std::string& entry) override;
--- a/packages/daemon/src/claim_exchange_listener.h
+++ b/packages/daemon/src/claim_exchange_listener.h
@@ -24,6 +24,9 @@
   // claim then.
   virtual void OnClaimLost(const std::string& job, const std::string& holder,
                            core::TimePoint now) = 0;
+  // No other entry has confirmed the claim of the job lately. Must end all its runs here, and
+  // release the claim then.
+  virtual void OnClaimExpired(const std::string& job, core::TimePoint now) = 0;
   // The caller of a job that this entry coordinates waits at another entry until `deadline`.
   virtual void OnAwaitedElsewhere(const std::string& job, const std::string& entry,
                                   core::TimePoint deadline, core::TimePoint now) = 0;
--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -174,7 +174,7 @@
 }
 
 void DirectEntryRuntime::OnRequest(const http::Request& request) {
-  CheckPause(BootNow());
+  GiveUpLapsedJobs(BootNow());
   const auto configuration = view_.configuration();
   const auto refuse = [this, &request](int status, const std::string& reason,
                                        core::Duration retry_after) {
@@ -321,11 +321,11 @@
   dispatcher_.Abandon(job, BootNow());
 }
 
-void DirectEntryRuntime::CheckPause(core::TimePoint now) {
+void DirectEntryRuntime::GiveUpLapsedJobs(core::TimePoint now) {
   const core::TimePoint last_active = std::exchange(last_active_, now).value_or(now);
   const core::Duration pause = now - last_active;
   claim_exchange_.OnPause(pause, now);
-  if (pause < kRunLimit) return;
+  if (pause < kRunLimit) return claims_.EndExpired(now);
   logger_.Warn("process stood still",
                {{"ms", std::to_string(ToMs(pause))}, {"jobs", std::to_string(dispatcher_.size())}});
   dispatcher_.YieldAll(now);
@@ -360,11 +360,17 @@
 
 void DirectEntryRuntime::OnClaimLost(const std::string& job, const std::string& holder,
                                      core::TimePoint now) {
-  if (!dispatcher_.Yield(job, now)) return;
+  if (!dispatcher_.Yield(job, "another entry has the job", now)) return;
   metrics_.Add("claims_lost", 1);
   logger_.Warn("claim lost", {{"job", job}, {"holder", holder}});
 }
 
+void DirectEntryRuntime::OnClaimExpired(const std::string& job, core::TimePoint now) {
+  if (!dispatcher_.Yield(job, "claim not confirmed", now)) return;
+  metrics_.Add("claims_expired", 1);
+  logger_.Warn("claim expired", {{"job", job}});
+}
+
 void DirectEntryRuntime::OnAwaitedElsewhere(const std::string& job, const std::string& entry,
                                             core::TimePoint deadline, core::TimePoint now) {
   const auto it = submissions_.find(job);
@@ -510,13 +516,13 @@
 }
 
 void DirectEntryRuntime::OnAgentConnected(const direct::AgentHello& hello, core::TimePoint now) {
-  CheckPause(now);
+  GiveUpLapsedJobs(now);
   dispatcher_.OnAgentHello(hello, now);
 }
 
 void DirectEntryRuntime::OnAgentFrame(const std::string& agent, const direct_wire::Frame& frame,
                                       core::TimePoint now) {
-  CheckPause(now);
+  GiveUpLapsedJobs(now);
   if (frame.has_description()) {
     dispatcher_.OnWorkerDescription(agent, ReadDescription(frame.description()));
   }
@@ -532,13 +538,13 @@
 }
 
 void DirectEntryRuntime::OnAgentLost(const std::string& agent, core::TimePoint last_heard) {
-  CheckPause(BootNow());
+  GiveUpLapsedJobs(BootNow());
   dispatcher_.OnAgentLost(agent, last_heard);
 }
 
 void DirectEntryRuntime::OnPeerConnected(const std::string& entry, bool records_claims,
                                          direct_wire::Frame& frame, core::TimePoint now) {
-  CheckPause(now);
+  GiveUpLapsedJobs(now);
   stale_records_.OnConnected(entry);
   claim_exchange_.OnPeerConnected(entry, records_claims, now);
   for (const auto& [route, last_crash] : dispatcher_.IsolatedRoutes(now)) {
@@ -555,7 +561,7 @@
 }
 
 void DirectEntryRuntime::OnPeerLost(const std::string& entry, core::TimePoint now) {
-  CheckPause(now);
+  GiveUpLapsedJobs(now);
   claim_exchange_.OnPeerLost(entry, now);
 }
 
@@ -565,7 +571,7 @@
 
 void DirectEntryRuntime::OnPeerFrame(const std::string& entry, const direct_wire::Frame& frame,
                                      core::TimePoint now) {
-  CheckPause(now);
+  GiveUpLapsedJobs(now);
   claim_exchange_.OnPeerFrame(entry, frame, now);
 }
 
@@ -733,7 +739,7 @@
 
 void DirectEntryRuntime::Tick() {
   const core::TimePoint now = BootNow();
-  CheckPause(now);
+  GiveUpLapsedJobs(now);
   load_.OnTick(ProcessorTime(), now);
   links_.Advance([this](const std::string& agent) { return dispatcher_.HasRunsAt(agent); }, now);
   if (!announced_ && !stopping_ && operator_topic_->reachable()) Announce();
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -82,12 +82,14 @@
   void OnClaimGranted(direct::JobRequest request, core::TimePoint now) override;
   void OnClaimEnded(const std::string& job, const direct::JobOutcome& outcome) override;
   void OnClaimLost(const std::string& job, const std::string& holder, core::TimePoint now) override;
+  void OnClaimExpired(const std::string& job, core::TimePoint now) override;
   void OnAwaitedElsewhere(const std::string& job, const std::string& entry,
                           core::TimePoint deadline, core::TimePoint now) override;
 
-  // Gives up all jobs if this process has stood still. Must be called before anything else in
-  // each event that places or continues runs.
-  void CheckPause(core::TimePoint now);
+  // Gives up the jobs that other entries may coordinate now: all if this process has stood still,
+  // otherwise those whose claims no other entry has confirmed lately. Must be called before
+  // anything else in each event that places or continues runs.
+  void GiveUpLapsedJobs(core::TimePoint now);
 
   std::optional<RuntimeError> OpenServers();
   void OnRequest(const http::Request& request);
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -29,6 +29,15 @@
   return core::Duration(static_cast<std::int64_t>(std::min(us, max)));
 }
 
+// Of a boot clock; only the process that wrote a time reads it as one.
+std::uint64_t WriteTime(core::TimePoint time) {
+  return static_cast<std::uint64_t>(time.time_since_epoch().count());
+}
+
+core::TimePoint ReadTime(std::uint64_t us) {
+  return core::TimePoint(core::Duration(static_cast<std::int64_t>(us)));
+}
+
 // The outcomes that verdicts and releases carry: those that later submissions get as well.
 std::optional<direct::JobOutcome> ReadOutcome(std::uint32_t kind, const std::string& reason) {
   using Kind = direct::JobOutcome::Kind;
@@ -119,10 +128,12 @@
   message.set_number(claim.number);
   message.set_held(claim.held);
   message.set_wait_us(WriteDuration(claim.wait));
+  message.set_sent_us(WriteTime(claim.sent_at));
 }
 
 direct::JobClaim ReadJobClaim(const direct_wire::JobClaim& message) {
-  return {message.job(), message.number(), message.held(), ReadDuration(message.wait_us())};
+  return {message.job(), message.number(), message.held(), ReadDuration(message.wait_us()),
+          ReadTime(message.sent_us())};
 }
 
 void WriteVerdict(const direct::ClaimVerdict& verdict, direct_wire::ClaimVerdict& message) {
@@ -131,6 +142,7 @@
   message.set_kind(static_cast<std::uint32_t>(verdict.kind));
   message.set_complete(verdict.complete);
   message.set_holder(verdict.holder);
+  message.set_claim_sent_us(WriteTime(verdict.claim_sent_at));
   if (verdict.kind != direct::ClaimVerdict::Kind::kEnded) return;
   message.set_outcome(static_cast<std::uint32_t>(verdict.outcome.kind));
   message.set_reason(verdict.outcome.reason);
@@ -138,8 +150,13 @@
 
 std::optional<direct::ClaimVerdict> ReadVerdict(const direct_wire::ClaimVerdict& message) {
   using Kind = direct::ClaimVerdict::Kind;
-  direct::ClaimVerdict verdict{message.job(),      message.number(), Kind::kTaken,
-                               message.complete(), message.holder(), {}};
+  direct::ClaimVerdict verdict{message.job(),
+                               message.number(),
+                               Kind::kTaken,
+                               message.complete(),
+                               message.holder(),
+                               {},
+                               ReadTime(message.claim_sent_us())};
   if (message.kind() > static_cast<std::uint32_t>(Kind::kEnded)) return std::nullopt;
   verdict.kind = static_cast<Kind>(message.kind());
   if (verdict.kind != Kind::kEnded) return verdict;
--- a/packages/daemon/src/direct_timing.h
+++ b/packages/daemon/src/direct_timing.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/time_bounds.h"
 
 // Durations that entries and agents have to agree on, and their log format.
 namespace coltsfoottide::daemon {
@@ -35,6 +36,11 @@
 inline constexpr core::Duration kSilentClaimLimit =
     kPeerStampInterval + kPeerJitter + kDisconnectedClaimLimit;
 
+// Time from the end of a claim's lease until the runs of its job are over: a turn of the timer, a
+// message between data centres and the stop.
+inline constexpr core::Duration kLeaseEndMargin = std::chrono::milliseconds(100);
+static_assert(direct::kClaimLease + kLeaseEndMargin <= kDisconnectedClaimLimit);
+
 // Longest interval between two states that an agent sends to an entry: while
 // it has runs of that entry, and while it has none.
 inline constexpr core::Duration kBusyInterval = std::chrono::milliseconds(150);
--- a/packages/daemon/test/direct_messages_test.cc
+++ b/packages/daemon/test/direct_messages_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(IsolationIsToldApartFromAFinding);
   CPPUNIT_TEST(OrderCarriesItsPriority);
   CPPUNIT_TEST(StateCarriesItsWorkByPriority);
+  CPPUNIT_TEST(VerdictReturnsTheTimeOfItsClaim);
   CPPUNIT_TEST_SUITE_END();
 
   void CrashSurvivesTheWire() {
@@ -66,6 +67,21 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, ReadState(message).queued_by_priority[3]);
   }
 
+  // Guards against a lease of a claim that begins at another time than its confirmation names. An
+  // entry of an earlier version names none.
+  void VerdictReturnsTheTimeOfItsClaim() {
+    const direct::JobClaim claim{"job", 7, true, {}, kNow};
+    direct_wire::JobClaim sent;
+    WriteJobClaim(claim, sent);
+    direct::ClaimVerdict verdict;
+    verdict.claim_sent_at = ReadJobClaim(sent).sent_at;
+    direct_wire::ClaimVerdict message;
+    WriteVerdict(verdict, message);
+    CPPUNIT_ASSERT(ReadVerdict(message)->claim_sent_at == kNow);
+    message.clear_claim_sent_us();
+    CPPUNIT_ASSERT(ReadVerdict(message)->claim_sent_at == core::TimePoint());
+  }
+
   // Guards against an unknown speed of an agent of an earlier version that reads as a high one.
   void SpeedSurvivesTheWire() {
     direct::WorkerState state;
--- a/packages/direct/benchmarks/job_claims_benchmark.cc
+++ b/packages/direct/benchmarks/job_claims_benchmark.cc
@@ -41,6 +41,7 @@
   void OnOutcome(const std::string& /*job*/, const JobOutcome& /*outcome*/) override {}
   void OnClaimLost(const std::string& /*job*/, const std::string& /*holder*/,
                    core::TimePoint /*now*/) override {}
+  void OnClaimExpired(const std::string& /*job*/, core::TimePoint /*now*/) override {}
   void OnAwaitedElsewhere(const RivalClaim& /*message*/, core::TimePoint /*now*/) override {}
   void OnTakenElsewhere(const std::string& /*job*/, const std::string& /*holder*/) override {}
   void OnUnanswered(const std::string& /*entry*/) override {}
--- a/packages/direct/include/coltsfoottide/direct/claim_registry.h
+++ b/packages/direct/include/coltsfoottide/direct/claim_registry.h
@@ -69,6 +69,8 @@
     // Coordinates the job, as it has said itself.
     bool held = false;
     core::Duration wait{};
+    // Of the latest claim, by the claimant's clock.
+    core::TimePoint sent_at;
   };
   struct Record {
     Claimant holder;
--- a/packages/direct/include/coltsfoottide/direct/claim_verdict.h
+++ b/packages/direct/include/coltsfoottide/direct/claim_verdict.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 
+#include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/job_outcome.h"
 
 namespace coltsfoottide::direct {
@@ -30,6 +31,8 @@
   std::string holder;
   // kEnded.
   JobOutcome outcome;
+  // JobClaim::sent_at of the claim that is answered; the epoch if it is not known.
+  core::TimePoint claim_sent_at{};
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/job_claim.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claim.h
@@ -16,6 +16,8 @@
   bool held = false;
   // How long the caller of a job that is not held still waits.
   core::Duration wait{};
+  // When the claim was sent, by the claimant's clock. Verdicts return it.
+  core::TimePoint sent_at{};
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/job_claims.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims.h
@@ -33,7 +33,12 @@
 // a grant, if this entry is certain of its own records as well and no entry that it has heard of
 // has begun the job. Otherwise both have to agree, and the next in rank is asked in place of one
 // that does not answer. Coordinators renew their claims, and move them when entries connect or
-// disconnect. Two entries that are cut off from each other may both be granted a job.
+// disconnect.
+//
+// A claim is a lease: a coordinator that no other entry has confirmed for kClaimLease gives the job
+// up, before those that have recorded it may grant it to another one. A claim that was granted
+// while no other entry was connected has no lease until one has confirmed it. Two groups of entries
+// that are cut off from each other may both be granted a job.
 class JobClaims {
  public:
   // `self`: name of this entry. `first_number`: see JobClaim; random, so that claims of
@@ -78,6 +83,10 @@
   // Something has arrived from the entry.
   void OnHeard(const std::string& entry) { unresponsive_.erase(entry); }
 
+  // Gives up the jobs whose leases have ended. Must be called before any event is acted on that may
+  // start or continue runs.
+  void EndExpired(core::TimePoint now);
+
   // Asks further entries in place of those that do not answer, and ends claims whose deadline
   // has passed. Must be called every few tens of milliseconds.
   void Advance(core::TimePoint now);
@@ -112,6 +121,8 @@
     bool complete = false;
     // Of the latest claim that was sent to the entry.
     core::TimePoint asked_at;
+    // kGranted: when the claim was sent that the entry has answered.
+    core::TimePoint confirmed_at;
   };
   struct ClaimState {
     std::uint32_t number = 0;
@@ -132,6 +143,8 @@
     // Not granted before. Set when the entry that has recorded another one is lost: that one
     // claims the job anew elsewhere until then, or its claim has lapsed.
     core::TimePoint not_before;
+    // Of a granted job: start of the lease. Unset if the claim has none.
+    std::optional<core::TimePoint> confirmed_at;
     // Of the entries that the claim was sent to.
     std::map<std::string, Answer> answers;
     // The entries that rank highest for the job, as of the value `ranked_at_change` of changes_.
@@ -152,6 +165,8 @@
   void AskAll(const std::string& job, core::TimePoint now);
   // Sends the claim to the entries, which have to answer it.
   void Ask(const std::string& job, const std::vector<std::string>& entries, core::TimePoint now);
+  // Sends the claim once more to the other entries that have been asked.
+  void AskAgain(const std::string& job, core::TimePoint now);
   // Sends the claim of a pending job under a new number.
   void Begin(const std::string& job, core::TimePoint now);
   // Determines the recorders, if the entries have changed.
@@ -180,6 +195,10 @@
   bool IsAgreed(const ClaimState& claim, core::TimePoint now) const;
   // The entries whose grants are too old to act on.
   std::vector<std::string> ExpiredGrants(const ClaimState& claim, core::TimePoint now) const;
+  // Starts the lease of a claim that is being granted, unless no other entry is connected.
+  void BeginLease(const std::string& job, ClaimState& claim);
+  // Another entry has confirmed a granted claim that was sent at `sent_at`.
+  void ExtendLease(const std::string& job, ClaimState& claim, core::TimePoint sent_at);
   // Grants a pending job if the answers are enough for it.
   void Settle(const std::string& job, core::TimePoint now);
   // Releases the claim where it is known. `awaited`: another entry waits for it, so that it is
@@ -214,6 +233,8 @@
   // Of granted jobs, by time: when the claim is sent again, and when the answers are due.
   std::deque<Timer> renewals_;
   std::deque<Timer> answers_due_;
+  // Of granted jobs, by the earliest time at which the lease can end.
+  std::multimap<core::TimePoint, ClaimKey> lease_ends_;
 
   // What Record sends: claims that no recorder knows of, and releases, by entry.
   std::vector<ClaimKey> unrecorded_;
--- a/packages/direct/include/coltsfoottide/direct/job_claims_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims_sink.h
@@ -34,6 +34,9 @@
   // then.
   virtual void OnClaimLost(const std::string& job, const std::string& holder,
                            core::TimePoint now) = 0;
+  // No other entry has confirmed the claim of the job for so long that another one may coordinate
+  // it soon. Must end all its runs here, and release the claim then.
+  virtual void OnClaimExpired(const std::string& job, core::TimePoint now) = 0;
   // The caller of a job that this entry coordinates waits at another entry.
   virtual void OnAwaitedElsewhere(const RivalClaim& message, core::TimePoint now) = 0;
 
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -84,9 +84,9 @@
   // The caller of a job in progress waits until `deadline`, possibly at another entry.
   void ExtendDeadline(const std::string& job, core::TimePoint deadline);
 
-  // Gives up a job that another entry coordinates now. Returns whether it was not given up
-  // before.
-  bool Yield(const std::string& job, core::TimePoint now);
+  // Gives up a job that another entry coordinates now, or may soon. Returns whether it was not
+  // given up before. `reason`: for logs.
+  bool Yield(const std::string& job, const std::string& reason, core::TimePoint now);
 
   // Gives up all jobs: this process has stood still for so long that other entries may
   // coordinate them now.
--- a/packages/direct/include/coltsfoottide/direct/time_bounds.h
+++ b/packages/direct/include/coltsfoottide/direct/time_bounds.h
@@ -29,6 +29,10 @@
 // arrive some seconds later.
 inline constexpr core::Duration kOutcomeRetention = std::chrono::seconds(10);
 
+// How long an entry coordinates a job after it has sent the latest claim that another entry has
+// confirmed. Recorders let a claim lapse later than that, by the time in which runs are stopped.
+inline constexpr core::Duration kClaimLease = std::chrono::milliseconds(1150);
+
 // What an entry reads has not waited for longer than this, unless the entry is slow or stood still.
 // Together with the longest time between two stamps of an entry, it is shorter than the time after
 // which callers come back.
--- a/packages/direct/src/claim_registry.cc
+++ b/packages/direct/src/claim_registry.cc
@@ -18,12 +18,13 @@
                                 ClaimVerdict verdict) {
   verdict.job = job;
   verdict.number = claimant.number;
+  verdict.claim_sent_at = claimant.sent_at;
   sink_.SendVerdict(claimant.entry, verdict);
 }
 
 void ClaimRegistry::OnClaim(const std::string& entry, const JobClaim& claim, core::TimePoint now) {
   using Kind = ClaimVerdict::Kind;
-  const Claimant claimant{entry, claim.number, claim.held, claim.wait};
+  const Claimant claimant{entry, claim.number, claim.held, claim.wait, claim.sent_at};
   const auto [it, added] = records_.try_emplace(claim.job);
   Record& record = it->second;
   if (added) {
--- a/packages/direct/src/job_claims.cc
+++ b/packages/direct/src/job_claims.cc
@@ -44,6 +44,10 @@
 // after which its runs are over if it was lost as well.
 constexpr core::Duration kLostRecordWait = std::chrono::milliseconds(1250);
 constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
+// A claim whose latest confirmation is older when it is granted is renewed at once: its lease might
+// end before the next renewal.
+constexpr core::Duration kFreshConfirmation = kClaimInterval + kAnswerLimit;
+static_assert(kFreshConfirmation + kRenewalInterval + 3 * kAnswerLimit < kClaimLease);
 
 }  // namespace
 
@@ -139,13 +143,13 @@
                     core::TimePoint now) {
   if (entries.empty()) return;
   ClaimState& claim = claims_.at(job);
-  JobClaim message{job, claim.number, !claim.request, {}};
+  JobClaim message{job, claim.number, !claim.request, {}, now};
   if (claim.request) message.wait = claim.request->deadline - now;
   // All before the first is sent: this entry answers at once, and the others must be waited
   // for.
   for (const std::string& it : entries) {
     using State = Answer::State;
-    claim.answers[it] = {unresponsive_.contains(it) ? State::kLate : State::kNone, false, now};
+    claim.answers[it] = {unresponsive_.contains(it) ? State::kLate : State::kNone, false, now, {}};
   }
   for (const std::string& it : entries) {
     if (it != self_) sink_.SendClaim(it, message);
@@ -154,6 +158,14 @@
   if (ask_self) sink_.SendClaim(self_, message);
 }
 
+void JobClaims::AskAgain(const std::string& job, core::TimePoint now) {
+  std::vector<std::string> entries;
+  for (const auto& [entry, answer] : claims_.at(job).answers) {
+    if (entry != self_) entries.push_back(entry);
+  }
+  Ask(job, entries, now);
+}
+
 bool JobClaims::IsGrantedByRecorder(const ClaimState& claim, bool complete) {
   return std::any_of(claim.recorders.begin(), claim.recorders.end(), [&](const std::string& entry) {
     const auto it = claim.answers.find(entry);
@@ -186,7 +198,7 @@
   std::vector<std::string> expired;
   for (const auto& [entry, answer] : claim.answers) {
     const bool granted = answer.state == Answer::State::kGranted;
-    if (granted && entry != self_ && now - answer.asked_at > kGrantLifetime) {
+    if (granted && entry != self_ && now - answer.confirmed_at > kGrantLifetime) {
       expired.push_back(entry);
     }
   }
@@ -207,6 +219,7 @@
     return Settle(job, now);
   }
   unrecorded_.push_back({job, claim.number});
+  BeginLease(job, claim);
   JobRequest request = std::move(*claim.request);
   claim.request.reset();
   pending_.erase(job);
@@ -214,6 +227,37 @@
   sink_.OnGranted(std::move(request), now);
 }
 
+void JobClaims::BeginLease(const std::string& job, ClaimState& claim) {
+  if (entries_.size() == 1) return;
+  // Without a confirmation the lease lasts until the caller can have come back elsewhere.
+  claim.confirmed_at = claim.claimed_at;
+  for (const auto& [entry, answer] : claim.answers) {
+    const bool confirmed = entry != self_ && answer.state == Answer::State::kGranted;
+    if (confirmed) claim.confirmed_at = std::max(*claim.confirmed_at, answer.confirmed_at);
+  }
+  lease_ends_.emplace(*claim.confirmed_at + kClaimLease, ClaimKey{job, claim.number});
+}
+
+void JobClaims::ExtendLease(const std::string& job, ClaimState& claim, core::TimePoint sent_at) {
+  const bool had_lease = claim.confirmed_at.has_value();
+  claim.confirmed_at = std::max(claim.confirmed_at.value_or(sent_at), sent_at);
+  if (!had_lease) lease_ends_.emplace(sent_at + kClaimLease, ClaimKey{job, claim.number});
+}
+
+void JobClaims::EndExpired(core::TimePoint now) {
+  while (!lease_ends_.empty() && now >= lease_ends_.begin()->first) {
+    const ClaimKey key = std::move(lease_ends_.begin()->second);
+    lease_ends_.erase(lease_ends_.begin());
+    if (!IsHeld(key)) continue;
+    const core::TimePoint end = *claims_.at(key.job).confirmed_at + kClaimLease;
+    if (now < end) {
+      lease_ends_.emplace(end, key);
+    } else {
+      sink_.OnClaimExpired(key.job, now);
+    }
+  }
+}
+
 void JobClaims::OnVerdict(const std::string& entry, const ClaimVerdict& verdict,
                           core::TimePoint now) {
   using Kind = ClaimVerdict::Kind;
@@ -226,6 +270,13 @@
     const bool was_taken = answer->second.state == Answer::State::kTaken;
     answer->second.state = Answer::State::kGranted;
     answer->second.complete = verdict.complete;
+    // Earlier versions do not return the time.
+    const bool timed = verdict.claim_sent_at > core::TimePoint();
+    answer->second.confirmed_at =
+        timed ? std::min(verdict.claim_sent_at, answer->second.asked_at) : answer->second.asked_at;
+    if (entry != self_ && !claim.request) {
+      ExtendLease(verdict.job, claim, answer->second.confirmed_at);
+    }
     const bool uncertain =
         entry != self_ && !verdict.complete && claim.recorders_needed < kRecorders;
     if (claim.request && (uncertain || was_taken)) AskAll(verdict.job, now);
@@ -382,6 +433,8 @@
       if (!IsHeld(it)) continue;
       answers_due_.push_back({now + kAnswerLimit, it});
       renewals_.push_back({now + kRenewalInterval, it});
+      const auto confirmed_at = claims_.at(it.job).confirmed_at;
+      if (confirmed_at && now - *confirmed_at > kFreshConfirmation) AskAgain(it.job, now);
       AskAll(it.job, now);
     }
   }
@@ -421,14 +474,10 @@
   };
   for (const ClaimKey& key : take_due(renewals_)) {
     if (!IsHeld(key)) continue;
-    std::vector<std::string> entries;
-    for (const auto& [entry, answer] : claims_.at(key.job).answers) {
-      if (entry != self_) entries.push_back(entry);
-    }
     AddBegun(key.job, now);
     answers_due_.push_back({now + kAnswerLimit, key});
     renewals_.push_back({now + kRenewalInterval, key});
-    Ask(key.job, entries, now);
+    AskAgain(key.job, now);
   }
   for (const ClaimKey& key : take_due(answers_due_)) {
     if (!IsHeld(key)) continue;
@@ -456,6 +505,7 @@
 }
 
 void JobClaims::Advance(core::TimePoint now) {
+  EndExpired(now);
   previous_advance_ = std::exchange(advanced_at_, now);
   // Between two calls the connections are read.
   skipped_ = std::exchange(paused_, false);
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -295,10 +295,10 @@
   request.useful_until = std::max(request.useful_until, deadline);
 }
 
-bool JobDispatcher::Yield(const std::string& job, core::TimePoint now) {
+bool JobDispatcher::Yield(const std::string& job, const std::string& reason, core::TimePoint now) {
   const auto it = jobs_.find(job);
   if (it == jobs_.end() || it->second->claim_lost) return false;
-  const JobOutcome outcome{JobOutcome::Kind::kMayHaveRun, "another entry has the job", {}};
+  const JobOutcome outcome{JobOutcome::Kind::kMayHaveRun, reason, {}};
   it->second->claim_lost = true;
   if (!it->second->finished) Finish(*it->second, outcome, now);
   RemoveIfEnded(job, now);
@@ -308,7 +308,7 @@
 void JobDispatcher::YieldAll(core::TimePoint now) {
   std::vector<std::string> ids;
   for (const auto& [id, job] : jobs_) ids.push_back(id);
-  for (const std::string& it : ids) Yield(it, now);
+  for (const std::string& it : ids) Yield(it, "process stood still", now);
 }
 
 void JobDispatcher::OnWorkerDescription(const std::string& agent,
--- a/packages/direct/test/job_claims_property_test.cc
+++ b/packages/direct/test/job_claims_property_test.cc
@@ -65,7 +65,8 @@
 };
 
 struct Fault {
-  enum class Kind { kKill, kPause, kReset };
+  // kCut: what is sent to and by the entry waits until the end of the fault.
+  enum class Kind { kKill, kPause, kReset, kCut };
   Kind kind = Kind::kKill;
   int start_ms = 0;
   int length_ms = 0;
@@ -117,6 +118,12 @@
       case Fault::Kind::kReset:
         if (name != peer) At(begin, [this, name, peer] { Break(name, peer); });
         break;
+      case Fault::Kind::kCut:
+        At(begin, [this, name, end] {
+          Trace(name + " is cut off");
+          cut_until_[name] = end;
+        });
+        break;
     }
   }
 
@@ -194,6 +201,10 @@
       owner_.Trace(name + " loses " + job + " to " + holder);
       owner_.StopRun(*this, job);
     }
+    void OnClaimExpired(const std::string& job, core::TimePoint /*now*/) override {
+      owner_.Trace(name + " gives up " + job);
+      owner_.StopRun(*this, job);
+    }
     void OnAwaitedElsewhere(const RivalClaim& /*message*/, core::TimePoint /*now*/) override {}
     void OnTakenElsewhere(const std::string& /*job*/, const std::string& /*holder*/) override {}
     void OnUnanswered(const std::string& /*entry*/) override {}
@@ -259,14 +270,29 @@
     });
   }
 
-  static void Handle(Entry& entry, const std::function<void(Entry&)>& action) {
+  void Handle(Entry& entry, const std::function<void(Entry&)>& action) {
     if (entry.paused) {
       entry.backlog.push_back(action);
     } else {
+      entry.claims.EndExpired(now_);
       action(entry);
     }
   }
 
+  bool IsCut(const std::string& name) const {
+    const auto it = cut_until_.find(name);
+    return it != cut_until_.end() && now_ < it->second;
+  }
+
+  // When what is sent now between the entries leaves.
+  core::TimePoint SendTime(const std::string& a, const std::string& b) const {
+    core::TimePoint time = now_;
+    for (const std::string& it : {a, b}) {
+      if (IsCut(it)) time = std::max(time, cut_until_.at(it));
+    }
+    return time;
+  }
+
   void RunUntil(core::Duration end) {
     while (!events_.empty() && events_.begin()->first <= kStart + end) {
       const auto it = events_.begin();
@@ -384,6 +410,7 @@
     At(now_ + Ms(1 + Random(kMaxReopenMs)), [this, a, b] {
       Link& link = LinkOf(a, b);
       if (link.open || !entries_.contains(a) || !entries_.contains(b)) return;
+      if (IsCut(a) || IsCut(b)) return Reopen(a, b);
       link = {++links_opened_, true, {}};
       for (const auto& [from, to] : {std::pair(a, b), std::pair(b, a)}) {
         Handle(*entries_.at(from), [this, from = from, to = to, id = link.id](Entry&) {
@@ -423,7 +450,7 @@
             std::function<void(Entry&)> handle) {
     if (!IsOpen(from, to, id)) return;
     core::TimePoint& arrival = LinkOf(from, to).arrival[to];
-    arrival = std::max(arrival, now_ + Delay());
+    arrival = std::max(arrival, SendTime(from, to) + Delay());
     At(arrival, [this, from, to, id, handle = std::move(handle)] {
       if (IsOpen(from, to, id)) Handle(*entries_.at(to), handle);
     });
@@ -455,7 +482,7 @@
   void Submit(const std::string& job, int wanted) {
     for (int i = 0; i < static_cast<int>(names_.size()); ++i) {
       const auto it = entries_.find(Name(wanted + i));
-      if (it == entries_.end()) continue;
+      if (it == entries_.end() || IsCut(Name(wanted + i))) continue;
       return Handle(*it->second, [this, job](Entry& entry) {
         Trace("submit " + job + " at " + entry.name);
         if (entry.claims.IsPending(job) || entry.running.contains(job)) return;
@@ -517,6 +544,7 @@
   std::map<std::string, std::unique_ptr<Entry>> entries_;
   std::map<std::pair<std::string, std::string>, Link> links_;
   std::multimap<core::TimePoint, std::function<void()>> events_;
+  std::map<std::string, core::TimePoint> cut_until_;
   std::uint32_t processes_ = 0;
   std::uint64_t links_opened_ = 0;
   std::map<std::string, CallerPlan> plans_;
@@ -546,7 +574,7 @@
 
 Fault PickFault(int earliest_ms) {
   Fault fault;
-  fault.kind = static_cast<Fault::Kind>(*rc::gen::inRange(0, 3));
+  fault.kind = static_cast<Fault::Kind>(*rc::gen::inRange(0, 4));
   fault.start_ms = earliest_ms + *rc::gen::inRange(0, 3000);
   fault.length_ms = fault.kind == Fault::Kind::kReset ? kMaxReopenMs : *rc::gen::inRange(100, 3000);
   fault.entry = *rc::gen::inRange(0, 6);
@@ -564,12 +592,13 @@
 class JobClaimsPropertyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(JobClaimsPropertyTest);
   CPPUNIT_TEST(OneFaultAtATimeCausesNoSecondRun);
+  CPPUNIT_TEST(CutCausesNoSecondRun);
   CPPUNIT_TEST(ClaimsEndWithoutFaults);
   CPPUNIT_TEST(CostDoesNotDependOnTheNumberOfEntries);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a job that runs at two entries at once, after one process or connection has
-  // failed.
+  // failed or one entry was cut off from the others.
   void OneFaultAtATimeCausesNoSecondRun() {
     CPPUNIT_ASSERT(rc::check("one fault at a time causes no second run of a job", [] {
       const int entries = *rc::gen::inRange(3, 7);
@@ -600,6 +629,27 @@
     }));
   }
 
+  // Guards against a lasting job that goes on at an entry that is cut off, beside the run that
+  // another one begins for the caller who has left.
+  void CutCausesNoSecondRun() {
+    CPPUNIT_ASSERT(rc::check("a cut causes no second run of a job", [] {
+      const int entries = *rc::gen::inRange(3, 7);
+      ClaimsSimulation simulation(entries, *rc::gen::arbitrary<unsigned>());
+      CallerPlan caller;
+      caller.run_ms = *rc::gen::inRange(1000, 9000);
+      caller.visits = {{0, *rc::gen::inRange(0, 2000), *rc::gen::inRange(0, 500)},
+                       {1, *rc::gen::inRange(0, 5000), 0}};
+      const Fault cut{Fault::Kind::kCut, *rc::gen::inRange(0, 1000), *rc::gen::inRange(1000, 6000),
+                      0, 0};
+      // The name decides which entries record the job.
+      simulation.Add("j" + std::to_string(*rc::gen::inRange(0, 1000)), caller);
+      simulation.Add(cut);
+      simulation.RunFor(kCaseLength);
+      if (!simulation.overlaps().empty()) RC_LOG(simulation.trace());
+      RC_ASSERT(simulation.overlaps().empty());
+    }));
+  }
+
   // Guards against callers without an answer, and against records that are never removed.
   void ClaimsEndWithoutFaults() {
     CPPUNIT_ASSERT(rc::check("claims end without faults", [] {
--- a/packages/direct/test/job_claims_test.cc
+++ b/packages/direct/test/job_claims_test.cc
@@ -79,6 +79,11 @@
       running.erase(job);
       claims.Release(job, std::nullopt);
     }
+    void OnClaimExpired(const std::string& job, core::TimePoint /*now*/) override {
+      expired.insert(job);
+      running.erase(job);
+      claims.Release(job, std::nullopt);
+    }
     void OnAwaitedElsewhere(const RivalClaim& message, core::TimePoint /*now*/) override {
       returned.insert(message.job);
     }
@@ -100,6 +105,7 @@
     bool refuses = false;
     std::map<std::string, JobOutcome::Kind> outcomes;
     std::set<std::string> returned;
+    std::set<std::string> expired;
     std::set<std::string> unanswered;
 
    private:
@@ -114,6 +120,7 @@
     messages_.clear();
     entries_.clear();
     paused.clear();
+    cut_off.clear();
     for (int i = 0; i < count; ++i) Start("entry-" + std::to_string(i));
   }
 
@@ -155,10 +162,12 @@
     if (entries_.contains(to)) messages_.push_back({from, to, std::move(deliver)});
   }
 
-  // Delivers all messages but those to entries that stand still.
+  // Delivers all messages but those to entries that stand still, and to or from entries that are
+  // cut off.
   void Deliver() {
     for (std::size_t i = 0; i < messages_.size();) {
-      if (paused.contains(messages_[i].to)) {
+      const bool held = cut_off.contains(messages_[i].from) || cut_off.contains(messages_[i].to);
+      if (held || paused.contains(messages_[i].to)) {
         ++i;
         continue;
       }
@@ -181,6 +190,7 @@
         it->claims.Advance(now);
         for (auto& [other, peer] : entries_) {
           if (other == name || paused.contains(other)) continue;
+          if (cut_off.contains(name) || cut_off.contains(other)) continue;
           peer->registry.OnHeard(name, now);
           peer->registry.OnStamp(name, now);
           peer->claims.OnBegunJobs(it->claims.TakeBegunJobs(other), now);
@@ -221,6 +231,7 @@
 
   core::TimePoint now = kStart;
   std::set<std::string> paused;
+  std::set<std::string> cut_off;
   // Of entries that start: whether they are connected to all that they know.
   bool reaches_all = false;
 
@@ -278,6 +289,10 @@
   CPPUNIT_TEST(StoppingEntryLeavesItsOutcomes);
   CPPUNIT_TEST(ReleasedClaimsLeaveNothing);
   CPPUNIT_TEST(OnlyJobsThatNoEntryCanHaveBegunAreNew);
+  CPPUNIT_TEST(EntryThatIsCutOffGivesItsJobsUp);
+  CPPUNIT_TEST(LeaseLastsWhileOneEntryConfirmsIt);
+  CPPUNIT_TEST(DelayedConfirmationExtendsNoLease);
+  CPPUNIT_TEST(EntryAloneKeepsItsJobs);
   CPPUNIT_TEST_SUITE_END();
 
  private:
@@ -851,6 +866,70 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, entries_.Recorded());
   }
 
+  // Guards against a coordinator that goes on with a job after it was cut off from all others,
+  // while another entry begins it for the caller who has come back.
+  void EntryThatIsCutOffGivesItsJobsUp() {
+    for (const int ms : {0, 100, 700, 3000}) {
+      StartConnected();
+      const std::vector<std::string> rank = entries_.Rank("j");
+      entries_.Submit(rank[2], "j");
+      entries_.Advance(Ms(ms));
+      entries_.cut_off.insert(rank[2]);
+      entries_.Advance(Ms(1200));
+      CPPUNIT_ASSERT_EQUAL(std::string(), entries_.Coordinators("j"));
+      entries_.Advance(Ms(100));
+      entries_.Submit(rank[3], "j");
+      entries_.Advance(Ms(1500));
+      CPPUNIT_ASSERT_EQUAL(rank[3], entries_.Coordinators("j"));
+      entries_.cut_off.clear();
+      entries_.Advance(Ms(100));
+      CPPUNIT_ASSERT_EQUAL(rank[3], entries_.Coordinators("j"));
+    }
+  }
+
+  // Guards against running jobs that are given up because the entries that have recorded them are
+  // lost.
+  void LeaseLastsWhileOneEntryConfirmsIt() {
+    StartConnected();
+    const std::vector<std::string> rank = entries_.Rank("j");
+    entries_.Submit(rank[2], "j");
+    entries_.Advance(Ms(700));
+    entries_.paused = {rank[0], rank[1]};
+    entries_.Advance(Ms(5000));
+    CPPUNIT_ASSERT_EQUAL(rank[2], entries_.Coordinators("j"));
+    CPPUNIT_ASSERT(entries_.at(rank[2]).expired.empty());
+  }
+
+  // Guards against a lease that is counted from a later claim than the one that was confirmed, so
+  // that a coordinator goes on after its claim has lapsed.
+  void DelayedConfirmationExtendsNoLease() {
+    const std::vector<std::string> rank = entries_.Rank("j");
+    ClaimingEntries::Entry& entry = entries_.at(rank[2]);
+    entries_.Submit(rank[2], "j");
+    entries_.Advance(Ms(1000));
+    entries_.now += Ms(20);
+    entry.claims.Advance(entries_.now);
+    entries_.paused.insert(rank[2]);
+    entries_.Advance(Ms(600));
+    // Sends a further claim, which does not arrive, before it reads the answer to the last one.
+    entry.claims.Advance(entries_.now);
+    CPPUNIT_ASSERT_EQUAL(rank[2], entries_.Coordinators("j"));
+    entries_.paused = {rank[0], rank[1], rank[3]};
+    entries_.Deliver();
+    entries_.paused.clear();
+    entries_.cut_off.insert(rank[2]);
+    entries_.Advance(Ms(600));
+    CPPUNIT_ASSERT_EQUAL(std::string(), entries_.Coordinators("j"));
+  }
+
+  // Guards against a last entry that gives up each job that lasts, as nobody confirms its claims.
+  void EntryAloneKeepsItsJobs() {
+    entries_.Reset(1);
+    entries_.Submit("entry-0", "j");
+    entries_.Advance(Ms(5000));
+    CPPUNIT_ASSERT_EQUAL(std::string("entry-0"), entries_.Coordinators("j"));
+  }
+
   // Four entries that know of all jobs.
   void StartConnected() {
     entries_.reaches_all = true;
--- a/packages/direct/test/resubmitted_job_test.cc
+++ b/packages/direct/test/resubmitted_job_test.cc
@@ -63,7 +63,7 @@
     dispatcher_->Submit(SampleJob("j", 1), kStart);
     const RunId first = sink_.orders.at(0).id;
     dispatcher_->OnReport("agent-1", {first, RunReport::Kind::kStarted, {}}, kStart + Ms(1));
-    dispatcher_->Yield("j", kStart + Ms(2));
+    dispatcher_->Yield("j", "another entry has the job", kStart + Ms(2));
     CPPUNIT_ASSERT(sink_.answers.at(0).second.kind == JobOutcome::Kind::kMayHaveRun);
     dispatcher_->Submit(SampleJob("j", 1), kStart + Ms(3));
     dispatcher_->OnReport("agent-1", {first, RunReport::Kind::kLost, {}}, kStart + Ms(40));
