Place nothing at an agent by what was known before it connected

A server's machine is cut off from the entries for a second; behind the cut the server crashes and starts again as one of another kind, or of another service.

Cause: an entry handled the hello of an agent before the description and the state in the same frame. The hello ends the runs of the agent, so their tasks were placed there again, by the description and the state of the connection before.

Evidence: in the record of the case all wrong starts have run number 2 and follow the agent's connection within milliseconds.

Change: the hello carries the description and the state of its frame, which count before its runs. When a connection opens, what was known of the backend server is forgotten; without a description nothing is placed there.

Other tests sent hellos without a description and expect no order: they send one now, so that they still check that none follows although one could.

--- a/packages/daemon/src/entry_links.cc
+++ b/packages/daemon/src/entry_links.cc
@@ -207,7 +207,7 @@
   // Before the hello, so that the orders and claims that follow it carry the echo without
   // which the agent starts nothing.
   if (from_agent && frame.stamp_us() != 0) link.unechoed_stamp_us = frame.stamp_us();
-  if (frame.has_hello()) OnHello(id, frame.hello());
+  if (frame.has_hello()) OnHello(id, frame);
   const auto it = links_.find(id);
   if (it == links_.end()) return;
   if (!it->second.is_agent) {
@@ -234,7 +234,8 @@
   for (const std::string& it : entries_.OnListed(peer, listed, now)) LogKnown(peer, it);
 }
 
-void EntryLinks::OnHello(std::uint64_t id, const direct_wire::Hello& hello) {
+void EntryLinks::OnHello(std::uint64_t id, const direct_wire::Frame& frame) {
+  const direct_wire::Hello& hello = frame.hello();
   Link& link = links_.at(id);
   // A connection that changes its name would leave its former one in agents_.
   const bool is_entry = hello.sender() == direct_wire::Hello::ENTRY;
@@ -270,6 +271,11 @@
     OnClosed(old->second, "replaced");
   }
   agents_[hello.name()] = id;
+  OnAgentHello(link, frame);
+}
+
+void EntryLinks::OnAgentHello(Link& link, const direct_wire::Frame& frame) {
+  const direct_wire::Hello& hello = frame.hello();
   SendEvacuation(link);
   direct::AgentHello decoded;
   decoded.agent = hello.name();
@@ -279,6 +285,8 @@
   for (const direct_wire::WorkerCrash& it : hello.crashes()) {
     decoded.crashes.push_back(ReadCrash(it, BootNow()));
   }
+  if (frame.has_description()) decoded.description = ReadDescription(frame.description());
+  if (frame.has_worker()) decoded.state = ReadState(frame.worker());
   logger_.Info("agent connected", {{"agent", decoded.agent},
                                    {"incarnation", std::to_string(decoded.incarnation)},
                                    {"runs", std::to_string(decoded.runs.size())}});
--- a/packages/daemon/src/entry_links.h
+++ b/packages/daemon/src/entry_links.h
@@ -119,7 +119,9 @@
   void SendConfiguration(Link& link);
   void SendEvacuation(Link& link);
   void OnFrame(std::uint64_t id, const direct_wire::Frame& frame);
-  void OnHello(std::uint64_t id, const direct_wire::Hello& hello);
+  // `frame` holds the hello.
+  void OnHello(std::uint64_t id, const direct_wire::Frame& frame);
+  void OnAgentHello(Link& link, const direct_wire::Frame& frame);
   void OnEntryList(const std::string& peer, const direct_wire::EntryList& list,
                    core::TimePoint now);
   void OnClosed(std::uint64_t id, const std::string& reason);
--- a/packages/daemon/test/entry_links_test.cc
+++ b/packages/daemon/test/entry_links_test.cc
@@ -41,6 +41,7 @@
  public:
   void OnAgentConnected(const direct::AgentHello& hello, core::TimePoint /*now*/) override {
     connected.push_back(hello.agent);
+    latest_hello = hello;
     if (on_connected) on_connected(hello.agent);
   }
   void OnAgentFrame(const std::string& /*agent*/, const direct_wire::Frame& /*frame*/,
@@ -73,6 +74,7 @@
 
   std::function<void(const std::string& agent)> on_connected;
   std::vector<std::string> connected;
+  direct::AgentHello latest_hello;
   std::vector<std::string> lost;
   std::vector<std::string> crashing_routes;
   std::vector<std::string> cancels;
@@ -127,6 +129,7 @@
   CPPUNIT_TEST(HelloWithoutANameIsClosed);
   CPPUNIT_TEST(OrdersThatFollowAHelloCarryItsEcho);
   CPPUNIT_TEST(HelloOfAnEarlierConnectionIsRefused);
+  CPPUNIT_TEST(HelloComesWithTheDescriptionOfItsFrame);
   CPPUNIT_TEST(AgentsLearnOfEvacuationsBeforeTheyGetOrders);
   CPPUNIT_TEST(EntriesTellEachOtherOfCrashingRoutes);
   CPPUNIT_TEST(EntriesTellEachOtherOfCancels);
@@ -193,6 +196,19 @@
     CPPUNIT_ASSERT_EQUAL(kStampUs, *peer.echo_with_orders);
   }
 
+  // Guards against a placement by an earlier description of the backend server, between the hello
+  // and the description that follows it in the same frame.
+  void HelloComesWithTheDescriptionOfItsFrame() {
+    Peer peer(port_);
+    CPPUNIT_ASSERT(RunUntil([&] { return peer.open; }));
+    peer.connection->outbox().mutable_description()->add_labels("large");
+    peer.connection->outbox().mutable_worker()->set_ready(true);
+    peer.SendHello("10.0.0.1");
+    CPPUNIT_ASSERT(RunUntil([&] { return listener_.connected.size() == 1; }));
+    CPPUNIT_ASSERT(listener_.latest_hello.description->HasLabel("large"));
+    CPPUNIT_ASSERT(listener_.latest_hello.state->ready);
+  }
+
   // The network has held up what an agent sent on a connection that it has closed since.
   // Guards against ending the runs that this hello does not list: they were ordered on the
   // next connection and go on.
--- a/packages/direct/include/coltsfoottide/direct/agent_hello.h
+++ b/packages/direct/include/coltsfoottide/direct/agent_hello.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "coltsfoottide/direct/run_report.h"
 #include "coltsfoottide/direct/worker_crash.h"
+#include "coltsfoottide/direct/worker_description.h"
+#include "coltsfoottide/direct/worker_state.h"
 
 namespace coltsfoottide::direct {
 
@@ -22,6 +25,10 @@
   std::vector<RunReport> runs;
   // Recent crashes of the backend server, with the runs of all entries.
   std::vector<WorkerCrash> crashes{};
+  // The backend server at the time of the hello. Without them nothing is placed there until they
+  // have arrived.
+  std::optional<WorkerDescription> description{};
+  std::optional<WorkerState> state{};
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -117,7 +117,8 @@
   std::map<std::string, core::TimePoint> IsolatedRoutes(core::TimePoint now) const;
 
   // A connection to the agent has opened. Runs that the agent does not list and
-  // can no longer have are treated as ended.
+  // can no longer have are treated as ended. Nothing is placed there by what was known of its
+  // backend server before.
   void OnAgentHello(const AgentHello& hello, core::TimePoint now);
 
   // The connection to the agent has closed, or nothing has arrived on it since
--- a/packages/direct/include/coltsfoottide/direct/worker_description.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_description.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,10 @@
   // All resources that it has for tasks.
   Resources total;
 
+  bool HasLabel(const std::string& label) const {
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+  }
+
   bool operator==(const WorkerDescription&) const = default;
 };
 
--- a/packages/direct/include/coltsfoottide/direct/worker_view.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_view.h
@@ -16,7 +16,8 @@
 // that this entry has sent since.
 class WorkerView {
  public:
-  // A connection has opened, on which orders are counted from zero.
+  // A connection has opened, on which orders are counted from zero. What was known of the backend
+  // server may be of an earlier incarnation of another kind, so it is forgotten.
   void OnConnected();
   void OnDescription(const WorkerDescription& description) { description_ = description; }
   // `orders_seen` is the number of orders on this connection that the state
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -471,8 +471,10 @@
 }
 
 void JobDispatcher::OnAgentHello(const AgentHello& hello, core::TimePoint now) {
-  for (const WorkerCrash& it : hello.crashes) RecordCrash(hello.agent, it, now);
   fleet_.Get(hello.agent).OnConnected();
+  for (const WorkerCrash& it : hello.crashes) RecordCrash(hello.agent, it, now);
+  if (hello.description) OnWorkerDescription(hello.agent, *hello.description);
+  if (hello.state) OnWorkerState(hello.agent, *hello.state, 0, now);
   // The reports below may place new runs at this agent, which its hello cannot
   // list.
   const std::vector<RunId> earlier_runs = RunsAt(hello.agent);
--- a/packages/direct/src/worker_view.cc
+++ b/packages/direct/src/worker_view.cc
@@ -20,6 +20,8 @@
 
 void WorkerView::OnConnected() {
   connected_ = true;
+  description_ = {};
+  state_ = {};
   pending_.clear();
   pending_need_ = {};
   pending_work_ = 0;
@@ -54,9 +56,7 @@
 
 bool WorkerView::MeetsRequirements(const StepRequest& step) const {
   if (!description_.total.Fits(step.need)) return false;
-  return step.required_label.empty() ||
-         std::find(description_.labels.begin(), description_.labels.end(), step.required_label) !=
-             description_.labels.end();
+  return step.required_label.empty() || description_.HasLabel(step.required_label);
 }
 
 core::Duration WorkerView::StartDelay(const Resources& need) const {
--- a/packages/direct/test/direct_samples.h
+++ b/packages/direct/test/direct_samples.h
@@ -3,9 +3,13 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "coltsfoottide/direct/agent_hello.h"
 #include "coltsfoottide/direct/job_request.h"
 #include "coltsfoottide/direct/run_order.h"
+#include "coltsfoottide/direct/run_report.h"
 #include "coltsfoottide/direct/worker_description.h"
 #include "coltsfoottide/direct/worker_report.h"
 #include "coltsfoottide/direct/worker_state.h"
@@ -53,6 +57,12 @@
   return state;
 }
 
+// The hello of an agent with an idle SampleWorker.
+inline AgentHello SampleHello(const std::string& agent, std::uint64_t incarnation, bool runs_known,
+                              std::vector<RunReport> runs) {
+  return {agent, incarnation, runs_known, std::move(runs), {}, SampleWorker(), IdleWorker()};
+}
+
 inline WorkerReport SampleReport(std::uint64_t sequence) {
   WorkerReport report;
   report.id = "i-1";
--- a/packages/direct/test/job_dispatcher_test.cc
+++ b/packages/direct/test/job_dispatcher_test.cc
@@ -111,7 +111,7 @@
     Report(0, RunReport::Kind::kStarted);
     dispatcher_->OnAgentLost("agent-1", kStart);
     const RunReport running{sink_.orders[0].id, RunReport::Kind::kStarted, {}};
-    dispatcher_->OnAgentHello({"agent-1", 2, true, {running}}, kStart + Ms(50));
+    dispatcher_->OnAgentHello(SampleHello("agent-1", 2, true, {running}), kStart + Ms(50));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.claims.size());
     Report(0, RunReport::Kind::kDone);
     CPPUNIT_ASSERT(LastAnswer() == JobOutcome::Kind::kCompleted);
@@ -122,11 +122,11 @@
   void RunMissingFromACompleteHelloHasEnded() {
     dispatcher_->Submit(SampleJob("j", 1), kStart);
     dispatcher_->OnAgentLost("agent-1", kStart);
-    dispatcher_->OnAgentHello({"agent-1", 2, false, {}}, kStart + Ms(50));
+    dispatcher_->OnAgentHello(SampleHello("agent-1", 2, false, {}), kStart + Ms(50));
     dispatcher_->OnWorkerState("agent-1", IdleWorker(), 0, kStart);
     dispatcher_->Advance(kStart + Ms(60));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sink_.orders.size());
-    dispatcher_->OnAgentHello({"agent-1", 2, true, {}}, kStart + Ms(70));
+    dispatcher_->OnAgentHello(SampleHello("agent-1", 2, true, {}), kStart + Ms(70));
     dispatcher_->Advance(kStart + Ms(80));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sink_.orders.size());
   }
@@ -141,7 +141,7 @@
     Report(0, RunReport::Kind::kStarted);
     Report(1, RunReport::Kind::kStarted);
     const std::string agent = sink_.orders[0].agent;
-    AgentHello hello{agent, 1, true, {}};
+    AgentHello hello = SampleHello(agent, 1, true, {});
     for (const RecordingEntrySink::Sent& it : sink_.orders) {
       if (it.agent == agent) hello.runs.push_back({it.id, RunReport::Kind::kLost, {}});
     }
--- a/packages/direct/test/resubmitted_job_test.cc
+++ b/packages/direct/test/resubmitted_job_test.cc
@@ -91,7 +91,7 @@
 
   void Reconnect(std::vector<RunReport> runs) {
     dispatcher_->OnAgentLost("agent-1", kStart + Ms(1550));
-    dispatcher_->OnAgentHello({"agent-1", 1, true, std::move(runs)}, kStart + Ms(1600));
+    dispatcher_->OnAgentHello(SampleHello("agent-1", 1, true, std::move(runs)), kStart + Ms(1600));
   }
 
   static RunOrder OrderOf(std::uint32_t submission) {
--- a/packages/direct/test/simulated_fleet.h
+++ b/packages/direct/test/simulated_fleet.h
@@ -388,12 +388,15 @@
     RunExecutor& executor = servers_.at(agent)->executor();
     executor.OnOwnerConfirmed(entry.name, events_.now());
     const auto& crashes = executor.recent_crashes();
-    const AgentHello hello{
-        agent, 1, true, executor.RunsFor(entry.name), {crashes.begin(), crashes.end()}};
+    const AgentHello hello{agent,
+                           1,
+                           true,
+                           executor.RunsFor(entry.name),
+                           {crashes.begin(), crashes.end()},
+                           SampleWorker(),
+                           StateOf(agent)};
     entry.connected.insert(agent);
     entry.dispatcher.OnAgentHello(hello, events_.now());
-    entry.dispatcher.OnWorkerDescription(agent, SampleWorker());
-    entry.dispatcher.OnWorkerState(agent, StateOf(agent), 0, events_.now());
   }
 
   Entry* FindEntry(const std::string& name) {
--- a/packages/direct/test/superseded_run_test.cc
+++ b/packages/direct/test/superseded_run_test.cc
@@ -50,7 +50,7 @@
   }
 
   void ReconnectWith(const RunId& id, RunReport::Kind kind) {
-    dispatcher_->OnAgentHello({"agent-1", 1, true, {RunReport{id, kind, {}}}},
+    dispatcher_->OnAgentHello(SampleHello("agent-1", 1, true, {RunReport{id, kind, {}}}),
                               kStart + kBound + Ms(10));
   }
 
@@ -92,7 +92,7 @@
   void ReportOfARunThatWasPlacedElsewhereStopsIt() {
     Connect("agent-2");
     const RunId first = LoseFirstRun();
-    dispatcher_->OnAgentHello({"agent-1", 1, true, {}}, kStart + kBound + Ms(10));
+    dispatcher_->OnAgentHello(SampleHello("agent-1", 1, true, {}), kStart + kBound + Ms(10));
     dispatcher_->OnReport("agent-1", {first, RunReport::Kind::kStarted, {}},
                           kStart + kBound + Ms(20));
     AssertStopped(first);
