Hand back orders that the backend server does not meet

Callers could see: a run on a backend server without the required label or of another service. An order is on its way while the server starts again as one of another kind, and the agent starts it, as the order does not say what it was placed by.

Change: orders name the service and the required label of their step, and the agent hands back as not run those that its backend server does not meet. Orders of earlier versions name none and are not checked.

Tests: RunExecutorTest::OrderForAnotherKindIsHandedBack fails if the agent does not check; AgentHelloTest::OrdersNameWhatTheyRequire, DirectMessagesTest::OrderCarriesWhatItRequires.

--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -68,6 +68,8 @@
     group->set_expedited(order.expedited);
     group->set_submission(order.id.submission);
     group->set_priority(order.priority);
+    group->set_service(order.service);
+    group->set_required_label(order.required_label);
   }
   direct_wire::OrderGroup::Task* task = group->add_tasks();
   task->set_index(order.id.task.index);
@@ -85,6 +87,8 @@
   order.useful_until = now + core::Duration(group.useful_for_us());
   order.expedited = group.expedited();
   order.priority = group.priority();
+  order.service = group.service();
+  order.required_label = group.required_label();
   return order;
 }
 
--- a/packages/daemon/test/direct_messages_test.cc
+++ b/packages/daemon/test/direct_messages_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(ClaimWithoutItsNeedSaysNothing);
   CPPUNIT_TEST(IsolationIsToldApartFromAFinding);
   CPPUNIT_TEST(OrderCarriesItsPriority);
+  CPPUNIT_TEST(OrderCarriesWhatItRequires);
   CPPUNIT_TEST(StateCarriesItsWorkByPriority);
   CPPUNIT_TEST(VerdictReturnsTheTimeOfItsClaim);
   CPPUNIT_TEST_SUITE_END();
@@ -53,6 +54,19 @@
     CPPUNIT_ASSERT_EQUAL(0U, ReadOrder(group, group.tasks(0), kNow).priority);
   }
 
+  // Guards against a run on a backend server of another service or without the required label.
+  void OrderCarriesWhatItRequires() {
+    direct::RunOrder order;
+    order.id = {{"job", 0, 1}, 2};
+    order.service = "review";
+    order.required_label = "large";
+    direct_wire::Frame frame;
+    AddOrder(order, kNow, frame);
+    const direct::RunOrder read = ReadOrder(frame.orders(0), frame.orders(0).tasks(0), kNow);
+    CPPUNIT_ASSERT_EQUAL(order.service, read.service);
+    CPPUNIT_ASSERT_EQUAL(order.required_label, read.required_label);
+  }
+
   // Guards against urgent jobs that are refused for less urgent work. Further classes of a
   // later version count as the last one.
   void StateCarriesItsWorkByPriority() {
--- a/packages/direct/include/coltsfoottide/direct/run_order.h
+++ b/packages/direct/include/coltsfoottide/direct/run_order.h
@@ -23,6 +23,10 @@
   bool expedited = false;
   // Of the job; 0 is the most urgent.
   std::uint32_t priority = 0;
+  // Service and label that the backend server must have when the run starts; empty if the entry
+  // does not say.
+  std::string service;
+  std::string required_label;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -211,6 +211,13 @@
          !IsEvacuated();
 }
 
+bool RunExecutor::MeetsRequirements(const RunOrder& order) const {
+  const WorkerDescription& description = worker_report_->description;
+  const bool service_matches = order.service.empty() || order.service == description.service;
+  return service_matches &&
+         (order.required_label.empty() || description.HasLabel(order.required_label));
+}
+
 bool RunExecutor::HasTask(const TaskId& task) const {
   const auto it = runs_.lower_bound(RunId{task, 0});
   return it != runs_.end() && it->first.task == task;
@@ -233,7 +240,7 @@
 
 void RunExecutor::OnOrder(const std::string& owner, RunOrder order, core::TimePoint now) {
   // An agent that stood still reads orders that are older than their permission.
-  if (!AcceptsOrders() || IsSilent(owner, now)) {
+  if (!AcceptsOrders() || !MeetsRequirements(order) || IsSilent(owner, now)) {
     reports_.Report(owner, RunReport{order.id, RunReport::Kind::kNotRun, {}});
     return;
   }
--- a/packages/direct/test/agent_hello_test.cc
+++ b/packages/direct/test/agent_hello_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(ReturningServerOfAnotherKindGetsNoRun);
   CPPUNIT_TEST(ReturningServerGetsItsRunsAgain);
   CPPUNIT_TEST(NothingIsPlacedBeforeTheDescriptionHasArrived);
+  CPPUNIT_TEST(OrdersNameWhatTheyRequire);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -116,6 +117,14 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sink_.orders.size());
   }
 
+  // Guards against an agent that cannot tell whether its backend server is of the kind for which
+  // an order was placed.
+  void OrdersNameWhatTheyRequire() {
+    RunAndLose();
+    CPPUNIT_ASSERT_EQUAL(std::string("review"), sink_.latest_order.service);
+    CPPUNIT_ASSERT_EQUAL(std::string("large"), sink_.latest_order.required_label);
+  }
+
   RecordingEntrySink sink_;
   std::unique_ptr<JobDispatcher> dispatcher_;
 };
--- a/packages/direct/test/recording_entry_sink.h
+++ b/packages/direct/test/recording_entry_sink.h
@@ -29,6 +29,7 @@
   }
   void SendOrder(const std::string& agent, const RunOrder& order) override {
     orders.push_back({agent, order.id});
+    latest_order = order;
   }
   void OnPlaced(const std::string& /*job*/, const std::vector<PlacedTask>& tasks,
                 core::TimePoint /*now*/) override {
@@ -62,6 +63,7 @@
   std::vector<std::string> removed;
   std::vector<std::string> to_claim;
   std::vector<Sent> orders;
+  RunOrder latest_order;
   std::vector<PlacedTask> placed;
   std::vector<Sent> stops;
   std::vector<Sent> withdrawals;
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(LateAnswerOfAnEarlierIncarnationChangesNothing);
   CPPUNIT_TEST(LateRefusalChangesNothingForTheNextIncarnation);
   CPPUNIT_TEST(NextIncarnationIsCalledAtOnce);
+  CPPUNIT_TEST(OrderForAnotherKindIsHandedBack);
   CPPUNIT_TEST(OldReportChangesNothing);
   CPPUNIT_TEST(NextIncarnationIsAcceptedAfterItsClockWasSetBack);
   CPPUNIT_TEST(DrainingWorkerGetsNoRuns);
@@ -376,6 +377,25 @@
     CPPUNIT_ASSERT_EQUAL(before + 2, port_.renewals.size());
   }
 
+  // An order is on its way while the backend server starts again as one of another kind. Guards
+  // against a run there that the entry has placed by the earlier kind.
+  void OrderForAnotherKindIsHandedBack() {
+    RunOrder order = SampleOrder("j", 0);
+    order.service = "upload";
+    executor_->OnOrder(kOwner, order, kStart);
+    order = SampleOrder("j", 1);
+    order.service = "review";
+    order.required_label = "large";
+    executor_->OnOrder(kOwner, order, kStart);
+    CPPUNIT_ASSERT(port_.starts.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reports_.Count(RunReport::Kind::kNotRun));
+    WorkerReport report = SampleReport(2);
+    report.description.labels = {"a", "large"};
+    executor_->OnWorkerReport(report, kStart);
+    executor_->OnOrder(kOwner, order, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port_.starts.size());
+  }
+
   // Guards against a delayed report of an earlier incarnation or with an
   // earlier sequence number.
   void OldReportChangesNothing() {
