Start no queued run between the end of an incarnation and the next report

Callers could see: a run on a backend server of another kind. An agent learns from the answer to a lease renewal that its backend server has started again under the same id. It ended the runs of the earlier incarnation while it still took the server for ready, and each end started a queued run on the new one, by the report of the one before.

Change: the report of the earlier incarnation is dropped before its runs end. Queued runs are handed back; entries place them anew once the next report has arrived.

Test: RunExecutorTest::QueuedRunsDoNotStartOnTheNextIncarnation failed before: the queued run was not handed back.

--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -184,14 +184,16 @@
   lease_end_ = {};
   incarnation_confirmed_ = false;
   RecordCrash(earlier, now);
+  // First, so that the end of a run starts no queued one: the kind of the new incarnation is not
+  // known before it has reported.
+  worker_ready_ = false;
+  worker_report_.reset();
   AbandonIncarnation(now);
   for (const auto& [id, until] : std::exchange(late_starts_, {})) late_stops_[id] = {now, until};
   health_.Reset();
   speed_.Reset();
   ended_cursor_ = 0;
   acknowledged_cursor_ = 0;
-  worker_ready_ = false;
-  worker_report_.reset();
 }
 
 void RunExecutor::OnEvacuation(const std::set<std::string>& data_centres, std::uint64_t position,
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(LateRefusalChangesNothingForTheNextIncarnation);
   CPPUNIT_TEST(NextIncarnationIsCalledAtOnce);
   CPPUNIT_TEST(OrderForAnotherKindIsHandedBack);
+  CPPUNIT_TEST(QueuedRunsDoNotStartOnTheNextIncarnation);
   CPPUNIT_TEST(OldReportChangesNothing);
   CPPUNIT_TEST(NextIncarnationIsAcceptedAfterItsClockWasSetBack);
   CPPUNIT_TEST(DrainingWorkerGetsNoRuns);
@@ -396,6 +397,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port_.starts.size());
   }
 
+  // An answer shows that the backend server has started again under the same id, and so the ends of
+  // its runs. Guards against queued runs that take their place before the new incarnation has said
+  // which kind it is.
+  void QueuedRunsDoNotStartOnTheNextIncarnation() {
+    const RunId first = Order(0);
+    const RunId second = Order(1);
+    for (const RunId& it : {first, second}) {
+      executor_->OnStartResult(it, StartResult::kStarted, kStart + Ms(1));
+    }
+    AnswerRenewal({{first, 10}, {second, 10}}, {}, kStart + Ms(10));
+    Order(2, kStart + Ms(20));
+    executor_->Advance(kStart + Ms(70));
+    AnswerAsNextIncarnation(kStart + Ms(80));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reports_.Count(RunReport::Kind::kLost));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kNotRun));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.starts.size());
+  }
+
   // Guards against a delayed report of an earlier incarnation or with an
   // earlier sequence number.
   void OldReportChangesNothing() {
