--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -238,7 +238,7 @@
   bool IsEvacuated() const;
   bool AcceptsOrders() const;
   // Whether the backend server is of the kind that the order requires. The entry may have placed
-  // it by the description of an earlier incarnation.
+  // it by the description of an earlier incarnation. Needs a report.
   bool MeetsRequirements(const RunOrder& order) const;
   bool HasTask(const TaskId& task) const;
   // The run that a backend server lists by this task and number.
--- a/packages/direct/include/coltsfoottide/direct/worker_description.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_description.h
@@ -18,6 +18,7 @@
   // All resources that it has for tasks.
   Resources total;
 
+  // Whether the backend server has the label.
   bool HasLabel(const std::string& label) const {
     return std::find(labels.begin(), labels.end(), label) != labels.end();
   }
