Find leases that end without a record for each job

Cause: each granted job was entered in an ordered list of lease ends, also the many that end within a tenth of a second.

--- a/packages/direct/include/coltsfoottide/direct/job_claims.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims.h
@@ -196,9 +196,9 @@
   // The entries whose grants are too old to act on.
   std::vector<std::string> ExpiredGrants(const ClaimState& claim, core::TimePoint now) const;
   // Starts the lease of a claim that is being granted, unless no other entry is connected.
-  void BeginLease(const std::string& job, ClaimState& claim);
+  void BeginLease(ClaimState& claim);
   // Another entry has confirmed a granted claim that was sent at `sent_at`.
-  void ExtendLease(const std::string& job, ClaimState& claim, core::TimePoint sent_at);
+  void ExtendLease(ClaimState& claim, core::TimePoint sent_at);
   // Grants a pending job if the answers are enough for it.
   void Settle(const std::string& job, core::TimePoint now);
   // Releases the claim where it is known. `awaited`: another entry waits for it, so that it is
@@ -233,8 +233,8 @@
   // Of granted jobs, by time: when the claim is sent again, and when the answers are due.
   std::deque<Timer> renewals_;
   std::deque<Timer> answers_due_;
-  // Of granted jobs, by the earliest time at which the lease can end.
-  std::multimap<core::TimePoint, ClaimKey> lease_ends_;
+  // The earliest time at which a lease can end.
+  core::TimePoint lease_check_due_ = core::TimePoint::max();
 
   // What Record sends: claims that no recorder knows of, and releases, by entry.
   std::vector<ClaimKey> unrecorded_;
--- a/packages/direct/src/job_claims.cc
+++ b/packages/direct/src/job_claims.cc
@@ -219,7 +219,7 @@
     return Settle(job, now);
   }
   unrecorded_.push_back({job, claim.number});
-  BeginLease(job, claim);
+  BeginLease(claim);
   JobRequest request = std::move(*claim.request);
   claim.request.reset();
   pending_.erase(job);
@@ -227,35 +227,38 @@
   sink_.OnGranted(std::move(request), now);
 }
 
-void JobClaims::BeginLease(const std::string& job, ClaimState& claim) {
+void JobClaims::BeginLease(ClaimState& claim) {
   if (entries_.size() == 1) return;
   // Without a confirmation the lease lasts until the caller can have come back elsewhere.
-  claim.confirmed_at = claim.claimed_at;
+  core::TimePoint confirmed_at = claim.claimed_at;
   for (const auto& [entry, answer] : claim.answers) {
     const bool confirmed = entry != self_ && answer.state == Answer::State::kGranted;
-    if (confirmed) claim.confirmed_at = std::max(*claim.confirmed_at, answer.confirmed_at);
+    if (confirmed) confirmed_at = std::max(confirmed_at, answer.confirmed_at);
   }
-  lease_ends_.emplace(*claim.confirmed_at + kClaimLease, ClaimKey{job, claim.number});
+  ExtendLease(claim, confirmed_at);
 }
 
-void JobClaims::ExtendLease(const std::string& job, ClaimState& claim, core::TimePoint sent_at) {
-  const bool had_lease = claim.confirmed_at.has_value();
+void JobClaims::ExtendLease(ClaimState& claim, core::TimePoint sent_at) {
+  // The end of a lease that is extended is found when it is due.
+  if (!claim.confirmed_at) lease_check_due_ = std::min(lease_check_due_, sent_at + kClaimLease);
   claim.confirmed_at = std::max(claim.confirmed_at.value_or(sent_at), sent_at);
-  if (!had_lease) lease_ends_.emplace(sent_at + kClaimLease, ClaimKey{job, claim.number});
 }
 
 void JobClaims::EndExpired(core::TimePoint now) {
-  while (!lease_ends_.empty() && now >= lease_ends_.begin()->first) {
-    const ClaimKey key = std::move(lease_ends_.begin()->second);
-    lease_ends_.erase(lease_ends_.begin());
-    if (!IsHeld(key)) continue;
-    const core::TimePoint end = *claims_.at(key.job).confirmed_at + kClaimLease;
+  if (now < lease_check_due_) return;
+  lease_check_due_ = core::TimePoint::max();
+  std::vector<std::string> expired;
+  for (auto& [job, claim] : claims_) {
+    if (!claim.confirmed_at) continue;
+    const core::TimePoint end = *claim.confirmed_at + kClaimLease;
     if (now < end) {
-      lease_ends_.emplace(end, key);
+      lease_check_due_ = std::min(lease_check_due_, end);
     } else {
-      sink_.OnClaimExpired(key.job, now);
+      claim.confirmed_at.reset();
+      expired.push_back(job);
     }
   }
+  for (const std::string& it : expired) sink_.OnClaimExpired(it, now);
 }
 
 void JobClaims::OnVerdict(const std::string& entry, const ClaimVerdict& verdict,
@@ -275,7 +278,7 @@
     answer->second.confirmed_at =
         timed ? std::min(verdict.claim_sent_at, answer->second.asked_at) : answer->second.asked_at;
     if (entry != self_ && !claim.request) {
-      ExtendLease(verdict.job, claim, answer->second.confirmed_at);
+      ExtendLease(claim, answer->second.confirmed_at);
     }
     const bool uncertain =
         entry != self_ && !verdict.complete && claim.recorders_needed < kRecorders;
