Name the incarnation of the backend server in orders

Cause: orders named the service and the required label, two texts that each task copies and each agent compares, for a case that comes only with a restart of the backend server.

Change: the description names the incarnation, orders name the one for which they were placed, and the agent hands back those for another one. This covers all that differs between two incarnations.

Tests: RunExecutorTest::OrderForAnEarlierIncarnationIsHandedBack and AgentHelloTest::OrdersNameTheIncarnation take the place of the two tests of service and label: an incarnation of another kind is always another incarnation.

--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -53,7 +53,8 @@
   direct_wire::OrderGroup* group = nullptr;
   for (direct_wire::OrderGroup& it : *frame.mutable_orders()) {
     const bool same = it.job() == order.id.task.job && it.step() == order.id.task.step &&
-                      it.submission() == order.id.submission && it.expedited() == order.expedited;
+                      it.submission() == order.id.submission && it.expedited() == order.expedited &&
+                      it.incarnation() == order.incarnation;
     if (same) group = &it;
   }
   if (group == nullptr) {
@@ -68,8 +69,7 @@
     group->set_expedited(order.expedited);
     group->set_submission(order.id.submission);
     group->set_priority(order.priority);
-    group->set_service(order.service);
-    group->set_required_label(order.required_label);
+    group->set_incarnation(order.incarnation);
   }
   direct_wire::OrderGroup::Task* task = group->add_tasks();
   task->set_index(order.id.task.index);
@@ -87,8 +87,7 @@
   order.useful_until = now + core::Duration(group.useful_for_us());
   order.expedited = group.expedited();
   order.priority = group.priority();
-  order.service = group.service();
-  order.required_label = group.required_label();
+  order.incarnation = group.incarnation();
   return order;
 }
 
@@ -245,6 +244,7 @@
   message.set_rack(description.rack);
   for (const std::string& it : description.labels) message.add_labels(it);
   WriteResources(description.total, *message.mutable_total());
+  message.set_incarnation(description.incarnation);
 }
 
 direct::WorkerDescription ReadDescription(const direct_wire::WorkerDescription& message) {
@@ -254,6 +254,7 @@
   description.rack = message.rack();
   description.labels.assign(message.labels().begin(), message.labels().end());
   description.total = ReadResources(message.total());
+  description.incarnation = message.incarnation();
   return description;
 }
 
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -237,9 +237,9 @@
   bool OthersAreSlow(const Run& run, core::TimePoint now) const;
   bool IsEvacuated() const;
   bool AcceptsOrders() const;
-  // Whether the backend server is of the kind that the order requires. The entry may have placed
-  // it by the description of an earlier incarnation. Needs a report.
-  bool MeetsRequirements(const RunOrder& order) const;
+  // Whether the order was placed for the present incarnation of the backend server. Another one
+  // may be of another kind.
+  bool IsForPresentIncarnation(const RunOrder& order) const;
   bool HasTask(const TaskId& task) const;
   // The run that a backend server lists by this task and number.
   std::map<RunId, Run>::iterator FindListed(const RunId& id);
--- a/packages/direct/include/coltsfoottide/direct/run_order.h
+++ b/packages/direct/include/coltsfoottide/direct/run_order.h
@@ -23,10 +23,8 @@
   bool expedited = false;
   // Of the job; 0 is the most urgent.
   std::uint32_t priority = 0;
-  // Service and label that the backend server must have when the run starts; empty if the entry
-  // does not say.
-  std::string service;
-  std::string required_label;
+  // Incarnation of the backend server for which the run was placed; 0 if the entry does not say.
+  std::int64_t incarnation = 0;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/worker_description.h
+++ b/packages/direct/include/coltsfoottide/direct/worker_description.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
   std::vector<std::string> labels;
   // All resources that it has for tasks.
   Resources total;
+  // Of the backend server, see WorkerReport; 0 if it is not known.
+  std::int64_t incarnation = 0;
 
   // Whether the backend server has the label.
   bool HasLabel(const std::string& label) const {
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -142,6 +142,7 @@
   worker_.UseIncarnation(report);
   OnWorkerIncarnation(report.incarnation, now);
   worker_report_ = report;
+  worker_report_->description.incarnation = report.incarnation;
   worker_ready_ = true;
   worker_shut_down_ = false;
   SendLateStops(now);
@@ -213,11 +214,8 @@
          !IsEvacuated();
 }
 
-bool RunExecutor::MeetsRequirements(const RunOrder& order) const {
-  const WorkerDescription& description = worker_report_->description;
-  const bool service_matches = order.service.empty() || order.service == description.service;
-  return service_matches &&
-         (order.required_label.empty() || description.HasLabel(order.required_label));
+bool RunExecutor::IsForPresentIncarnation(const RunOrder& order) const {
+  return order.incarnation == 0 || order.incarnation == worker_incarnation_;
 }
 
 bool RunExecutor::HasTask(const TaskId& task) const {
@@ -242,7 +240,7 @@
 
 void RunExecutor::OnOrder(const std::string& owner, RunOrder order, core::TimePoint now) {
   // An agent that stood still reads orders that are older than their permission.
-  if (!AcceptsOrders() || !MeetsRequirements(order) || IsSilent(owner, now)) {
+  if (!AcceptsOrders() || !IsForPresentIncarnation(order) || IsSilent(owner, now)) {
     reports_.Report(owner, RunReport{order.id, RunReport::Kind::kNotRun, {}});
     return;
   }
