Renew a claim at once only if its lease might end before the next renewal

Cause: a claim whose confirmation was older than 0.26 s when recorders were told was sent once more. An entry that is short of processor time asks a recorder for each job, and sent each of these claims twice.

Change: the limit follows from the lease, 0.47 s.

--- a/packages/direct/src/job_claims.cc
+++ b/packages/direct/src/job_claims.cc
@@ -44,10 +44,9 @@
 // after which its runs are over if it was lost as well.
 constexpr core::Duration kLostRecordWait = std::chrono::milliseconds(1250);
 constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
-// A claim whose latest confirmation is older when it is granted is renewed at once: its lease might
-// end before the next renewal.
-constexpr core::Duration kFreshConfirmation = kClaimInterval + kAnswerLimit;
-static_assert(kFreshConfirmation + kRenewalInterval + 3 * kAnswerLimit < kClaimLease);
+// Oldest confirmation of a claim whose lease lasts until the next renewal, and until one of the
+// entries that are asked then has answered.
+constexpr core::Duration kMaxConfirmationAge = kClaimLease - kRenewalInterval - 3 * kAnswerLimit;
 
 }  // namespace
 
@@ -437,7 +436,7 @@
       answers_due_.push_back({now + kAnswerLimit, it});
       renewals_.push_back({now + kRenewalInterval, it});
       const auto confirmed_at = claims_.at(it.job).confirmed_at;
-      if (confirmed_at && now - *confirmed_at > kFreshConfirmation) AskAgain(it.job, now);
+      if (confirmed_at && now - *confirmed_at > kMaxConfirmationAge) AskAgain(it.job, now);
       AskAll(it.job, now);
     }
   }
