Split the leases of claims out of JobClaims

Cause: JobClaims decided which claims are granted, and kept when the lease of each one ends. Change: ClaimLeases keeps the leases; JobClaims begins, extends and removes them. Two comments that needed a second reading are reworded. Behaviour is unchanged.

--- a/packages/direct/include/coltsfoottide/direct/job_claims.h
+++ b/packages/direct/include/coltsfoottide/direct/job_claims.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/claim_leases.h"
 #include "coltsfoottide/direct/claim_release.h"
 #include "coltsfoottide/direct/job_filter.h"
 #include "coltsfoottide/direct/job_request.h"
@@ -143,8 +144,6 @@
     // Not granted before. Set when the entry that has recorded another one is lost: that one
     // claims the job anew elsewhere until then, or its claim has lapsed.
     core::TimePoint not_before;
-    // Of a granted job: start of the lease. Unset if the claim has none.
-    std::optional<core::TimePoint> confirmed_at;
     // Of the entries that the claim was sent to.
     std::map<std::string, Answer> answers;
     // The entries that rank highest for the job, as of the value `ranked_at_change` of changes_.
@@ -196,9 +195,7 @@
   // The entries whose grants are too old to act on.
   std::vector<std::string> ExpiredGrants(const ClaimState& claim, core::TimePoint now) const;
   // Starts the lease of a claim that is being granted, unless no other entry is connected.
-  void BeginLease(ClaimState& claim);
-  // Another entry has confirmed a granted claim that was sent at `sent_at`.
-  void ExtendLease(ClaimState& claim, core::TimePoint sent_at);
+  void BeginLease(const std::string& job, const ClaimState& claim);
   // Grants a pending job if the answers are enough for it.
   void Settle(const std::string& job, core::TimePoint now);
   // Releases the claim where it is known. `awaited`: another entry waits for it, so that it is
@@ -233,8 +230,8 @@
   // Of granted jobs, by time: when the claim is sent again, and when the answers are due.
   std::deque<Timer> renewals_;
   std::deque<Timer> answers_due_;
-  // The earliest time at which a lease can end.
-  core::TimePoint lease_check_due_ = core::TimePoint::max();
+  // Of granted jobs.
+  ClaimLeases leases_;
 
   // What Record sends: claims that no recorder knows of, and releases, by entry.
   std::vector<ClaimKey> unrecorded_;
--- a/packages/direct/src/job_claims.cc
+++ b/packages/direct/src/job_claims.cc
@@ -44,9 +44,9 @@
 // after which its runs are over if it was lost as well.
 constexpr core::Duration kLostRecordWait = std::chrono::milliseconds(1250);
 constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
-// Oldest confirmation of a claim whose lease lasts until the next renewal, and until one of the
-// entries that are asked then has answered.
-constexpr core::Duration kMaxConfirmationAge = kClaimLease - kRenewalInterval - 3 * kAnswerLimit;
+// A claim whose lease ends within this time is renewed at once: before the next renewal, or before
+// one of the entries that are asked then has answered.
+constexpr core::Duration kLeaseRenewalMargin = kRenewalInterval + 3 * kAnswerLimit;
 
 }  // namespace
 
@@ -218,7 +218,7 @@
     return Settle(job, now);
   }
   unrecorded_.push_back({job, claim.number});
-  BeginLease(claim);
+  BeginLease(job, claim);
   JobRequest request = std::move(*claim.request);
   claim.request.reset();
   pending_.erase(job);
@@ -226,38 +226,20 @@
   sink_.OnGranted(std::move(request), now);
 }
 
-void JobClaims::BeginLease(ClaimState& claim) {
+void JobClaims::BeginLease(const std::string& job, const ClaimState& claim) {
   if (entries_.size() == 1) return;
-  // Without a confirmation the lease lasts until the caller can have come back elsewhere.
+  // A lease without a confirmation counts from when the request was read: its caller submits it
+  // elsewhere 1.3 s later at the earliest.
   core::TimePoint confirmed_at = claim.claimed_at;
   for (const auto& [entry, answer] : claim.answers) {
     const bool confirmed = entry != self_ && answer.state == Answer::State::kGranted;
     if (confirmed) confirmed_at = std::max(confirmed_at, answer.confirmed_at);
   }
-  ExtendLease(claim, confirmed_at);
-}
-
-void JobClaims::ExtendLease(ClaimState& claim, core::TimePoint sent_at) {
-  // The end of a lease that is extended is found when it is due.
-  if (!claim.confirmed_at) lease_check_due_ = std::min(lease_check_due_, sent_at + kClaimLease);
-  claim.confirmed_at = std::max(claim.confirmed_at.value_or(sent_at), sent_at);
+  leases_.Extend(job, confirmed_at);
 }
 
 void JobClaims::EndExpired(core::TimePoint now) {
-  if (now < lease_check_due_) return;
-  lease_check_due_ = core::TimePoint::max();
-  std::vector<std::string> expired;
-  for (auto& [job, claim] : claims_) {
-    if (!claim.confirmed_at) continue;
-    const core::TimePoint end = *claim.confirmed_at + kClaimLease;
-    if (now < end) {
-      lease_check_due_ = std::min(lease_check_due_, end);
-    } else {
-      claim.confirmed_at.reset();
-      expired.push_back(job);
-    }
-  }
-  for (const std::string& it : expired) sink_.OnClaimExpired(it, now);
+  for (const std::string& it : leases_.TakeExpired(now)) sink_.OnClaimExpired(it, now);
 }
 
 void JobClaims::OnVerdict(const std::string& entry, const ClaimVerdict& verdict,
@@ -277,7 +259,7 @@
     answer->second.confirmed_at =
         timed ? std::min(verdict.claim_sent_at, answer->second.asked_at) : answer->second.asked_at;
     if (entry != self_ && !claim.request) {
-      ExtendLease(claim, answer->second.confirmed_at);
+      leases_.Extend(verdict.job, answer->second.confirmed_at);
     }
     const bool uncertain =
         entry != self_ && !verdict.complete && claim.recorders_needed < kRecorders;
@@ -350,6 +332,7 @@
   if (it == claims_.end()) return;
   const ClaimState claim = std::move(it->second);
   claims_.erase(it);
+  leases_.Remove(job);
   pending_.erase(job);
   SendReleases(job, claim, outcome, claim.contested);
 }
@@ -435,8 +418,7 @@
       if (!IsHeld(it)) continue;
       answers_due_.push_back({now + kAnswerLimit, it});
       renewals_.push_back({now + kRenewalInterval, it});
-      const auto confirmed_at = claims_.at(it.job).confirmed_at;
-      if (confirmed_at && now - *confirmed_at > kMaxConfirmationAge) AskAgain(it.job, now);
+      if (leases_.EndsBy(it.job, now + kLeaseRenewalMargin)) AskAgain(it.job, now);
       AskAll(it.job, now);
     }
   }
--- a/packages/direct/test/job_claims_test.cc
+++ b/packages/direct/test/job_claims_test.cc
@@ -866,8 +866,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, entries_.Recorded());
   }
 
-  // Guards against a coordinator that goes on with a job after it was cut off from all others,
-  // while another entry begins it for the caller who has come back.
+  // Guards against two coordinators of a job: one that is cut off from all other entries, and one
+  // to which the caller has submitted the job again.
   void EntryThatIsCutOffGivesItsJobsUp() {
     for (const int ms : {0, 100, 700, 3000}) {
       StartConnected();
