Answer calls about a job whose queue has been removed

Cause: an entry looked the route up before it looked at what the call was, although a job outlives its queue, and PROTOCOL.md answers GET and DELETE of a job with 200 or 410 only. Change: a GET or DELETE whose path ends in a job id is answered before the route is looked up, and a cancel is passed on to the other entries as always. Submissions and calls about a queue still need the route.

--- a/packages/daemon/src/direct_entry_runtime.cc
+++ b/packages/daemon/src/direct_entry_runtime.cc
@@ -189,6 +189,9 @@
   if (!ViewSettled(BootNow())) {
     return refuse(kUnavailable, "no configuration yet", kRetryAfter);
   }
+  // Before the route is looked up, as a job outlives the removal of its queue.
+  const auto known_job = platform::DecodeJobIdOfAnyQueue(request.path);
+  if (known_job && OnJobCall(request, *known_job)) return;
   const auto host = request.headers.find("host");
   const direct::Route* route =
       host == request.headers.end()
@@ -206,39 +209,50 @@
   }
   const auto job = platform::DecodeJobId(request.path, *route);
   if (!job) return refuse(kNotFound, "not a job id", {});
-  OnJobCall(request, *route, *job);
+  OnQueueCall(request, *route, *job);
 }
 
-void DirectEntryRuntime::OnJobCall(const http::Request& request, const direct::Route& route,
-                                   const std::string& job) {
-  if (request.method == "GET" && job.empty()) {
+void DirectEntryRuntime::OnQueueCall(const http::Request& request, const direct::Route& route,
+                                     const std::string& job) {
+  if (!job.empty() && OnJobCall(request, job)) return;
+  if (request.method == "GET") {
     caller_server_->Respond(request.id,
                             platform::EncodeWaiting(dispatcher_.CountWaiting(route.name)));
   } else if (request.method == "POST" && !job.empty()) {
     Submit(request, route, job);
-  } else if (request.method == "GET") {
-    const bool in_progress = dispatcher_.InProgress(job) || claims_.IsPending(job);
-    caller_server_->Respond(request.id,
-                            in_progress ? platform::EncodeRunning() : platform::EncodeUnknownJob());
-  } else if (request.method == "DELETE" && !job.empty()) {
-    const bool pending = claims_.IsPending(job);
-    const bool known = dispatcher_.InProgress(job) || pending;
-    dispatcher_.Cancel(job, BootNow());
-    if (pending) {
-      claims_.Withdraw(job);
-      Answer(job, {direct::JobOutcome::Kind::kCancelled, "cancelled", {}});
-    }
-    // The job may be in progress at another entry, or its request may arrive there late.
-    links_.BroadcastCancel(job);
-    caller_server_->Respond(
-        request.id, known ? platform::EncodeOutcome({direct::JobOutcome::Kind::kCancelled, "", {}})
-                          : platform::EncodeUnknownJob());
   } else {
     caller_server_->Respond(request.id,
                             platform::EncodeRefusal(kMethodNotAllowed, "no such call", {}));
   }
 }
 
+bool DirectEntryRuntime::OnJobCall(const http::Request& request, const std::string& job) {
+  if (request.method == "GET") {
+    const bool in_progress = dispatcher_.InProgress(job) || claims_.IsPending(job);
+    caller_server_->Respond(request.id,
+                            in_progress ? platform::EncodeRunning() : platform::EncodeUnknownJob());
+    return true;
+  }
+  if (request.method != "DELETE") return false;
+  CancelJob(request, job);
+  return true;
+}
+
+void DirectEntryRuntime::CancelJob(const http::Request& request, const std::string& job) {
+  const bool pending = claims_.IsPending(job);
+  const bool known = dispatcher_.InProgress(job) || pending;
+  dispatcher_.Cancel(job, BootNow());
+  if (pending) {
+    claims_.Withdraw(job);
+    Answer(job, {direct::JobOutcome::Kind::kCancelled, "cancelled", {}});
+  }
+  // The job may be in progress at another entry, or its request may arrive there late.
+  links_.BroadcastCancel(job);
+  caller_server_->Respond(
+      request.id, known ? platform::EncodeOutcome({direct::JobOutcome::Kind::kCancelled, "", {}})
+                        : platform::EncodeUnknownJob());
+}
+
 void DirectEntryRuntime::Submit(const http::Request& request, const direct::Route& route,
                                 const std::string& job) {
   const core::TimePoint now = BootNow();
--- a/packages/daemon/src/direct_entry_runtime.h
+++ b/packages/daemon/src/direct_entry_runtime.h
@@ -93,7 +93,13 @@
 
   std::optional<RuntimeError> OpenServers();
   void OnRequest(const http::Request& request);
-  void OnJobCall(const http::Request& request, const direct::Route& route, const std::string& job);
+  // `job`: empty if the call is about the route's queue.
+  void OnQueueCall(const http::Request& request, const direct::Route& route,
+                   const std::string& job);
+  // Answers a call about the state of a job, or for its cancellation, whether or not its queue is
+  // still there. Returns false, without an answer, if the method is that of no such call.
+  bool OnJobCall(const http::Request& request, const std::string& job);
+  void CancelJob(const http::Request& request, const std::string& job);
   void Submit(const http::Request& request, const direct::Route& route, const std::string& job);
   // Refuses a new job that this entry is too slow to answer. Returns whether it has.
   bool RefuseByLoad(const http::Request& request, const direct::JobRequest& job,
--- a/scripts/lib/leaving_callers.py
+++ b/scripts/lib/leaving_callers.py
@@ -4,7 +4,8 @@
 Each task must have one run at a time, also where the first entry does not notice that its
 caller has gone, and while other entries, which may be those that know of the job, die or stand
 still. The second submission must be answered as completed. Callers that come back to the same
-entry, when the job is done, or only to have it cancelled are played as well.
+entry, when the job is done, or only to have it cancelled, also after the operator has removed the
+queue, are played as well.
 """
 
 import argparse
@@ -22,6 +23,8 @@
 from soak import CALL_PORT, RETRY_DELAY_S, Soak
 
 ENTRIES, CALLERS, TASKS, TASK_MS = 4, 4, 2, 2400
+# Time after which all entries have a configuration.
+CONFIGURATION_S = 0.3
 LEAVES_AFTER_S, DEADLINE_S = 0.4, 12.0
 # A caller that is refused comes back until it has been refused this many times.
 SUBMISSIONS = 4
@@ -36,6 +39,7 @@
         self.fleet = Soak(options.build.resolve(), folder, options.seed, options.slot, ENTRIES)
         self.history = self.fleet.history
         self.errors = []
+        self.starts_at_cancel = 0
 
     def submit(self, host, job, leaves_after=None):
         """Returns the status, or 0 if the caller has left before an answer, the body, and the
@@ -146,19 +150,42 @@
         for it in callers:
             it.start()
         time.sleep(0.2)
+        self.cancel_all(hosts[third], jobs)
+        for it in callers:
+            it.join(DEADLINE_S)
+        self.check_stopped()
+
+    def play_removed_queue(self, number):
+        """The callers cancel their jobs through another entry after the operator has removed the
+        queue."""
+        first, second = self.rng.sample(range(ENTRIES), 2)
+        hosts, jobs = self.fleet.balancers["never"], [f"{number:08x}{n:08x}" for n in range(CALLERS)]
+        self.leave_all(hosts, jobs, first)
+        self.fleet.write_configuration(2, queues=0)
+        time.sleep(CONFIGURATION_S)
+        self.cancel_all(hosts[second], jobs)
+        self.check_stopped()
+        self.fleet.write_configuration(3)
+        time.sleep(CONFIGURATION_S)
+
+    def cancel_all(self, host, jobs):
+        """Cancels the jobs, of which no task must run soon after that."""
         for it in jobs:
-            self.cancel(hosts[third], it)
+            status = self.cancel(host, it)
+            if status not in (200, 410):
+                self.errors.append(f"{it}: cancel answered with {status}")
         time.sleep(0.5)
-        starts = self.history.starts
+        self.starts_at_cancel = self.history.starts
         running = [it for job in jobs for n in range(TASKS)
                    for it in self.history.active_runs.get(f"{job}.0.0.{n}", [])]
         if running:
             self.errors.append(f"after their cancel tasks run: {running}")
-        for it in callers:
-            it.join(DEADLINE_S)
+
+    def check_stopped(self):
         time.sleep(TASK_MS / 1000)
-        if self.history.starts != starts:
-            self.errors.append(f"{self.history.starts - starts} tasks of cancelled jobs started")
+        if self.history.starts != self.starts_at_cancel:
+            self.errors.append(f"{self.history.starts - self.starts_at_cancel} "
+                               "tasks of cancelled jobs started")
 
     def play_same(self, number):
         """The callers come back to the entry that they have left."""
@@ -186,7 +213,7 @@
                     number += 1
                     self.play(kind, trouble, number)
                     self.fleet.wait_served(number)
-            for play in (self.play_same, self.play_done, self.play_cancel):
+            for play in (self.play_same, self.play_done, self.play_cancel, self.play_removed_queue):
                 number += 1
                 errors = len(self.errors) + len(self.history.errors)
                 play(number)
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -182,11 +182,12 @@
         return Process(name, [build / "packages/daemon/coltsfoottided", f"--settings={path}"],
                        folder, address, "/ready")
 
-    def write_configuration(self, version):
+    def write_configuration(self, version, queues=1):
+        """With `queues` 0 the operator has removed the queue."""
         route = {"Name": "r", "Host": "h", "PathPrefix": "/j/", "Service": "review",
                  "TimeoutMs": 1500, "TargetLatencyMs": 60, "Priority": 0, "MaxAttempts": 4,
                  "Stretch": 1.6}
-        config = {"Version": version, "Routes": [route], "Services": [], "Limits": {}}
+        config = {"Version": version, "Routes": [route] * queues, "Services": [], "Limits": {}}
         self.store.append("keyed.op", "config", json.dumps(config).encode())
 
     def call_once(self, host, job, tasks, ms, crashing, estimate=None, chain=0,
