--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import ctypes
 import http.client
 import json
 import os
@@ -29,6 +30,17 @@
 MAX_HOLD_MS, STOP_MS, HEARTBEAT_MS = 1000, 50, 1500
 FRONT, READY, CONTROL, APP, STORE = 8161, 8167, 8166, 8080, 8169
 FIRST_LINK_PORT = 7720
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None, use_errno=True)
+
+
+def end_with_parent():
+    """The kernel ends this process when the thread that started it ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def exit_on_signal(number, _frame):
+    raise SystemExit(128 + number)
 
 
 def render(template, fields):
@@ -443,7 +455,8 @@
 
     def start(self):
         self.child = subprocess.Popen(self.argv, cwd=ROOT, env=self.env, stdin=subprocess.DEVNULL,
-                                      stdout=self.output, stderr=self.output)
+                                      stdout=self.output, stderr=self.output,
+                                      preexec_fn=end_with_parent)
         self.record.add("process_start", process=self.name)
 
     def signal(self, number):
@@ -465,6 +478,8 @@
     def __init__(self, folder, entries=3, sides=6, worker_options=None, config_ms=2000,
                  worker_relays=False):
         slot = random.SystemRandom().randrange(10, 250)
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            signal.signal(number, exit_on_signal)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(pathlib.Path(folder) / "record.txt")
         zones = ["a", "b", "c"][:max(1, min(entries, 3))]
@@ -535,9 +550,9 @@
                   "Services": [{"Name": "review", "EnforcesCapacity": True}], "Limits": {}}
         self.store.append("keyed.op", "config", json.dumps(config).encode())
 
-    def call(self, entry, method, job, body=None, timeout=30.0, header_deadline=True):
-        """One call of a client at an entry. Returns the status, 0 without an answer, and the
-        body."""
+    def call(self, entry, method, job, body=None, timeout=30.0):
+        """One call of a client at an entry, which waits for `timeout` and a second more. Returns
+        the status, 0 without an answer, and the body."""
         self.record.add("sent", method=method, job=job, entry=f"entry{entry}",
                         **({"steps": len(body["Steps"]), "spec": json.dumps(body["Spec"])}
                            if body else {}))
@@ -548,9 +563,8 @@
                     it.needs[f"{job}.0.{n}"] = need
         link = http.client.HTTPConnection(self.entry_hosts[entry], FRONT, timeout=timeout + 1.0)
         try:
-            headers = {"Host": "queue.example", "Content-Type": "application/json"}
-            if header_deadline:
-                headers["X-Deadline-Ms"] = str(int(timeout * 1000))
+            headers = {"Host": "queue.example", "Content-Type": "application/json",
+                       "X-Deadline-Ms": str(int(timeout * 1000))}
             link.request(method, f"/q/{job}", json.dumps(body) if body else None, headers)
             reply = link.getresponse()
             status, text = reply.status, reply.read().decode(errors="replace")
