--- a/review/11/run.py
+++ b/review/11/run.py
@@ -22,11 +22,9 @@
     deployment.start()
     callers = []
     for n in range(JOBS):
-        body = one_step(TASKS, TASK_MS)
-        body["Steps"][0]["Cpu"] = 2000
         callers.append(threading.Thread(
-            target=deployment.call, args=(n % 3, "POST", f"{0x5c0e7a21d94b3900 + n:016x}", body),
-            kwargs={"timeout": BUDGET_S}))
+            target=deployment.call, kwargs={"timeout": BUDGET_S},
+            args=(n % 3, "POST", f"{0x5c0e7a21d94b3900 + n:016x}", one_step(TASKS, TASK_MS))))
     for it in callers:
         it.start()
     time.sleep(0.25)
--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -636,13 +636,14 @@
     def cut_worker(self, n, cut, refuse=False):
         """Partitions a worker from its agent, or heals the partition. With `refuse` channels are
         reset and refused meanwhile, otherwise they are silent."""
+        at = self.record.add("worker_cut" if cut else "worker_healed",
+                             worker=self.workers[n].name, refuse=refuse)
         for it in self.worker_relays[n]:
             if refuse:
                 it.refuse(cut)
             else:
                 it.held = cut
-        return self.record.add("worker_cut" if cut else "worker_healed",
-                               worker=self.workers[n].name)
+        return at
 
     def close(self):
         for it in self.processes:
