Tell a refused connection from the answer of another incarnation

Log and decisions could not tell them apart. Change: CallFailure and StartResult::kRefused. The log line `backend server does not answer` has a `result` in place of `gone`. RunExecutor treats both as before. Simulated servers that are down refuse connections, as real ones do.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -84,6 +84,8 @@
       return "fenced";
     case Result::kInvalid:
       return "invalid";
+    case Result::kRefused:
+      return "refused";
     case Result::kWorkerGone:
       return "gone";
     case Result::kUnknown:
@@ -92,6 +94,19 @@
   return "no answer";
 }
 
+const char* FailureName(direct::CallFailure failure) {
+  using Failure = direct::CallFailure;
+  switch (failure) {
+    case Failure::kRefused:
+      return "refused";
+    case Failure::kWorkerGone:
+      return "gone";
+    case Failure::kNoAnswer:
+      break;
+  }
+  return "no answer";
+}
+
 std::int64_t UnixMs() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
@@ -152,16 +167,17 @@
   callbacks.on_stop = [this](const direct::RunId& id, bool answered) {
     executor_->OnStopResult(id, answered, BootNow());
   };
-  callbacks.on_lease_renewal =
-      [this](std::uint64_t round, const std::optional<direct::LeaseRenewal>& result, bool gone) {
-        if (!result) {
-          metrics_.Add("holds_unanswered", 1);
-          logger_.Warn("backend server does not answer", {{"gone", gone ? "yes" : "no"}});
-        }
-        executor_->OnLeaseRenewal(round, result, gone, BootNow());
-        state_changed_ = true;
-        LogWorkerState();
-      };
+  callbacks.on_lease_renewal = [this](std::uint64_t round,
+                                      const std::optional<direct::LeaseRenewal>& result,
+                                      direct::CallFailure failure) {
+    if (!result) {
+      metrics_.Add("holds_unanswered", 1);
+      logger_.Warn("backend server does not answer", {{"result", FailureName(failure)}});
+    }
+    executor_->OnLeaseRenewal(round, result, failure, BootNow());
+    state_changed_ = true;
+    LogWorkerState();
+  };
   callbacks.on_warning = [this](const std::string& event, const std::string& detail) {
     logger_.Warn(event, {{"detail", detail}});
   };
--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/call_failure.h"
 #include "coltsfoottide/direct/lease_renewal.h"
 #include "coltsfoottide/direct/run_order.h"
 #include "coltsfoottide/direct/run_queue.h"
@@ -80,11 +81,10 @@
 
   void OnStartResult(const RunId& id, StartResult result, core::TimePoint now);
   void OnStopResult(const RunId& id, bool answered, core::TimePoint now);
-  // The answer to a lease renewal, the call that also lists runs.
-  // Without a result, `worker_gone` is whether the incarnation that was called has ended: no
-  // process listens, or another one answers.
+  // The answer to a lease renewal, the call that also lists runs. `failure` counts only without
+  // a result.
   void OnLeaseRenewal(std::uint64_t renewal_number, const std::optional<LeaseRenewal>& result,
-                      bool worker_gone, core::TimePoint now);
+                      CallFailure failure, core::TimePoint now);
 
   // Starts no more runs and reports the queued ones as not run.
   void BeginDrain(core::TimePoint now);
--- a/packages/direct/include/coltsfoottide/direct/start_result.h
+++ b/packages/direct/include/coltsfoottide/direct/start_result.h
@@ -6,7 +6,7 @@
 enum class StartResult {
   kStarted,
 
-  // The results from here to kFenced mean that the run has not started.
+  // The results from here to kFenced mean that this call has not started the run.
 
   // Too few free resources.
   kNoResources,
@@ -21,7 +21,9 @@
 
   // The backend server rejects the call as invalid.
   kInvalid,
-  // The incarnation that was called has ended: no process listens, or another one answers.
+  // The connection was refused, so the call was not sent, see CallFailure::kRefused.
+  kRefused,
+  // Another incarnation has answered, so the one that was called has ended.
   kWorkerGone,
   // No answer: the run may have started or may start later.
   kUnknown,
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -445,6 +445,7 @@
       // have ended; a lease renewal will then list the end.
       if (run.unanswered_starts > 0) return StopRun(run, now);
       return EndRun(id, RunReport::Kind::kNumberUsed, now);
+    case StartResult::kRefused:
     case StartResult::kWorkerGone: {
       const bool gone = run.sent_to == worker_incarnation_;
       if (gone) worker_ready_ = false;
@@ -625,7 +626,7 @@
 }
 
 void RunExecutor::OnLeaseRenewal(std::uint64_t renewal_number,
-                                 const std::optional<LeaseRenewal>& result, bool worker_gone,
+                                 const std::optional<LeaseRenewal>& result, CallFailure failure,
                                  core::TimePoint now) {
   renewals_.erase(renewal_number);
   const bool of_incarnation = result && result->incarnation == worker_incarnation_;
@@ -634,9 +635,10 @@
   // not a lost one: only a later answer that overtakes it shows the loss.
   const bool overtakes = !renewals_.empty() && renewals_.begin()->first < renewal_number &&
                          now >= renewals_.begin()->second.overdue;
-  if (overtakes || (!result && !worker_gone)) lossy_until_ = now + kLossyPeriod;
+  const bool unanswered = !result && failure == CallFailure::kNoAnswer;
+  if (overtakes || unanswered) lossy_until_ = now + kLossyPeriod;
   if (!result) {
-    if (worker_gone) {
+    if (!unanswered) {
       renewal_due_ = now + kRetryDelay;
       earlier_runs_pending_ = false;
       runs_known_ = true;
--- a/packages/direct/test/evacuation_test.cc
+++ b/packages/direct/test/evacuation_test.cc
@@ -52,7 +52,7 @@
   void EndRun(std::uint64_t number, const RunId& id, core::TimePoint now) {
     executor_->OnLeaseRenewal(port_.renewals.back().renewal_number,
                               LeaseRenewal{1000, {}, {{number, id, EndedRun::Outcome::kDone}}},
-                              false, now);
+                              CallFailure::kNoAnswer, now);
   }
 
   // Guards against starts seconds after the evacuation was acknowledged, of runs that waited
--- a/packages/direct/test/foreign_report_test.cc
+++ b/packages/direct/test/foreign_report_test.cc
@@ -61,7 +61,7 @@
     std::vector<RunningRun> running;
     if (incarnation == kPresent) running.push_back({SampleOrder("j", 0).id, 10});
     executor_->OnLeaseRenewal(port_.renewals.back().renewal_number,
-                              LeaseRenewal{incarnation, running, {}}, false, now);
+                              LeaseRenewal{incarnation, running, {}}, CallFailure::kNoAnswer, now);
   }
 
   // Guards against a second run of a task while the first goes on: another writer's report
@@ -99,11 +99,12 @@
     StartListedRun();
     const std::uint64_t earlier = port_.renewals.back().renewal_number;
     executor_->OnWorkerReport(ForeignReport(), kStart + Ms(20));
-    executor_->OnLeaseRenewal(earlier, LeaseRenewal{kPresent, {}, {}}, false, kStart + Ms(25));
+    executor_->OnLeaseRenewal(earlier, LeaseRenewal{kPresent, {}, {}}, CallFailure::kNoAnswer,
+                              kStart + Ms(25));
     CPPUNIT_ASSERT(reports_.refuted.empty());
     CPPUNIT_ASSERT(port_.renewals.back().renewal_number > earlier);
-    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt, true,
-                              kStart + Ms(30));
+    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt,
+                              CallFailure::kWorkerGone, kStart + Ms(30));
     CPPUNIT_ASSERT((port_.used_ids == std::vector<std::string>{"i-1", "i-2"}));
   }
 
@@ -112,8 +113,8 @@
     StartListedRun();
     executor_->OnWorkerReport(ForeignReport(), kStart + Ms(20));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, reports_.Count(RunReport::Kind::kLost));
-    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt, true,
-                              kStart + Ms(30));
+    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt,
+                              CallFailure::kWorkerGone, kStart + Ms(30));
     CPPUNIT_ASSERT(reports_.Count(RunReport::Kind::kLost) > 0);
     CPPUNIT_ASSERT_EQUAL(1, reports_.crashes);
     CPPUNIT_ASSERT((port_.used_ids == std::vector<std::string>{"i-1", "i-2"}));
@@ -139,8 +140,8 @@
     StartListedRun();
     executor_->OnWorkerReport(ForeignReport(), kStart + Ms(20));
     for (int ms = 40; ms <= 400; ms += 20) executor_->Advance(kStart + Ms(ms));
-    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt, false,
-                              kStart + Ms(410));
+    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt,
+                              CallFailure::kNoAnswer, kStart + Ms(410));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, reports_.Count(RunReport::Kind::kLost));
     CPPUNIT_ASSERT((port_.used_ids == std::vector<std::string>{"i-1"}));
   }
@@ -153,9 +154,9 @@
     restarted.Begin(kStart);
     CPPUNIT_ASSERT(!restarted.OnWorkerReport(ForeignReport(), kStart + Ms(1)));
     restarted.OnLeaseRenewal(port.renewals.back().renewal_number, LeaseRenewal{kPresent, {}, {}},
-                             false, kStart + Ms(2));
+                             CallFailure::kNoAnswer, kStart + Ms(2));
     restarted.OnLeaseRenewal(port.renewals.back().renewal_number, LeaseRenewal{kPresent, {}, {}},
-                             false, kStart + Ms(3));
+                             CallFailure::kNoAnswer, kStart + Ms(3));
     CPPUNIT_ASSERT(port.used_ids.empty());
     CPPUNIT_ASSERT((reports_.refuted == std::vector<std::string>{"i-2"}));
     CPPUNIT_ASSERT(restarted.OnWorkerReport(SampleReport(1), kStart + Ms(4)));
--- a/packages/direct/test/late_calls_test.cc
+++ b/packages/direct/test/late_calls_test.cc
@@ -87,8 +87,8 @@
     WorkerReport report = SampleReport(1);
     report.incarnation = kSecondLife;
     executor_->OnWorkerReport(report, now);
-    executor_->OnLeaseRenewal(worker_.renewals.back(), LeaseRenewal{kSecondLife, {}, {}}, false,
-                              now);
+    executor_->OnLeaseRenewal(worker_.renewals.back(), LeaseRenewal{kSecondLife, {}, {}},
+                              CallFailure::kNoAnswer, now);
   }
 
   // An entry falls silent and the calls that stop its run get no answer, while another
@@ -104,7 +104,7 @@
     for (core::TimePoint now = kStart; now < kStart + kSimulated; now += kTick) {
       executor_->OnOwnerConfirmed(kOtherOwner, now);
       const LeaseRenewal answer{kFirstLife, {{silent, 10}, {other, 10}}, {}};
-      executor_->OnLeaseRenewal(worker_.renewals.back(), answer, false, now);
+      executor_->OnLeaseRenewal(worker_.renewals.back(), answer, CallFailure::kNoAnswer, now);
       executor_->Advance(now);
       executor_->OnStopResult(silent, false, now);
     }
@@ -151,8 +151,8 @@
     executor_->OnStop(id, kStart + Ms(100));
     executor_->OnStopResult(id, true, kStart + Ms(101));
     executor_->Advance(kStart + Ms(160));
-    executor_->OnLeaseRenewal(worker_.renewals.back(), LeaseRenewal{kFirstLife, {}, {}}, false,
-                              kStart + Ms(161));
+    executor_->OnLeaseRenewal(worker_.renewals.back(), LeaseRenewal{kFirstLife, {}, {}},
+                              CallFailure::kNoAnswer, kStart + Ms(161));
     CPPUNIT_ASSERT(worker_.HasReported(id, RunReport::Kind::kLost));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, worker_.stops.size());
     Restart(kStart + Ms(1000));
--- a/packages/direct/test/lease_bounds_test.cc
+++ b/packages/direct/test/lease_bounds_test.cc
@@ -77,7 +77,7 @@
   void AnswerRenewal(const std::vector<RunningRun>& running, const std::vector<EndedRun>& ended,
                      core::TimePoint now) {
     executor_->OnLeaseRenewal(port_.renewals.back().renewal_number,
-                              LeaseRenewal{1000, running, ended}, false, now);
+                              LeaseRenewal{1000, running, ended}, CallFailure::kNoAnswer, now);
   }
 
   // An entry dies while its run waits for resources, and the agent right after the run has
@@ -145,7 +145,8 @@
     const std::uint64_t first = port.renewals.back().renewal_number;
     restarted.OnWorkerReport(SampleReport(1), kStart + Ms(1));
     const RunId id{{"j", 0, 0}, 1};
-    restarted.OnLeaseRenewal(first, LeaseRenewal{1000, {{id, 5}}, {}}, false, kStart + Ms(2));
+    restarted.OnLeaseRenewal(first, LeaseRenewal{1000, {{id, 5}}, {}}, CallFailure::kNoAnswer,
+                             kStart + Ms(2));
     CPPUNIT_ASSERT(restarted.runs_known());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, restarted.RunsFor(kOwner).size());
   }
@@ -169,8 +170,8 @@
     const RunOrder order = LongOrder("j", 0);
     executor_->OnOrder(kOwner, order, kStart);
     executor_->OnStop(order.id, kStart + Ms(2));
-    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt, true,
-                              kStart + Ms(5));
+    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt,
+                              CallFailure::kWorkerGone, kStart + Ms(5));
     CPPUNIT_ASSERT(reports_.Has(order.id, RunReport::Kind::kLost));
     const std::size_t before = port_.stops.size();
     WorkerReport next = SampleReport(1);
@@ -187,8 +188,8 @@
     executor_->OnOrder(kOwner, order, kStart);
     executor_->OnStartResult(order.id, StartResult::kUnknown, kStart + Ms(20));
     executor_->OnStop(order.id, kStart + Ms(21));
-    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt, true,
-                              kStart + Ms(25));
+    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt,
+                              CallFailure::kWorkerGone, kStart + Ms(25));
     executor_->OnStopResult(order.id, true, kStart + Ms(26));
     const std::size_t before = port_.stops.size();
     WorkerReport next = SampleReport(1);
@@ -213,7 +214,7 @@
     next.incarnation = 2000;
     executor_->OnWorkerReport(next, kStart + Ms(1200));
     executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, LeaseRenewal{2000, {}, {}},
-                              false, kStart + Ms(1201));
+                              CallFailure::kNoAnswer, kStart + Ms(1201));
     CPPUNIT_ASSERT(port_.stops.size() > before);
   }
 
--- a/packages/direct/test/lost_answers_test.cc
+++ b/packages/direct/test/lost_answers_test.cc
@@ -89,7 +89,7 @@
       return;
     }
     After(wait + Ms(400), [this, renewal_number] {
-      executor_->OnLeaseRenewal(renewal_number, std::nullopt, false, now_);
+      executor_->OnLeaseRenewal(renewal_number, std::nullopt, CallFailure::kNoAnswer, now_);
     });
   }
   void Report(const std::string& /*owner*/, const RunReport& report) override {
@@ -132,7 +132,7 @@
         continue;
       }
       for (const RunId& id : started_) result.running.push_back({id, 50});
-      executor_->OnLeaseRenewal(it.renewal_number, result, false, now_);
+      executor_->OnLeaseRenewal(it.renewal_number, result, CallFailure::kNoAnswer, now_);
     }
   }
 
--- a/packages/direct/test/resubmitted_job_test.cc
+++ b/packages/direct/test/resubmitted_job_test.cc
@@ -167,8 +167,8 @@
       executor_->OnStartResult(filler, StartResult::kStarted, kStart + Ms(2));
       executor_->OnLeaseRenewal(
           port_.renewals.back().renewal_number,
-          LeaseRenewal{1000, {}, {{index + 1, filler, EndedRun::Outcome::kDone}}}, false,
-          kStart + Ms(60));
+          LeaseRenewal{1000, {}, {{index + 1, filler, EndedRun::Outcome::kDone}}},
+          CallFailure::kNoAnswer, kStart + Ms(60));
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, port_.starts.size());
     CPPUNIT_ASSERT(port_.starts.back() == OrderOf(2).id);
@@ -183,8 +183,8 @@
     CPPUNIT_ASSERT(reports_.Has(kOwner, OrderOf(2).id, RunReport::Kind::kNotRun));
     executor_->OnLeaseRenewal(
         port_.renewals.back().renewal_number,
-        LeaseRenewal{1000, {}, {{1, OrderOf(1).id.AsListed(), EndedRun::Outcome::kOther}}}, false,
-        kStart + Ms(20));
+        LeaseRenewal{1000, {}, {{1, OrderOf(1).id.AsListed(), EndedRun::Outcome::kOther}}},
+        CallFailure::kNoAnswer, kStart + Ms(20));
     CPPUNIT_ASSERT(port_.starts.back() == OrderOf(3).id);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, port_.starts.size());
   }
@@ -207,15 +207,17 @@
     restarted.Begin(kStart);
     const RunId listed = OrderOf(5).id.AsListed();
     restarted.OnLeaseRenewal(port.renewals.back().renewal_number,
-                             LeaseRenewal{1000, {{listed, 5}}, {}}, false, kStart + Ms(1));
+                             LeaseRenewal{1000, {{listed, 5}}, {}}, CallFailure::kNoAnswer,
+                             kStart + Ms(1));
     restarted.OnOwnerConfirmed(kOwner, kStart + Ms(2));
     restarted.OnClaim(kOwner, OrderOf(5).id, Resources{6000, 64, 0});
     restarted.OnLeaseRenewal(port.renewals.back().renewal_number,
-                             LeaseRenewal{1000, {{listed, 50}}, {}}, false, kStart + Ms(20));
+                             LeaseRenewal{1000, {{listed, 50}}, {}}, CallFailure::kNoAnswer,
+                             kStart + Ms(20));
     CPPUNIT_ASSERT(port.stops.empty());
     restarted.OnLeaseRenewal(port.renewals.back().renewal_number,
-                             LeaseRenewal{1000, {}, {{1, listed, EndedRun::Outcome::kDone}}}, false,
-                             kStart + Ms(40));
+                             LeaseRenewal{1000, {}, {{1, listed, EndedRun::Outcome::kDone}}},
+                             CallFailure::kNoAnswer, kStart + Ms(40));
     CPPUNIT_ASSERT(reports_.Has(kOwner, OrderOf(5).id, RunReport::Kind::kDone));
   }
 
--- a/packages/direct/test/run_executor_test.cc
+++ b/packages/direct/test/run_executor_test.cc
@@ -89,10 +89,11 @@
   void AnswerRenewal(const std::vector<RunningRun>& running, const std::vector<EndedRun>& ended,
                      core::TimePoint now) {
     executor_->OnLeaseRenewal(port_.renewals.back().renewal_number,
-                              LeaseRenewal{1000, running, ended}, false, now);
+                              LeaseRenewal{1000, running, ended}, CallFailure::kNoAnswer, now);
   }
   void RefuseRenewal(core::TimePoint now) {
-    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt, true, now);
+    executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, std::nullopt,
+                              CallFailure::kWorkerGone, now);
   }
   RunId Order(std::uint32_t index, core::TimePoint now = kStart) {
     executor_->OnOrder(kOwner, SampleOrder("j", index), now);
@@ -101,7 +102,7 @@
 
   void AnswerAsNextIncarnation(core::TimePoint now) {
     executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, LeaseRenewal{2000, {}, {}},
-                              false, now);
+                              CallFailure::kNoAnswer, now);
   }
   // The backend server has restarted: it reports itself, and answers the call that asks it.
   void ReportNextIncarnation(core::TimePoint now) {
@@ -286,14 +287,14 @@
     restarted.Begin(kStart);
     const RunId id{{"j", 0, 0}, 1};
     restarted.OnLeaseRenewal(port.renewals.back().renewal_number, LeaseRenewal{1000, {{id, 5}}, {}},
-                             false, kStart + Ms(1));
+                             CallFailure::kNoAnswer, kStart + Ms(1));
     restarted.Advance(kStart + Ms(2));
     CPPUNIT_ASSERT(!port.renewals.back().lease_end);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, reports_.Count(RunReport::Kind::kLost));
     restarted.OnOwnerConfirmed(kOwner, kStart + Ms(20));
     restarted.OnClaim(kOwner, id, Resources{6000, 64, 0});
     restarted.OnLeaseRenewal(port.renewals.back().renewal_number, LeaseRenewal{1000, {{id, 6}}, {}},
-                             false, kStart + Ms(52));
+                             CallFailure::kNoAnswer, kStart + Ms(52));
     CPPUNIT_ASSERT(port.renewals.back().lease_end == kStart + Ms(52) + kLease);
   }
 
@@ -332,7 +333,7 @@
     executor_->OnStopResult(id, true, kStart + Ms(22));
     executor_->Advance(kStart + Ms(100));
     executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, LeaseRenewal{2000, {}, {}},
-                              false, kStart + Ms(101));
+                              CallFailure::kNoAnswer, kStart + Ms(101));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kLost));
   }
 
@@ -345,10 +346,11 @@
     const std::uint64_t unanswered = port_.renewals.back().renewal_number;
     ReportNextIncarnation(kStart + Ms(100));
     const RunId id = StartAtNextIncarnation(kStart + Ms(110));
-    executor_->OnLeaseRenewal(unanswered, LeaseRenewal{1000, {{earlier, 5}}, {}}, false,
-                              kStart + Ms(200));
+    executor_->OnLeaseRenewal(unanswered, LeaseRenewal{1000, {{earlier, 5}}, {}},
+                              CallFailure::kNoAnswer, kStart + Ms(200));
     executor_->OnLeaseRenewal(port_.renewals.back().renewal_number,
-                              LeaseRenewal{2000, {{id, 50}}, {}}, false, kStart + Ms(210));
+                              LeaseRenewal{2000, {{id, 50}}, {}}, CallFailure::kNoAnswer,
+                              kStart + Ms(210));
     CPPUNIT_ASSERT(!WasLost(id));
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, std::count(port_.stops.begin(), port_.stops.end(), id));
     CPPUNIT_ASSERT(executor_->State(kStart + Ms(210)).ready);
@@ -360,7 +362,7 @@
     const std::uint64_t unanswered = port_.renewals.back().renewal_number;
     ReportNextIncarnation(kStart + Ms(100));
     const RunId id = StartAtNextIncarnation(kStart + Ms(110));
-    executor_->OnLeaseRenewal(unanswered, std::nullopt, true, kStart + Ms(200));
+    executor_->OnLeaseRenewal(unanswered, std::nullopt, CallFailure::kWorkerGone, kStart + Ms(200));
     executor_->OnStartResult(earlier, StartResult::kWorkerGone, kStart + Ms(201));
     CPPUNIT_ASSERT(!WasLost(id));
     CPPUNIT_ASSERT(executor_->State(kStart + Ms(201)).ready);
@@ -369,7 +371,7 @@
   // Guards against a new incarnation that does not know the agent's fencing token until it
   // gets its first run, and so carries out late calls to the one before.
   void NextIncarnationIsCalledAtOnce() {
-    executor_->OnLeaseRenewal(1, LeaseRenewal{1000, {}, {}}, false, kStart);
+    executor_->OnLeaseRenewal(1, LeaseRenewal{1000, {}, {}}, CallFailure::kNoAnswer, kStart);
     const std::size_t before = port_.renewals.size();
     ReportNextIncarnation(kStart + Ms(100));
     // One call asks whether the earlier incarnation is there, one carries the raised token.
@@ -381,7 +383,7 @@
   // An order is on its way while the backend server starts again, perhaps as one of another kind.
   // Guards against a run there that the entry has placed by the earlier kind.
   void OrderForAnEarlierIncarnationIsHandedBack() {
-    executor_->OnLeaseRenewal(1, LeaseRenewal{1000, {}, {}}, false, kStart);
+    executor_->OnLeaseRenewal(1, LeaseRenewal{1000, {}, {}}, CallFailure::kNoAnswer, kStart);
     RunOrder order = SampleOrder("j", 0);
     order.incarnation = executor_->Description().incarnation;
     ReportNextIncarnation(kStart + Ms(100));
@@ -427,7 +429,7 @@
   // against ignoring it for good, and against accepting late reports of the incarnation
   // before.
   void NextIncarnationIsAcceptedAfterItsClockWasSetBack() {
-    executor_->OnLeaseRenewal(1, LeaseRenewal{1000, {}, {}}, false, kStart);
+    executor_->OnLeaseRenewal(1, LeaseRenewal{1000, {}, {}}, CallFailure::kNoAnswer, kStart);
     const std::size_t before = port_.renewals.size();
     WorkerReport next = SampleReport(1);
     next.incarnation = 900;
@@ -462,8 +464,8 @@
     const RunId claimed{{"j", 0, 0}, 1};
     const RunId unclaimed{{"j", 0, 1}, 1};
     restarted.OnLeaseRenewal(port.renewals.back().renewal_number,
-                             LeaseRenewal{1000, {{claimed, 5}, {unclaimed, 5}}, {}}, false,
-                             kStart + Ms(1));
+                             LeaseRenewal{1000, {{claimed, 5}, {unclaimed, 5}}, {}},
+                             CallFailure::kNoAnswer, kStart + Ms(1));
     CPPUNIT_ASSERT(restarted.runs_known());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, restarted.RunsFor(kOwner).size());
     restarted.OnClaim(kOwner, claimed, Resources{6000, 64, 0});
@@ -482,7 +484,8 @@
     restarted.Begin(kStart);
     const RunId adopted{{"earlier", 0, 0}, 1};
     restarted.OnLeaseRenewal(port.renewals.back().renewal_number,
-                             LeaseRenewal{1000, {{adopted, 5}}, {}}, false, kStart + Ms(1));
+                             LeaseRenewal{1000, {{adopted, 5}}, {}}, CallFailure::kNoAnswer,
+                             kStart + Ms(1));
     restarted.OnWorkerReport(SampleReport(1), kStart + Ms(2));
     restarted.OnOwnerConfirmed(kOwner, kStart + Ms(2));
     restarted.OnOrder(kOwner, SampleOrder("j", 0), kStart + Ms(3));
@@ -526,7 +529,8 @@
     const core::TimePoint begin = kStart + Ms(700) + restart_time;
     restarted.Begin(begin);
     restarted.OnLeaseRenewal(port.renewals.back().renewal_number,
-                             LeaseRenewal{1000, {{{{"j", 0, 0}, 1}, 5}}, {}}, false, begin);
+                             LeaseRenewal{1000, {{{{"j", 0, 0}, 1}, 5}}, {}},
+                             CallFailure::kNoAnswer, begin);
     restarted.Advance(kStart + Ms(1300) - stop_time);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, port.stops.size());
   }
--- a/packages/direct/test/simulated_server.h
+++ b/packages/direct/test/simulated_server.h
@@ -90,7 +90,8 @@
                   std::optional<core::TimePoint> /*lease_end*/, core::Duration wait) override {
     events_.After(kCallTime, [this, renewal_number, ended_cursor, wait] {
       if (down_) {
-        return executor_.OnLeaseRenewal(renewal_number, std::nullopt, true, events_.now());
+        return executor_.OnLeaseRenewal(renewal_number, std::nullopt, CallFailure::kRefused,
+                                        events_.now());
       }
       holds_.push_back({renewal_number, ended_cursor});
       std::erase_if(ended_, [&](const EndedRun& it) { return it.number <= ended_cursor; });
@@ -112,7 +113,7 @@
 
   void Start(const RunId& id) {
     if (down_) {
-      return executor_.OnStartResult(id, StartResult::kWorkerGone, events_.now());
+      return executor_.OnStartResult(id, StartResult::kRefused, events_.now());
     }
     const core::Duration run_time = fleet_.run_time(id.task);
     running_.push_back({id, events_.now(), events_.now() + run_time});
@@ -149,7 +150,7 @@
     answer.ended = ended_;
     for (const Hold& it : std::exchange(holds_, {})) {
       events_.After(kCallTime, [this, answer, number = it.number] {
-        executor_.OnLeaseRenewal(number, answer, false, events_.now());
+        executor_.OnLeaseRenewal(number, answer, CallFailure::kNoAnswer, events_.now());
       });
     }
   }
@@ -162,7 +163,7 @@
     fleet_.on_crash(tasks, events_.now());
     ended_.clear();
     for (const Hold& it : std::exchange(holds_, {})) {
-      executor_.OnLeaseRenewal(it.number, std::nullopt, false, events_.now());
+      executor_.OnLeaseRenewal(it.number, std::nullopt, CallFailure::kNoAnswer, events_.now());
     }
     events_.After(kDownTime, [this] {
       down_ = false;
--- a/packages/direct/test/straggler_test.cc
+++ b/packages/direct/test/straggler_test.cc
@@ -59,7 +59,8 @@
         answer.running.push_back({Id(i), std::min(progress(i, at), 99)});
       }
       executor_->OnOwnerConfirmed(kOwner, kStart + at);
-      executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, answer, false, kStart + at);
+      executor_->OnLeaseRenewal(port_.renewals.back().renewal_number, answer,
+                                CallFailure::kNoAnswer, kStart + at);
       executor_->Advance(kStart + at);
     }
   }
--- a/packages/http/include/coltsfoottide/http/client.h
+++ b/packages/http/include/coltsfoottide/http/client.h
@@ -24,7 +24,8 @@
   // Names in lower case.
   std::map<std::string, std::string> headers;
   Delivery delivery = Delivery::kMaybeSent;
-  // The server's machine refused the connection: no process listens at the port.
+  // The connection was refused: no process listens at the port, or something on the way
+  // refuses it. The request was not sent.
   bool connection_refused = false;
   std::string error;
 };
