Find a route that crashes backend servers by crashes under different tasks

Change: CrashCorrelation finds the route of which a task had run for the same time at each of the latest three crashes or more, as long as no other route explains as many. Orders and reports of crashes carry the route. Reports have a kind: a suspected crash counts for this and for the fleet's size, but gives no task up; a retracted one is forgotten. The agent sends neither kind yet.

--- a/packages/daemon/src/direct_agent_runtime.cc
+++ b/packages/daemon/src/direct_agent_runtime.cc
@@ -435,6 +435,13 @@
 }
 
 void DirectAgentRuntime::ReportCrash(const direct::WorkerCrash& crash) {
+  using Kind = direct::WorkerCrash::Kind;
+  if (crash.kind == Kind::kRetracted) {
+    metrics_.Add("backend_crashes_retracted", 1);
+    logger_.Info("backend server has not crashed", {{"life", std::to_string(crash.incarnation)}});
+    return SendCrash(crash);
+  }
+  const bool suspected = crash.kind == Kind::kSuspected;
   // Keeps the line under the size limit of a log line.
   constexpr std::size_t kMaxListedRuns = 64;
   std::string runs;
@@ -445,11 +452,16 @@
             '.' + std::to_string(id.number) + ':' + std::to_string(ToMs(crash.runs[i].ran_for));
     if (!crash.runs[i].confirmed) runs += '?';
   }
-  metrics_.Add("backend_crashes", 1);
-  logger_.Warn("backend server crashed", {{"life", std::to_string(crash.incarnation)},
-                                          {"count", std::to_string(crash.runs.size())},
-                                          {"runs", runs}});
-  // Sent to all entries, since the caller may submit the job again through another one.
+  metrics_.Add(suspected ? "backend_crashes_suspected" : "backend_crashes", 1);
+  logger_.Warn(suspected ? "backend server refuses connections" : "backend server crashed",
+               {{"life", std::to_string(crash.incarnation)},
+                {"count", std::to_string(crash.runs.size())},
+                {"runs", runs}});
+  SendCrash(crash);
+}
+
+// Sent to all entries, since the caller may submit the job again through another one.
+void DirectAgentRuntime::SendCrash(const direct::WorkerCrash& crash) {
   const core::TimePoint now = BootNow();
   for (auto& [name, link] : links_) {
     if (link.connected()) WriteCrash(crash, now, *link.connection->outbox().add_crashes());
--- a/packages/daemon/src/direct_agent_runtime.h
+++ b/packages/daemon/src/direct_agent_runtime.h
@@ -95,6 +95,7 @@
   void OnEntryList(const std::string& name, const direct_wire::EntryList& list,
                    core::TimePoint now);
   void OnEvacuation(const direct_wire::Evacuation& message, core::TimePoint now);
+  void SendCrash(const direct::WorkerCrash& crash);
   void LogReport(const std::string& owner, const direct::RunReport& report);
   void SendStates(core::TimePoint now);
   void WriteStateTo(Link& link, core::TimePoint now);
--- a/packages/daemon/src/direct_messages.cc
+++ b/packages/daemon/src/direct_messages.cc
@@ -70,6 +70,7 @@
     group->set_submission(order.id.submission);
     group->set_priority(order.priority);
     group->set_incarnation(order.incarnation);
+    group->set_route(order.route);
   }
   direct_wire::OrderGroup::Task* task = group->add_tasks();
   task->set_index(order.id.task.index);
@@ -88,6 +89,7 @@
   order.expedited = group.expedited();
   order.priority = group.priority();
   order.incarnation = group.incarnation();
+  order.route = group.route();
   return order;
 }
 
@@ -201,11 +203,13 @@
                 direct_wire::WorkerCrash& message) {
   message.set_incarnation(crash.incarnation);
   message.set_age_us(WriteDuration(now - crash.time));
+  message.set_kind(static_cast<std::uint32_t>(crash.kind));
   for (const direct::RunAtCrash& it : crash.runs) {
     direct_wire::WorkerCrash::Run& run = *message.add_runs();
     WriteRunId(it.id, *run.mutable_id());
     run.set_ran_for_us(WriteDuration(it.ran_for));
     run.set_confirmed(it.confirmed);
+    run.set_route(it.route);
   }
 }
 
@@ -213,8 +217,12 @@
   direct::WorkerCrash crash;
   crash.incarnation = message.incarnation();
   crash.time = now - ReadDuration(message.age_us());
+  if (message.kind() <= static_cast<std::uint32_t>(direct::WorkerCrash::Kind::kRetracted)) {
+    crash.kind = static_cast<direct::WorkerCrash::Kind>(message.kind());
+  }
   for (const direct_wire::WorkerCrash::Run& it : message.runs()) {
-    crash.runs.push_back({ReadRunId(it.id()), ReadDuration(it.ran_for_us()), it.confirmed()});
+    crash.runs.push_back(
+        {ReadRunId(it.id()), ReadDuration(it.ran_for_us()), it.confirmed(), it.route()});
   }
   return crash;
 }
--- a/packages/daemon/test/direct_messages_test.cc
+++ b/packages/daemon/test/direct_messages_test.cc
@@ -27,7 +27,7 @@
     direct::WorkerCrash crash;
     crash.incarnation = 1773226115535;
     crash.time = kNow - std::chrono::seconds(3);
-    crash.runs = {{{{"job", 1, 7}, 2}, std::chrono::milliseconds(25), true}};
+    crash.runs = {{{{"job", 1, 7}, 2}, std::chrono::milliseconds(25), true, "lookups"}};
     direct_wire::WorkerCrash message;
     WriteCrash(crash, kNow, message);
     const core::TimePoint later = kNow + std::chrono::seconds(40);
@@ -38,6 +38,14 @@
     CPPUNIT_ASSERT(read.runs[0].id == crash.runs[0].id);
     CPPUNIT_ASSERT(read.runs[0].ran_for == crash.runs[0].ran_for);
     CPPUNIT_ASSERT(read.runs[0].confirmed);
+    CPPUNIT_ASSERT_EQUAL(std::string("lookups"), read.runs[0].route);
+    CPPUNIT_ASSERT(read.kind == direct::WorkerCrash::Kind::kCrashed);
+    // A kind of a later version counts as a crash.
+    message.set_kind(99);
+    CPPUNIT_ASSERT(ReadCrash(message, later).kind == direct::WorkerCrash::Kind::kCrashed);
+    crash.kind = direct::WorkerCrash::Kind::kRetracted;
+    WriteCrash(crash, kNow, message);
+    CPPUNIT_ASSERT(ReadCrash(message, later).kind == direct::WorkerCrash::Kind::kRetracted);
   }
 
   // Guards against an agent that does not know which run is more urgent. An order of an
@@ -46,10 +54,12 @@
     direct::RunOrder order;
     order.id = {{"job", 0, 1}, 2};
     order.priority = 2;
+    order.route = "lookups";
     direct_wire::Frame frame;
     AddOrder(order, kNow, frame);
     direct_wire::OrderGroup& group = *frame.mutable_orders(0);
     CPPUNIT_ASSERT_EQUAL(2U, ReadOrder(group, group.tasks(0), kNow).priority);
+    CPPUNIT_ASSERT_EQUAL(order.route, ReadOrder(group, group.tasks(0), kNow).route);
     group.clear_priority();
     CPPUNIT_ASSERT_EQUAL(0U, ReadOrder(group, group.tasks(0), kNow).priority);
   }
--- /dev/null
+++ b/packages/direct/include/coltsfoottide/direct/crash_correlation.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coltsfoottide/core/time.h"
+#include "coltsfoottide/direct/worker_crash.h"
+
+namespace coltsfoottide::direct {
+
+// Finds a route whose tasks crash backend servers, from crashes under different tasks. A task
+// that is only started again when its former run is certainly over may be too late for a second
+// start, and so crashes one backend server only. The cause crashes its backend servers at the
+// same time after each start; tasks of other routes that run there have run for any time.
+class CrashCorrelation {
+ public:
+  // Records a crash of the agent's backend server, or forgets it if it is retracted. Returns the
+  // route that explains the latest crashes, once no other one explains as many.
+  std::optional<std::string> OnCrash(const std::string& agent, const WorkerCrash& crash);
+
+ private:
+  struct Crash {
+    std::string agent;
+    std::int64_t incarnation = 0;
+    core::TimePoint time;
+    // Times since the starts of its latest runs, by route.
+    std::map<std::string, std::vector<core::Duration>> ran_for;
+  };
+
+  // The most crashes under runs of the route that had run for the same time.
+  std::size_t CountAlike(const std::string& route) const;
+
+  // In the order of their reports.
+  std::deque<Crash> crashes_;
+};
+
+}  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/crash_history.h
+++ b/packages/direct/include/coltsfoottide/direct/crash_history.h
@@ -21,8 +21,9 @@
 // ran beside it. Counts are kept by task id, so they hold across submissions of a job.
 class CrashHistory {
  public:
-  // Records a crash of the agent's backend server. A crash that is already known
-  // changes nothing. Returns the tasks that must not be started again from now on.
+  // Records a crash of the agent's backend server, or forgets it if it is retracted. A crash
+  // that is already known changes nothing. Returns the tasks that must not be started again
+  // from now on.
   std::vector<CrashVerdict> OnCrash(const std::string& agent, const WorkerCrash& crash);
 
   // The verdict on a task of the job, if there is one.
@@ -30,7 +31,7 @@
   // Number of crashes under the task, explained or not.
   std::size_t CountCrashes(const TaskId& task) const;
 
-  // Agents whose backend server has crashed since this time.
+  // Agents whose backend server has crashed since this time, or is suspected to.
   std::set<std::string> CrashedSince(core::TimePoint since) const;
 
   // Forgets crashes that are older than kCrashRetention.
@@ -58,6 +59,8 @@
     core::Duration shortest = core::Duration::max();
   };
 
+  void Retract(std::list<Crash>::iterator crash);
+  void Remove(std::list<Crash>::iterator crash);
   Summary Unexplained(const TaskId& task) const;
   // The tasks that are the most likely causes of the crash and of earlier ones, most
   // likely one first.
--- a/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
+++ b/packages/direct/include/coltsfoottide/direct/job_dispatcher.h
@@ -11,6 +11,7 @@
 
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/agent_hello.h"
+#include "coltsfoottide/direct/crash_correlation.h"
 #include "coltsfoottide/direct/crash_history.h"
 #include "coltsfoottide/direct/crashing_routes.h"
 #include "coltsfoottide/direct/job_outcome.h"
@@ -213,6 +214,7 @@
   WorkerFleet fleet_;
   SheddingPolicy shedding_;
   CrashHistory crash_history_;
+  CrashCorrelation crash_correlation_;
   CrashingRoutes crashing_routes_;
   RouteIsolation isolation_;
   // Agents by service among which isolated routes have their share.
--- a/packages/direct/include/coltsfoottide/direct/report_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/report_sink.h
@@ -17,8 +17,8 @@
   // `owner` is the entry that ordered the run.
   virtual void Report(const std::string& owner, const RunReport& report) = 0;
 
-  // The backend server has crashed while it had runs. Called before the reports of
-  // their ends, unless these have ended with their lease.
+  // The backend server has crashed while it had runs, or a presumed crash is retracted. A crash
+  // is reported before the ends of the runs, unless these have ended with their lease.
   virtual void ReportCrash(const WorkerCrash& crash) = 0;
 
   // The backend server's answers show that this report is not of its present incarnation,
--- a/packages/direct/include/coltsfoottide/direct/run_at_crash.h
+++ b/packages/direct/include/coltsfoottide/direct/run_at_crash.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string>
+
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/run_id.h"
 
@@ -13,6 +15,8 @@
   // Whether the backend server had answered the start or listed the run. Otherwise
   // the start may not have reached it.
   bool confirmed = false;
+  // Of its job; empty if it is not known.
+  std::string route;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/include/coltsfoottide/direct/run_order.h
+++ b/packages/direct/include/coltsfoottide/direct/run_order.h
@@ -25,6 +25,8 @@
   std::uint32_t priority = 0;
   // Incarnation of the backend server for which the run was placed; 0 if the entry does not say.
   std::int64_t incarnation = 0;
+  // Of the job; empty if the entry does not say.
+  std::string route;
 };
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/crash_history.cc
+++ b/packages/direct/src/crash_history.cc
@@ -34,11 +34,21 @@
 
 std::vector<CrashVerdict> CrashHistory::OnCrash(const std::string& agent,
                                                 const WorkerCrash& crash) {
-  const bool known = std::any_of(crashes_.begin(), crashes_.end(), [&](const Crash& it) {
+  const auto known = std::find_if(crashes_.begin(), crashes_.end(), [&](const Crash& it) {
     return it.agent == agent && it.crash.incarnation == crash.incarnation;
   });
-  if (known) return {};
+  using Kind = WorkerCrash::Kind;
+  if (crash.kind == Kind::kRetracted) {
+    if (known != crashes_.end()) Retract(known);
+    return {};
+  }
+  if (known != crashes_.end()) {
+    if (known->crash.kind != Kind::kSuspected || crash.kind == Kind::kSuspected) return {};
+    Remove(known);
+  }
   Crash& added = crashes_.emplace_back(Crash{agent, crash, {}});
+  // No task is given up for what may be a cut of the network.
+  if (crash.kind == Kind::kSuspected) return {};
   for (const RunAtCrash& it : crash.runs) {
     tasks_[it.id.task].push_back({&added, it.ran_for, it.confirmed});
   }
@@ -131,17 +141,27 @@
 
 void CrashHistory::Forget(core::TimePoint now) {
   while (!crashes_.empty() && now - crashes_.front().crash.time > kCrashRetention) {
-    const Crash* const oldest = &crashes_.front();
-    for (const RunAtCrash& it : oldest->crash.runs) {
-      const auto task = tasks_.find(it.id.task);
-      if (task == tasks_.end()) continue;
-      std::erase_if(task->second, [oldest](const Evidence& e) { return e.crash == oldest; });
-      if (!task->second.empty()) continue;
-      tasks_.erase(task);
-      given_up_.erase(it.id.task);
-    }
-    crashes_.pop_front();
+    Remove(crashes_.begin());
+  }
+}
+
+// Verdicts on its tasks may rest on it.
+void CrashHistory::Retract(std::list<Crash>::iterator crash) {
+  for (const RunAtCrash& it : crash->crash.runs) given_up_.erase(it.id.task);
+  Remove(crash);
+}
+
+void CrashHistory::Remove(std::list<Crash>::iterator crash) {
+  const Crash* const removed = &*crash;
+  for (const RunAtCrash& it : removed->crash.runs) {
+    const auto task = tasks_.find(it.id.task);
+    if (task == tasks_.end()) continue;
+    std::erase_if(task->second, [removed](const Evidence& e) { return e.crash == removed; });
+    if (!task->second.empty()) continue;
+    tasks_.erase(task);
+    given_up_.erase(it.id.task);
   }
+  crashes_.erase(crash);
 }
 
 }  // namespace coltsfoottide::direct
--- a/packages/direct/src/job_dispatcher.cc
+++ b/packages/direct/src/job_dispatcher.cc
@@ -238,10 +238,11 @@
   fleet_.OnOrder(choice->agent, request, job.request.priority, candidates);
   const RunId id{TaskId{job.request.id, step, index}, task.run_number, job.submission};
   placed.push_back(PlacedTask{id, *choice});
-  sink_.SendOrder(choice->agent, RunOrder{id, job.request.payload, request.need, request.estimate,
-                                          job.request.objective, job.request.useful_until,
-                                          task.expedited, job.request.priority,
-                                          fleet_.Get(choice->agent).description().incarnation});
+  sink_.SendOrder(
+      choice->agent,
+      RunOrder{id, job.request.payload, request.need, request.estimate, job.request.objective,
+               job.request.useful_until, task.expedited, job.request.priority,
+               fleet_.Get(choice->agent).description().incarnation, job.request.route});
   return true;
 }
 
--- a/packages/direct/src/job_dispatcher_crashes.cc
+++ b/packages/direct/src/job_dispatcher_crashes.cc
@@ -37,9 +37,15 @@
 
 void JobDispatcher::OnWorkerCrash(const std::string& agent, const WorkerCrash& crash,
                                   core::TimePoint now) {
-  fleet_.Get(agent).OnCrash();
-  isolation_.Extend(agent, crash.time + kIsolationTime);
+  if (crash.kind != WorkerCrash::Kind::kRetracted) {
+    fleet_.Get(agent).OnCrash();
+    isolation_.Extend(agent, crash.time + kIsolationTime);
+  }
   RecordCrash(agent, crash, now);
+  if (const auto route = crash_correlation_.OnCrash(agent, crash)) {
+    crashing_routes_.OnFound(*route, crash.time);
+    sink_.OnCrashingRoute(*route);
+  }
   IsolateHarmfulRoutes(now);
 }
 
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -550,7 +550,7 @@
 std::vector<RunAtCrash> RunExecutor::PresentRuns(core::TimePoint now) const {
   std::vector<RunAtCrash> runs;
   for (const auto& [id, run] : runs_) {
-    runs.push_back({id, now - run.started_at, run.confirmed || run.listed});
+    runs.push_back({id, now - run.started_at, run.confirmed || run.listed, run.order.route});
   }
   return runs;
 }
@@ -562,7 +562,7 @@
   // A backend server that was about to leave has left.
   const bool leaving = worker_shut_down_ || (worker_report_ && worker_report_->draining);
   if (runs.empty() || leaving) return;
-  crashes_.push_back({incarnation, now, std::move(runs)});
+  crashes_.push_back({incarnation, now, std::move(runs), WorkerCrash::Kind::kCrashed});
   reports_.ReportCrash(crashes_.back());
 }
 
--- a/packages/direct/test/crash_history_test.cc
+++ b/packages/direct/test/crash_history_test.cc
@@ -20,7 +20,16 @@
   WorkerCrash crash;
   crash.incarnation = incarnation;
   crash.time = kStart + at;
-  for (const auto& [task, ran_for] : runs) crash.runs.push_back({{task, 1}, ran_for, confirmed});
+  for (const auto& [task, ran_for] : runs) {
+    crash.runs.push_back({{task, 1}, ran_for, confirmed, "lookups"});
+  }
+  return crash;
+}
+
+WorkerCrash Retraction(std::int64_t incarnation) {
+  WorkerCrash crash;
+  crash.incarnation = incarnation;
+  crash.kind = WorkerCrash::Kind::kRetracted;
   return crash;
 }
 
@@ -37,6 +46,7 @@
   CPPUNIT_TEST(TaskIsNotStartedAfterFourCrashesInAnyCase);
   CPPUNIT_TEST(JobsWithSimilarIdsAreNotMixedUp);
   CPPUNIT_TEST(OldCrashesAreForgotten);
+  CPPUNIT_TEST(RetractedCrashProvesNothing);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against starting a task on a third backend server (issue 24).
@@ -164,6 +174,21 @@
     CPPUNIT_ASSERT(!history.VerdictOn("cause"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, history.CountCrashes(Cause()));
   }
+
+  // Backend servers were cut off and have answered since. Guards against a task that is not
+  // started again because of the network, and against missing a crash of the same incarnation
+  // after that.
+  void RetractedCrashProvesNothing() {
+    CrashHistory history;
+    history.OnCrash("a", MakeCrash(1, Ms(0), {{Cause(), Ms(20)}}));
+    history.OnCrash("a", Retraction(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, history.CountCrashes(Cause()));
+    CPPUNIT_ASSERT(history.CrashedSince(kStart).empty());
+    CPPUNIT_ASSERT(history.OnCrash("b", MakeCrash(1, Ms(50), {{Cause(), Ms(30)}})).empty());
+    CPPUNIT_ASSERT(!history.OnCrash("a", MakeCrash(1, Ms(90), {{Cause(), Ms(20)}})).empty());
+    history.OnCrash("b", Retraction(1));
+    CPPUNIT_ASSERT(!history.VerdictOn("cause"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashHistoryTest);
--- a/packages/direct/test/dispatcher_crash_test.cc
+++ b/packages/direct/test/dispatcher_crash_test.cc
@@ -54,7 +54,7 @@
     crash.time = kStart + Ms(20);
     const std::vector<RecordingEntrySink::Sent> orders = sink_.orders;
     for (std::size_t i = first_order; i < orders.size(); ++i) {
-      if (orders[i].agent == agent) crash.runs.push_back({orders[i].id, Ms(20), true});
+      if (orders[i].agent == agent) crash.runs.push_back({orders[i].id, Ms(20), true, "lookups"});
     }
     WorkerState down = IdleWorker();
     down.ready = false;
@@ -91,7 +91,7 @@
 
   // Guards against an entry that begins to count anew after its restart.
   void HelloTellsANewEntryOfEarlierCrashes() {
-    const RunAtCrash run{{{"j", 0, 0}, 1}, Ms(20), true};
+    const RunAtCrash run{{{"j", 0, 0}, 1}, Ms(20), true, "lookups"};
     Connect("agent-5", {WorkerCrash{1, kStart - Ms(500), {run}}});
     Connect("agent-6", {WorkerCrash{1, kStart - Ms(300), {run}}});
     dispatcher_->Submit(SampleJob("j", 1), kStart);
