Take a refused connection for no end of a backend server's runs

A backend server is cut off with refused connections and runs on; 5 to 8 of its tasks start elsewhere 4 to 30 ms later, beside the first runs, and callers get `completed`. Cause: RunExecutor took a refused connection for the end of the incarnation, and with it for the end of its runs, for a crash, for the proof that the next report needs, and, in an agent that has restarted, for the absence of runs. A renewal counted as prolonging the lease when it was sent, also if it was refused. Runs end with a proof: another incarnation, or the end of the lease, to which refused calls do not add. An agent that has restarted knows its runs when they are listed or when the longest lease has passed. A crash is suspected from the first refusal on, certain with the proof, and retracted by an answer of the same incarnation. Orders that wait for the stop of the task's earlier run are kept until that run has ended. Why this works: a run that may be at work is kept until its backend server cannot have it any more, by the server's own clock or by its successor's answer; nothing in between depends on what a connection looks like. The soak cuts off a backend server in the same way, once before the random faults and as one of them.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -49,8 +49,8 @@
 
   // Asks the backend server for runs of an earlier agent process.
   void Begin(core::TimePoint now);
-  // Whether the backend server has listed the runs of an earlier agent process,
-  // or no process listens there.
+  // Whether the backend server has listed the runs of an earlier agent process, or their lease
+  // has ended.
   bool runs_known() const { return runs_known_; }
 
   // Takes over a report that is newer than the last one; returns whether it did. A report
@@ -148,8 +148,10 @@
     bool start_pending = false;
     // Whether copies of the start may still arrive at the backend server.
     bool MayStartLate() const { return unanswered_starts > 0 || start_pending; }
-    // The incarnation that was present when the start was last sent.
+    // The incarnation that was present when the start was last sent, and the end of the lease
+    // that came with it.
     std::int64_t sent_to = 0;
+    core::TimePoint lease_end;
     // First lease renewal whose answer must list the run; earlier ones may lack
     // it.
     std::uint64_t visible_from_renewal = 0;
@@ -165,6 +167,8 @@
     core::TimePoint sent;
     // Time after which the answer counts as lost.
     core::TimePoint overdue;
+    // The lease that it asks for, if any.
+    std::optional<core::TimePoint> lease_end;
   };
 
   // A stop for a run that has been reported as lost while copies of its start may still be
@@ -198,8 +202,14 @@
   // has used up its limit or is unclaimed, or before the runs of an earlier agent process are
   // known.
   std::optional<core::TimePoint> LeaseEnd(core::TimePoint now) const;
-  // Notes that the runs may go on until then, by a clock that may be slow.
+  // Notes that the runs may go on until then, by a clock that may be slow: a call with this
+  // lease may have reached the backend server.
   void NoteLease(core::TimePoint lease_end);
+  // The latest end of a lease that a call may have brought to the backend server, or may still
+  // bring.
+  core::TimePoint LatestLeaseEnd() const;
+  // Whether the lease of all runs has certainly ended.
+  bool HasLeaseEnded(core::TimePoint now) const;
   // Whether the lease that other runs have got goes beyond the limit of the owner's runs.
   bool LeaseExceedsLimit(const std::string& owner, core::TimePoint now) const;
   void StartQueued(core::TimePoint now);
@@ -208,17 +218,29 @@
   void StopRun(Run& run, core::TimePoint now);
   void EndRun(const RunId& id, RunReport::Kind kind, core::TimePoint now);
   void MarkAllRunsLost(core::TimePoint now);
+  // The backend server has refused a connection, and gets no runs until it answers.
+  void NoteRefusal(core::TimePoint now);
+  // The same, once the runs that were not sent have been handed back. The others may go on until
+  // their lease ends.
+  void OnWorkerRefusing(core::TimePoint now);
   // The present incarnation of the backend server has ended.
   void OnWorkerGone(core::TimePoint now);
-  // Reports that the incarnation has crashed, if it had runs.
-  void RecordCrash(std::int64_t incarnation, core::TimePoint now);
+  // The lease of all runs has ended.
+  void OnLeaseEnded(core::TimePoint now);
+  // Reports that the incarnation has crashed or is suspected to, if it had runs.
+  void RecordCrash(std::int64_t incarnation, WorkerCrash::Kind kind, core::TimePoint now);
+  bool HasReportedCrash(std::int64_t incarnation) const;
+  // Takes back the report about an incarnation that has answered since.
+  void RetractCrash(std::int64_t incarnation);
+  // The runs on the backend server, with the times that they had run when it was last known
+  // to accept calls.
   std::vector<RunAtCrash> PresentRuns(core::TimePoint now) const;
   // Ends runs that only the earlier incarnation of the backend server can have;
   // stops those that the new one may have started or may start late.
   void AbandonIncarnation(core::TimePoint now);
   void ReportFinal(const std::string& owner, const RunReport& report, core::TimePoint now);
   void ReportNotRun(const std::vector<RunQueue::Item>& items, core::TimePoint now);
-  // Reports all orders that have not started as not run.
+  // Reports all orders that have not started as not run, without those whose task may go on here.
   void HandBackAllOrders(core::TimePoint now);
   void SendDueRenewals(core::TimePoint now);
   void SendLateStops(core::TimePoint now);
@@ -281,6 +303,8 @@
   std::set<std::int64_t> earlier_incarnations_;
   // Whether the present incarnation is known to have ended.
   bool worker_gone_ = false;
+  // Since when the backend server has refused connections without an answer to a lease renewal.
+  std::optional<core::TimePoint> refusing_since_;
   // Number of the last ended run that was listed, and of the last that a lease
   // renewal has acknowledged.
   std::uint64_t ended_cursor_ = 0;
@@ -303,16 +327,17 @@
   core::TimePoint lossy_until_;
   core::TimePoint renewal_due_;
   core::TimePoint last_answer_;
-  // The latest end of a lease that was asked for, and when it has certainly passed.
+  // The latest end of a lease that a call may have brought to the backend server, and when it has
+  // certainly passed; without calls in progress.
   core::TimePoint lease_end_;
   core::TimePoint lease_until_;
   core::TimePoint no_start_before_;
   core::TimePoint begun_at_;
   bool earlier_runs_pending_ = false;
   bool runs_known_ = false;
-  // Whether the backend server takes work: it has reported since it last shut
-  // down or restarted, and has reported or answered a lease renewal since it last
-  // refused a connection or stopped answering.
+  // Whether the backend server takes work: it has reported since it last shut down or restarted,
+  // has answered a lease renewal since it last refused a connection, and has reported or
+  // answered one since it last stopped answering.
   bool worker_ready_ = false;
   bool worker_shut_down_ = false;
   bool draining_ = false;
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -104,7 +104,7 @@
 bool RunExecutor::IsNews(const WorkerReport& report) const {
   if (earlier_incarnations_.contains(report.incarnation)) return false;
   // Without a time of birth the report names no incarnation.
-  const bool may_follow = worker_gone_ && report.incarnation != 0;
+  const bool may_follow = (worker_gone_ || refusing_since_) && report.incarnation != 0;
   if (report.incarnation < worker_incarnation_ && !may_follow) return false;
   const bool same = worker_report_ && worker_report_->id == report.id &&
                     report.incarnation == worker_incarnation_;
@@ -143,7 +143,9 @@
   OnWorkerIncarnation(report.incarnation, now);
   worker_report_ = report;
   worker_report_->description.incarnation = report.incarnation;
-  worker_ready_ = true;
+  // That its reports arrive does not show that it can be called.
+  worker_ready_ = !refusing_since_;
+  if (refusing_since_) renewal_due_ = now;
   worker_shut_down_ = false;
   SendLateStops(now);
   StartQueued(now);
@@ -182,9 +184,14 @@
     earlier_incarnations_.erase(earlier_incarnations_.begin());
   }
   worker_gone_ = false;
+  // The raised fencing token voids earlier calls, so their lease does not hold for the new one.
+  for (auto& [number, it] : renewals_) {
+    if (it.lease_end) NoteLease(*std::exchange(it.lease_end, std::nullopt));
+  }
   lease_end_ = {};
   incarnation_confirmed_ = false;
-  RecordCrash(earlier, now);
+  RecordCrash(earlier, WorkerCrash::Kind::kCrashed, now);
+  refusing_since_.reset();
   // First, so that the end of a run starts no queued one: the kind of the new incarnation is not
   // known before it has reported.
   worker_ready_ = false;
@@ -371,7 +378,8 @@
 bool RunExecutor::LeaseExceedsLimit(const std::string& owner, core::TimePoint now) const {
   const auto confirmed = confirmed_at_.find(owner);
   if (confirmed == confirmed_at_.end()) return true;
-  return lease_end_ > now && confirmed->second + tuning_.run_limit < lease_end_;
+  const core::TimePoint lease_end = LatestLeaseEnd();
+  return lease_end > now && confirmed->second + tuning_.run_limit < lease_end;
 }
 
 void RunExecutor::Start(RunQueue::Item item, core::TimePoint now) {
@@ -391,9 +399,8 @@
 void RunExecutor::SendStart(Run& run, core::TimePoint now) {
   run.sent_to = worker_incarnation_;
   run.start_pending = true;
-  const core::TimePoint lease_end = LeaseEnd(now).value_or(now);
-  NoteLease(lease_end);
-  worker_.StartRun(run.order, lease_end, kStartTimeout);
+  run.lease_end = LeaseEnd(now).value_or(now);
+  worker_.StartRun(run.order, run.lease_end, kStartTimeout);
 }
 
 std::optional<core::TimePoint> RunExecutor::LeaseEnd(core::TimePoint now) const {
@@ -414,11 +421,28 @@
   lease_until_ = std::max(lease_until_, lease_end + clock_error);
 }
 
+core::TimePoint RunExecutor::LatestLeaseEnd() const {
+  core::TimePoint latest = lease_end_;
+  for (const auto& [number, it] : renewals_) {
+    latest = std::max(latest, it.lease_end.value_or(latest));
+  }
+  for (const auto& [id, run] : runs_) {
+    if (run.start_pending) latest = std::max(latest, run.lease_end);
+  }
+  return latest;
+}
+
+bool RunExecutor::HasLeaseEnded(core::TimePoint now) const {
+  const core::Duration clock_error = MaxLease(tuning_.lease) - tuning_.lease;
+  return now > std::max(lease_until_, LatestLeaseEnd() + clock_error);
+}
+
 void RunExecutor::OnStartResult(const RunId& id, StartResult result, core::TimePoint now) {
   const auto it = runs_.find(id);
   if (it == runs_.end()) return;
   Run& run = it->second;
   run.start_pending = false;
+  if (result != StartResult::kRefused) NoteLease(run.lease_end);
   switch (result) {
     case StartResult::kStarted:
       last_answer_ = now;
@@ -445,7 +469,18 @@
       // have ended; a lease renewal will then list the end.
       if (run.unanswered_starts > 0) return StopRun(run, now);
       return EndRun(id, RunReport::Kind::kNumberUsed, now);
-    case StartResult::kRefused:
+    case StartResult::kRefused: {
+      const bool refusing = run.sent_to == worker_incarnation_;
+      if (refusing) NoteRefusal(now);
+      // A copy of the start that got no answer may have been carried out.
+      if (run.unanswered_starts == 0) {
+        EndRun(id, RunReport::Kind::kNotRun, now);
+      } else {
+        StopRun(run, now);
+      }
+      if (refusing) OnWorkerRefusing(now);
+      return;
+    }
     case StartResult::kWorkerGone: {
       const bool gone = run.sent_to == worker_incarnation_;
       if (gone) worker_ready_ = false;
@@ -508,6 +543,7 @@
   if (it == runs_.end()) return;
   const std::string owner = it->second.owner;
   if (it->second.MayStartLate()) late_starts_[id] = now + kLateStartTime;
+  if (it->second.start_pending) NoteLease(it->second.lease_end);
   runs_.erase(it);
   ReportFinal(owner, RunReport{id, kind, {}}, now);
   for (auto deferred = deferred_.begin(); deferred != deferred_.end(); ++deferred) {
@@ -537,9 +573,32 @@
   ReportNotRun(queue_.TakeAll(), now);
 }
 
+void RunExecutor::NoteRefusal(core::TimePoint now) {
+  worker_ready_ = false;
+  if (!refusing_since_) refusing_since_ = now;
+}
+
+void RunExecutor::OnWorkerRefusing(core::TimePoint now) {
+  NoteRefusal(now);
+  if (!HasReportedCrash(worker_incarnation_)) {
+    RecordCrash(worker_incarnation_, WorkerCrash::Kind::kSuspected, now);
+  }
+  ReportNotRun(queue_.TakeAll(), now);
+}
+
+void RunExecutor::OnLeaseEnded(core::TimePoint now) {
+  if (refusing_since_) {
+    RecordCrash(worker_incarnation_, WorkerCrash::Kind::kCrashed, now);
+  } else {
+    lapsed_runs_ = PresentRuns(now);
+  }
+  MarkAllRunsLost(now);
+}
+
 void RunExecutor::OnWorkerGone(core::TimePoint now) {
   worker_gone_ = true;
-  RecordCrash(worker_incarnation_, now);
+  RecordCrash(worker_incarnation_, WorkerCrash::Kind::kCrashed, now);
+  refusing_since_.reset();
   MarkAllRunsLost(now);
   if (!unproven_report_) return;
   const WorkerReport report = std::move(*unproven_report_);
@@ -548,24 +607,44 @@
 }
 
 std::vector<RunAtCrash> RunExecutor::PresentRuns(core::TimePoint now) const {
+  const core::TimePoint present_until = refusing_since_.value_or(now);
   std::vector<RunAtCrash> runs;
   for (const auto& [id, run] : runs_) {
-    runs.push_back({id, now - run.started_at, run.confirmed || run.listed, run.order.route});
+    const core::Duration ran_for = std::max(present_until - run.started_at, core::Duration::zero());
+    runs.push_back({id, ran_for, run.confirmed || run.listed, run.order.route});
   }
   return runs;
 }
 
-void RunExecutor::RecordCrash(std::int64_t incarnation, core::TimePoint now) {
+void RunExecutor::RecordCrash(std::int64_t incarnation, WorkerCrash::Kind kind,
+                              core::TimePoint now) {
   std::vector<RunAtCrash> runs = PresentRuns(now);
   runs.insert(runs.end(), lapsed_runs_.begin(), lapsed_runs_.end());
-  lapsed_runs_.clear();
+  if (kind == WorkerCrash::Kind::kCrashed) lapsed_runs_.clear();
   // A backend server that was about to leave has left.
   const bool leaving = worker_shut_down_ || (worker_report_ && worker_report_->draining);
   if (runs.empty() || leaving) return;
-  crashes_.push_back({incarnation, now, std::move(runs), WorkerCrash::Kind::kCrashed});
+  std::erase_if(crashes_,
+                [incarnation](const WorkerCrash& it) { return it.incarnation == incarnation; });
+  crashes_.push_back({incarnation, refusing_since_.value_or(now), std::move(runs), kind});
   reports_.ReportCrash(crashes_.back());
 }
 
+bool RunExecutor::HasReportedCrash(std::int64_t incarnation) const {
+  return std::any_of(crashes_.begin(), crashes_.end(), [incarnation](const WorkerCrash& it) {
+    return it.incarnation == incarnation && it.kind != WorkerCrash::Kind::kRetracted;
+  });
+}
+
+void RunExecutor::RetractCrash(std::int64_t incarnation) {
+  for (WorkerCrash& it : crashes_) {
+    if (it.incarnation != incarnation || it.kind == WorkerCrash::Kind::kRetracted) continue;
+    it.kind = WorkerCrash::Kind::kRetracted;
+    it.runs.clear();
+    reports_.ReportCrash(it);
+  }
+}
+
 void RunExecutor::AbandonIncarnation(core::TimePoint now) {
   std::vector<RunId> ended;
   for (auto& [id, run] : runs_) {
@@ -617,9 +696,8 @@
   const std::size_t most = lossy ? kMaxRenewals : 1 + kLossyConcurrentRenewals;
   const std::optional<core::TimePoint> lease_end = LeaseEnd(now);
   for (auto n = awaited; n < wanted_at_once && renewals_.size() < most; ++n) {
-    renewals_[++last_sent_renewal_] = {now, now + longest + grace};
+    renewals_[++last_sent_renewal_] = {now, now + longest + grace, lease_end};
     acknowledged_cursor_ = ended_cursor_;
-    if (lease_end) NoteLease(*lease_end);
     worker_.RenewLease(last_sent_renewal_, ended_cursor_, lease_end,
                        ends_awaited ? longest : core::Duration::zero());
   }
@@ -628,7 +706,9 @@
 void RunExecutor::OnLeaseRenewal(std::uint64_t renewal_number,
                                  const std::optional<LeaseRenewal>& result, CallFailure failure,
                                  core::TimePoint now) {
-  renewals_.erase(renewal_number);
+  const bool refused = !result && failure == CallFailure::kRefused;
+  const auto sent = renewals_.extract(renewal_number);
+  if (!sent.empty() && sent.mapped().lease_end && !refused) NoteLease(*sent.mapped().lease_end);
   const bool of_incarnation = result && result->incarnation == worker_incarnation_;
   if (renewal_number < first_renewal_of_incarnation_ && !of_incarnation) return;
   // A late answer, of a busy backend server or to an agent short of CPU time, is
@@ -638,12 +718,12 @@
   const bool unanswered = !result && failure == CallFailure::kNoAnswer;
   if (overtakes || unanswered) lossy_until_ = now + kLossyPeriod;
   if (!result) {
-    if (!unanswered) {
-      renewal_due_ = now + kRetryDelay;
-      earlier_runs_pending_ = false;
-      runs_known_ = true;
-      OnWorkerGone(now);
-    }
+    if (unanswered) return;
+    renewal_due_ = now + kRetryDelay;
+    if (refused) return OnWorkerRefusing(now);
+    earlier_runs_pending_ = false;
+    runs_known_ = true;
+    OnWorkerGone(now);
     return;
   }
   last_answer_ = now;
@@ -656,6 +736,8 @@
   const bool first = earlier_runs_pending_;
   earlier_runs_pending_ = false;
   OnWorkerIncarnation(result->incarnation, now);
+  refusing_since_.reset();
+  RetractCrash(result->incarnation);
   DecideUnprovenReport(renewal_number, now);
   lapsed_runs_.clear();
   worker_ready_ = worker_report_ && !worker_shut_down_;
@@ -812,6 +894,8 @@
 
 void RunExecutor::HandBackAllOrders(core::TimePoint now) {
   ReportNotRun(queue_.TakeAll(), now);
+  // The earlier run of a deferred order's task cannot be stopped while connections are refused.
+  if (refusing_since_) return;
   for (const DeferredOrder& it : std::exchange(deferred_, {})) {
     ReportFinal(it.owner, RunReport{it.order.id, RunReport::Kind::kNotRun, {}}, now);
   }
@@ -827,10 +911,8 @@
   ReportNotRun(queue_.TakeExpired(now), now);
   while (!finals_.empty() && now - finals_.front().time > kFinalRetention) finals_.pop_front();
   while (!crashes_.empty() && now - crashes_.front().time > kCrashRetention) crashes_.pop_front();
-  if (!runs_.empty() && now > lease_until_) {
-    lapsed_runs_ = PresentRuns(now);
-    MarkAllRunsLost(now);
-  }
+  if (!runs_.empty() && HasLeaseEnded(now)) OnLeaseEnded(now);
+  if (earlier_runs_pending_ && now > begun_at_ + MaxLease(tuning_.lease)) runs_known_ = true;
   CheckWorkerResponsive(now);
   SendLateStops(now);
   for (auto& [id, run] : runs_) {
--- a/scripts/lib/relay.py
+++ b/scripts/lib/relay.py
@@ -1,7 +1,7 @@
 """A TCP relay that simulates faults of the network between two processes.
 
 It can black-hole its open connections, which then stay open and carry nothing
-while new ones work; reset them; delay the data; hold the data back in one
+while new ones work; reset them; refuse new ones as well; delay the data; hold the data back in one
 direction or both, as a network partition does; and deliver data late, after the
 client has closed the connection and opened others.
 """
@@ -30,7 +30,7 @@
     """
 
     def __init__(self, port, target, host="127.0.0.1"):
-        self.port = port
+        self._address = (host, port)
         self.delay = 0.0
         self.cut = frozenset()
         self._late_until, self._late_by = 0.0, 0.0
@@ -38,8 +38,8 @@
         self._lock = threading.Lock()
         self._open = set()
         self._black_holed = []
-        self._listener = socket.create_server((host, port), backlog=256)
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._refusals = 0
+        self._listen()
 
     def black_hole(self):
         """Black-holes all open connections: they stay open and carry nothing more."""
@@ -57,6 +57,22 @@
                 it.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 it.close()
 
+    def refuse(self):
+        """Resets all open connections and refuses new ones, until as many calls of accept()."""
+        with self._lock:
+            self._refusals += 1
+            if self._refusals == 1:
+                # Ends the accept() of the other thread, which closing alone does not.
+                self._listener.shutdown(socket.SHUT_RDWR)
+                self._listener.close()
+        self.reset()
+
+    def accept(self):
+        with self._lock:
+            self._refusals -= 1
+            if self._refusals == 0:
+                self._listen()
+
     def hold_up(self, window, late_by):
         """Data to the target on connections that are opened within `window` seconds arrives
         `late_by` seconds late, also if the client closes the connection meanwhile."""
@@ -69,10 +85,14 @@
                 for it in pair:
                     it.close()
 
-    def _accept(self):
+    def _listen(self):
+        self._listener = socket.create_server(self._address, backlog=256)
+        threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
+
+    def _accept(self, listener):
         while True:
             try:
-                near, _ = self._listener.accept()
+                near, _ = listener.accept()
             except OSError:
                 return
             if closed_by_peer(near):
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -5,7 +5,7 @@
 the entries directly and through load balancers. Some close their connection before they have
 an answer, and submit their job again through any entry.
 Before the random faults an entry dies, callers leave while their jobs run, callers that were
-refused come back, and a data centre is evacuated. Then faults are injected from outside, in
+refused come back, a data centre is evacuated, and a backend server is cut off. Then faults are injected from outside, in
 overlapping series drawn from the seed.
 """
 
@@ -39,6 +39,9 @@
 # Of a task, in thousandths of a core.
 TASK_CPU = 6000
 START_LIMIT_S = 20.0
+# Before the random faults connections to a backend server are refused CUT_AFTER_S after tasks of
+# CUT_TASK_MS have begun everywhere, for CUT_S, which is longer than a lease.
+CUT_TASK_MS, CUT_AFTER_S, CUT_S = 1800, 0.3, 2.0
 # From SETTLE_S after the last fault, at least MIN_SERVED_SHARE of the calls must
 # be answered with status 200.
 SETTLE_S, MIN_SERVED_SHARE = 4.0, 0.9
@@ -318,6 +321,30 @@
         self.store.append("keyed.op", "evacuate/b", b"")
         caller.join()
 
+    def submit_to_fill(self, number):
+        """Submits a job whose tasks take all backend servers, together with those of the other
+        entries."""
+        tasks = BACKENDS * self.backends[0].cpu // TASK_CPU // len(self.entry_hosts)
+        job = f"{0xfff9:04x}{number:012x}"
+        status, body, _ = self.call_once(self.entry_hosts[number], job, tasks, CUT_TASK_MS, False,
+                                         timeout=2 * CALL_TIMEOUT_S)
+        self.history.answer(job, tasks, [status], body, False, False)
+
+    def run_cut_backend(self):
+        """Two runs of a task overlap if refused connections are taken for the end of the first."""
+        callers = [threading.Thread(target=self.submit_to_fill, args=(n,), daemon=True)
+                   for n in range(len(self.entry_hosts))]
+        for it in callers:
+            it.start()
+        time.sleep(CUT_AFTER_S)
+        if not self.backends[0].running:
+            raise FleetError("no task is running at the backend server that is cut off")
+        self.backend_relays[0].refuse()
+        time.sleep(CUT_S)
+        self.backend_relays[0].accept()
+        for it in callers:
+            it.join()
+
     def report_as_another_writer(self, rng):
         """A report of a backend server that is none of this installation's."""
         body = {"Service": rng.choice(["archive", "review"]), "Address": "127.0.0.1:9",
@@ -421,7 +448,7 @@
     def inject_fault(self, rng, series):
         kind = rng.choice(["kill", "kill", "pause", "pause", "term", "hup", "store", "lose",
                             "crash", "silence", "drain", "config", "cut", "half_cut", "delay",
-                            "reset", "late", "foreign", "evacuate"])
+                            "reset", "late", "foreign", "evacuate", "refuse"])
         # Each process belongs to one series, so that no signal is sent to a process
         # that another series has stopped. Faults of different series overlap.
         process = rng.choice((self.entries + self.agents)[series::FAULT_SERIES])
@@ -454,6 +481,11 @@
             rng.choice(self.backend_relays + self.entry_relays).black_hole()
         elif kind == "reset":
             rng.choice(self.backend_relays + self.entry_relays).reset()
+        elif kind == "refuse":
+            relay = rng.choice(self.backend_relays)
+            relay.refuse()
+            time.sleep(duration)
+            relay.accept()
         elif kind == "late":
             relay = rng.choice(self.entry_relays)
             relay.reset()
@@ -509,6 +541,7 @@
             self.run_leaving_callers()
             self.run_returning_callers()
             self.run_evacuation()
+            self.run_cut_backend()
             callers = [threading.Thread(target=self.run_caller, args=(n, seed * 1000 + n),
                                         daemon=True) for n in range(CALLERS)]
             for it in callers:
