Bound the number of crashes that are compared

Cause: each reported crash was compared with all of the last 3 s. At 17,000 backend servers a domain that fails makes hundreds of reports at one entry, and the cost grows with their square. Change: the latest 16 crashes are compared. Comments of CrashCorrelation and ReportSink say what suspected crashes are for. Result: tests of direct passed. Not measured at scale.

--- a/packages/direct/include/coltsfoottide/direct/crash_correlation.h
+++ b/packages/direct/include/coltsfoottide/direct/crash_correlation.h
@@ -12,14 +12,15 @@
 
 namespace coltsfoottide::direct {
 
-// Finds a route whose tasks crash backend servers, from crashes under different tasks. A task
-// that is only started again when its former run is certainly over may be too late for a second
-// start, and so crashes one backend server only. The cause crashes its backend servers at the
-// same time after each start; tasks of other routes that run there have run for any time.
+// Finds a route whose tasks crash backend servers, from crashes under different tasks.
+// CrashHistory finds a task by its second crash, but a lost task is started again only when its
+// former run is certainly over, and is then mostly too late. Causes crash their backend servers
+// at the same time after each start; tasks of other routes that run there have run for any time.
 class CrashCorrelation {
  public:
-  // Records a crash of the agent's backend server, or forgets it if it is retracted. Returns the
-  // route that explains the latest crashes, once no other one explains as many.
+  // Records a crash of the agent's backend server, also a suspected one, or forgets it if it is
+  // retracted. Returns the route that explains the latest crashes, once no other one explains as
+  // many.
   std::optional<std::string> OnCrash(const std::string& agent, const WorkerCrash& crash);
 
  private:
--- a/packages/direct/include/coltsfoottide/direct/report_sink.h
+++ b/packages/direct/include/coltsfoottide/direct/report_sink.h
@@ -17,8 +17,9 @@
   // `owner` is the entry that ordered the run.
   virtual void Report(const std::string& owner, const RunReport& report) = 0;
 
-  // The backend server has crashed while it had runs, or a presumed crash is retracted. A crash
-  // is reported before the ends of the runs, unless these have ended with their lease.
+  // The backend server has crashed while it had runs, or is suspected to, or such a report is
+  // retracted (WorkerCrash::Kind). A crash is reported before the ends of the runs, unless these
+  // have ended with their lease.
   virtual void ReportCrash(const WorkerCrash& crash) = 0;
 
   // The backend server's answers show that this report is not of its present incarnation,
--- a/packages/direct/src/crash_correlation.cc
+++ b/packages/direct/src/crash_correlation.cc
@@ -11,8 +11,10 @@
 
 namespace {
 
-// Crashes that are compared with each other.
+// Crashes that are compared with each other. Their number is bounded, as hundreds of backend
+// servers may crash at once.
 constexpr core::Duration kWindow = std::chrono::seconds(3);
+constexpr std::size_t kMaxCompared = 16;
 // Crashes that follow each other within this time, as those of a rack, count as one.
 constexpr core::Duration kSameCause = std::chrono::milliseconds(20);
 // Runs that had run for longer are not compared: a task that crashes its backend server does so
@@ -41,6 +43,7 @@
   }
   crashes_.push_back(std::move(added));
   std::erase_if(crashes_, [&](const Crash& it) { return crash.time - it.time > kWindow; });
+  if (crashes_.size() > kMaxCompared) crashes_.pop_front();
   std::optional<std::string> best;
   std::size_t most = 0;
   for (const auto& [route, times] : crashes_.back().ran_for) {
--- a/packages/direct/test/crash_correlation_test.cc
+++ b/packages/direct/test/crash_correlation_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,7 @@
   CPPUNIT_TEST(TimesThatDifferShowNothing);
   CPPUNIT_TEST(CrashesAtOneTimeCountOnce);
   CPPUNIT_TEST(OldCrashesAreNotCounted);
+  CPPUNIT_TEST(CrashesOfManyServersAreNotAllCompared);
   CPPUNIT_TEST(FurtherReportsOfACrashAreNotCounted);
   CPPUNIT_TEST(RetractedCrashIsNotCounted);
   CPPUNIT_TEST_SUITE_END();
@@ -82,6 +84,18 @@
     CPPUNIT_ASSERT(!found.OnCrash("c", MakeCrash(Ms(4000), {{"lookups", Ms(20)}})));
   }
 
+  // A data centre loses its backend servers. Guards against an entry that compares each of
+  // hundreds of crashes with all others.
+  void CrashesOfManyServersAreNotAllCompared() {
+    CrashCorrelation found;
+    CPPUNIT_ASSERT(!found.OnCrash("a", MakeCrash(Ms(0), {{"cause", Ms(20)}})));
+    CPPUNIT_ASSERT(!found.OnCrash("b", MakeCrash(Ms(300), {{"cause", Ms(20)}})));
+    for (int i = 0; i < 16; ++i) {
+      found.OnCrash("other-" + std::to_string(i), MakeCrash(Ms(400 + i), {}));
+    }
+    CPPUNIT_ASSERT(!found.OnCrash("c", MakeCrash(Ms(600), {{"cause", Ms(20)}})));
+  }
+
   // An agent reports a crash that it has suspected before, and with each hello.
   void FurtherReportsOfACrashAreNotCounted() {
     CrashCorrelation found;
