--- a/scripts/lib/relay.py
+++ b/scripts/lib/relay.py
@@ -1,8 +1,8 @@
 """A TCP relay that simulates faults of the network between two processes.
 
 It can black-hole its open connections, which then stay open and carry nothing
-while new ones work; reset them; refuse new ones as well; delay the data; hold the data back in one
-direction or both, as a network partition does; and deliver data late, after the
+while new ones work; reset them; refuse new ones as well; delay the data; hold the data back
+in one direction or both, as a network partition does; and deliver data late, after the
 client has closed the connection and opened others.
 """
 
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -5,8 +5,8 @@
 the entries directly and through load balancers. Some close their connection before they have
 an answer, and submit their job again through any entry.
 Before the random faults an entry dies, callers leave while their jobs run, callers that were
-refused come back, a data centre is evacuated, and a backend server is cut off. Then faults are injected from outside, in
-overlapping series drawn from the seed.
+refused come back, a data centre is evacuated, and a backend server is cut off. Then faults
+are injected from outside, in overlapping series drawn from the seed.
 """
 
 import argparse
