Take leases and reports of crashes out of RunExecutor

Cause: RunExecutor decided about runs, about the lease that they may have and about what entries are told of a crash; two of its functions had become longer than a screen. Change: GrantedLease holds the ends that calls may have brought; CrashReports suspects, reports and retracts. OnStartResult and OnLeaseRenewal are split. No decision changes.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -11,6 +11,8 @@
 
 #include "coltsfoottide/core/time.h"
 #include "coltsfoottide/direct/call_failure.h"
+#include "coltsfoottide/direct/crash_reports.h"
+#include "coltsfoottide/direct/granted_lease.h"
 #include "coltsfoottide/direct/lease_renewal.h"
 #include "coltsfoottide/direct/run_order.h"
 #include "coltsfoottide/direct/run_queue.h"
@@ -105,7 +107,7 @@
   // and those that ended recently.
   std::vector<RunReport> RunsFor(const std::string& owner) const;
   // Crashes of the last seconds with the runs of all owners, for the hello.
-  const std::deque<WorkerCrash>& recent_crashes() const { return crashes_; }
+  const std::deque<WorkerCrash>& recent_crashes() const { return crashes_.recent(); }
   bool HasRunsOf(const std::string& owner) const;
   // How long ago this agent sent the latest message that the owner has confirmed; nothing
   // if it has confirmed none.
@@ -148,10 +150,10 @@
     bool start_pending = false;
     // Whether copies of the start may still arrive at the backend server.
     bool MayStartLate() const { return unanswered_starts > 0 || start_pending; }
-    // The incarnation that was present when the start was last sent, and the end of the lease
-    // that came with it.
+    // The incarnation that was present when the start was last sent, and the number of that call
+    // in `lease_`.
     std::int64_t sent_to = 0;
-    core::TimePoint lease_end;
+    std::uint64_t lease_call = 0;
     // First lease renewal whose answer must list the run; earlier ones may lack
     // it.
     std::uint64_t visible_from_renewal = 0;
@@ -167,8 +169,8 @@
     core::TimePoint sent;
     // Time after which the answer counts as lost.
     core::TimePoint overdue;
-    // The lease that it asks for, if any.
-    std::optional<core::TimePoint> lease_end;
+    // Number of the call in `lease_`; 0 if it asks for no lease.
+    std::uint64_t lease_call = 0;
   };
 
   // A stop for a run that has been reported as lost while copies of its start may still be
@@ -202,19 +204,13 @@
   // has used up its limit or is unclaimed, or before the runs of an earlier agent process are
   // known.
   std::optional<core::TimePoint> LeaseEnd(core::TimePoint now) const;
-  // Notes that the runs may go on until then, by a clock that may be slow: a call with this
-  // lease may have reached the backend server.
-  void NoteLease(core::TimePoint lease_end);
-  // The latest end of a lease that a call may have brought to the backend server, or may still
-  // bring.
-  core::TimePoint LatestLeaseEnd() const;
-  // Whether the lease of all runs has certainly ended.
-  bool HasLeaseEnded(core::TimePoint now) const;
   // Whether the lease that other runs have got goes beyond the limit of the owner's runs.
   bool LeaseExceedsLimit(const std::string& owner, core::TimePoint now) const;
   void StartQueued(core::TimePoint now);
   void Start(RunQueue::Item item, core::TimePoint now);
   void SendStart(Run& run, core::TimePoint now);
+  void OnStartWithoutResources(Run& run, core::TimePoint now);
+  void OnStartRefused(Run& run, core::TimePoint now);
   void StopRun(Run& run, core::TimePoint now);
   void EndRun(const RunId& id, RunReport::Kind kind, core::TimePoint now);
   void MarkAllRunsLost(core::TimePoint now);
@@ -227,11 +223,10 @@
   void OnWorkerGone(core::TimePoint now);
   // The lease of all runs has ended.
   void OnLeaseEnded(core::TimePoint now);
-  // Reports that the incarnation has crashed or is suspected to, if it had runs.
-  void RecordCrash(std::int64_t incarnation, WorkerCrash::Kind kind, core::TimePoint now);
-  bool HasReportedCrash(std::int64_t incarnation) const;
-  // Takes back the report about an incarnation that has answered since.
-  void RetractCrash(std::int64_t incarnation);
+  // The incarnation has ended. Reports a crash, unless its end was announced.
+  void ReportEnd(std::int64_t incarnation, core::TimePoint now);
+  // Whether the backend server has announced that it leaves.
+  bool IsLeaving() const;
   // The runs on the backend server, with the times that they had run when it was last known
   // to accept calls.
   std::vector<RunAtCrash> PresentRuns(core::TimePoint now) const;
@@ -247,6 +242,12 @@
   void OnUnansweredStart(Run& run, core::TimePoint now);
   void CheckWorkerResponsive(core::TimePoint now);
   void OnWorkerIncarnation(std::int64_t incarnation, core::TimePoint now);
+  // Adds a run that an earlier agent process has started.
+  void Adopt(const RunId& id, core::TimePoint now);
+  // `adopt` is whether running ones that are not known are of an earlier agent process. Returns
+  // all listed runs.
+  std::set<RunId> ReadLists(const LeaseRenewal& lists, bool adopt, core::TimePoint now);
+  void OnRenewalFailed(CallFailure failure, core::TimePoint now);
   void OnEnded(const EndedRun& ended, core::TimePoint now);
   void OnRunning(const RunningRun& running, core::TimePoint now);
   void EndUnlistedRuns(const std::set<RunId>& listed, core::TimePoint now);
@@ -294,10 +295,7 @@
   // When this agent sent the latest message that the owner has confirmed.
   std::map<std::string, core::TimePoint> confirmed_at_;
   std::deque<FinalReport> finals_;
-  std::deque<WorkerCrash> crashes_;
-  // Runs that ended with the lease of a silent backend server. It may turn out to
-  // have crashed.
-  std::vector<RunAtCrash> lapsed_runs_;
+  CrashReports crashes_;
   std::int64_t worker_incarnation_ = 0;
   // Incarnations before the present one, whose reports may arrive late.
   std::set<std::int64_t> earlier_incarnations_;
@@ -327,10 +325,7 @@
   core::TimePoint lossy_until_;
   core::TimePoint renewal_due_;
   core::TimePoint last_answer_;
-  // The latest end of a lease that a call may have brought to the backend server, and when it has
-  // certainly passed; without calls in progress.
-  core::TimePoint lease_end_;
-  core::TimePoint lease_until_;
+  GrantedLease lease_;
   core::TimePoint no_start_before_;
   core::TimePoint begun_at_;
   bool earlier_runs_pending_ = false;
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -93,7 +93,12 @@
 }  // namespace
 
 RunExecutor::RunExecutor(const Tuning& tuning, WorkerPort& worker, ReportSink& reports)
-    : tuning_(tuning), worker_(worker), reports_(reports), queue_(tuning.overload_policy) {}
+    : tuning_(tuning),
+      worker_(worker),
+      reports_(reports),
+      queue_(tuning.overload_policy),
+      crashes_(reports),
+      lease_(MaxLease(tuning.lease) - tuning.lease) {}
 
 void RunExecutor::Begin(core::TimePoint now) {
   begun_at_ = now;
@@ -184,13 +189,9 @@
     earlier_incarnations_.erase(earlier_incarnations_.begin());
   }
   worker_gone_ = false;
-  // The raised fencing token voids earlier calls, so their lease does not hold for the new one.
-  for (auto& [number, it] : renewals_) {
-    if (it.lease_end) NoteLease(*std::exchange(it.lease_end, std::nullopt));
-  }
-  lease_end_ = {};
+  lease_.OnNextIncarnation();
   incarnation_confirmed_ = false;
-  RecordCrash(earlier, WorkerCrash::Kind::kCrashed, now);
+  ReportEnd(earlier, now);
   refusing_since_.reset();
   // First, so that the end of a run starts no queued one: the kind of the new incarnation is not
   // known before it has reported.
@@ -378,7 +379,7 @@
 bool RunExecutor::LeaseExceedsLimit(const std::string& owner, core::TimePoint now) const {
   const auto confirmed = confirmed_at_.find(owner);
   if (confirmed == confirmed_at_.end()) return true;
-  const core::TimePoint lease_end = LatestLeaseEnd();
+  const core::TimePoint lease_end = lease_.LatestEnd();
   return lease_end > now && confirmed->second + tuning_.run_limit < lease_end;
 }
 
@@ -399,8 +400,9 @@
 void RunExecutor::SendStart(Run& run, core::TimePoint now) {
   run.sent_to = worker_incarnation_;
   run.start_pending = true;
-  run.lease_end = LeaseEnd(now).value_or(now);
-  worker_.StartRun(run.order, run.lease_end, kStartTimeout);
+  const core::TimePoint lease_end = LeaseEnd(now).value_or(now);
+  run.lease_call = lease_.OnSent(lease_end);
+  worker_.StartRun(run.order, lease_end, kStartTimeout);
 }
 
 std::optional<core::TimePoint> RunExecutor::LeaseEnd(core::TimePoint now) const {
@@ -415,34 +417,16 @@
   return end;
 }
 
-void RunExecutor::NoteLease(core::TimePoint lease_end) {
-  const core::Duration clock_error = MaxLease(tuning_.lease) - tuning_.lease;
-  lease_end_ = std::max(lease_end_, lease_end);
-  lease_until_ = std::max(lease_until_, lease_end + clock_error);
-}
-
-core::TimePoint RunExecutor::LatestLeaseEnd() const {
-  core::TimePoint latest = lease_end_;
-  for (const auto& [number, it] : renewals_) {
-    latest = std::max(latest, it.lease_end.value_or(latest));
-  }
-  for (const auto& [id, run] : runs_) {
-    if (run.start_pending) latest = std::max(latest, run.lease_end);
-  }
-  return latest;
-}
-
-bool RunExecutor::HasLeaseEnded(core::TimePoint now) const {
-  const core::Duration clock_error = MaxLease(tuning_.lease) - tuning_.lease;
-  return now > std::max(lease_until_, LatestLeaseEnd() + clock_error);
-}
-
 void RunExecutor::OnStartResult(const RunId& id, StartResult result, core::TimePoint now) {
   const auto it = runs_.find(id);
   if (it == runs_.end()) return;
   Run& run = it->second;
   run.start_pending = false;
-  if (result != StartResult::kRefused) NoteLease(run.lease_end);
+  if (result == StartResult::kRefused) {
+    lease_.OnRefused(run.lease_call);
+  } else {
+    lease_.OnSettled(run.lease_call);
+  }
   switch (result) {
     case StartResult::kStarted:
       last_answer_ = now;
@@ -452,35 +436,15 @@
       return;
     case StartResult::kUnknown:
       return OnUnansweredStart(run, now);
-    case StartResult::kNoResources: {
-      // An earlier start without an answer may be what occupies the resources.
-      if (run.unanswered_starts > 0) return StopRun(run, now);
-      no_start_before_ = now + kNoResourcesDelay;
-      const bool stopping = run.state == RunState::kStopping;
-      RunQueue::Item item{run.order, run.owner, 0, 0};
-      if (stopping) return EndRun(id, RunReport::Kind::kLost, now);
-      runs_.erase(it);
-      reports_.Report(item.owner, RunReport{id, RunReport::Kind::kQueued, {}});
-      queue_.Add(std::move(item.order), std::move(item.owner));
-      return;
-    }
+    case StartResult::kNoResources:
+      return OnStartWithoutResources(run, now);
     case StartResult::kNumberUsed:
       // An earlier unanswered start may have been carried out and its run may
       // have ended; a lease renewal will then list the end.
       if (run.unanswered_starts > 0) return StopRun(run, now);
       return EndRun(id, RunReport::Kind::kNumberUsed, now);
-    case StartResult::kRefused: {
-      const bool refusing = run.sent_to == worker_incarnation_;
-      if (refusing) NoteRefusal(now);
-      // A copy of the start that got no answer may have been carried out.
-      if (run.unanswered_starts == 0) {
-        EndRun(id, RunReport::Kind::kNotRun, now);
-      } else {
-        StopRun(run, now);
-      }
-      if (refusing) OnWorkerRefusing(now);
-      return;
-    }
+    case StartResult::kRefused:
+      return OnStartRefused(run, now);
     case StartResult::kWorkerGone: {
       const bool gone = run.sent_to == worker_incarnation_;
       if (gone) worker_ready_ = false;
@@ -500,6 +464,30 @@
   }
 }
 
+void RunExecutor::OnStartWithoutResources(Run& run, core::TimePoint now) {
+  // An earlier start without an answer may be what occupies the resources.
+  if (run.unanswered_starts > 0) return StopRun(run, now);
+  no_start_before_ = now + kNoResourcesDelay;
+  const RunId id = run.order.id;
+  if (run.state == RunState::kStopping) return EndRun(id, RunReport::Kind::kLost, now);
+  RunQueue::Item item{run.order, run.owner, 0, 0};
+  runs_.erase(id);
+  reports_.Report(item.owner, RunReport{id, RunReport::Kind::kQueued, {}});
+  queue_.Add(std::move(item.order), std::move(item.owner));
+}
+
+void RunExecutor::OnStartRefused(Run& run, core::TimePoint now) {
+  const bool refusing = run.sent_to == worker_incarnation_;
+  if (refusing) NoteRefusal(now);
+  if (run.unanswered_starts == 0) {
+    EndRun(RunId(run.order.id), RunReport::Kind::kNotRun, now);
+  } else {
+    // A copy of the start may have been carried out.
+    StopRun(run, now);
+  }
+  if (refusing) OnWorkerRefusing(now);
+}
+
 void RunExecutor::OnUnansweredStart(Run& run, core::TimePoint now) {
   ++run.unanswered_starts;
   lossy_until_ = now + kLossyPeriod;
@@ -543,7 +531,7 @@
   if (it == runs_.end()) return;
   const std::string owner = it->second.owner;
   if (it->second.MayStartLate()) late_starts_[id] = now + kLateStartTime;
-  if (it->second.start_pending) NoteLease(it->second.lease_end);
+  lease_.OnSettled(it->second.lease_call);
   runs_.erase(it);
   ReportFinal(owner, RunReport{id, kind, {}}, now);
   for (auto deferred = deferred_.begin(); deferred != deferred_.end(); ++deferred) {
@@ -580,24 +568,22 @@
 
 void RunExecutor::OnWorkerRefusing(core::TimePoint now) {
   NoteRefusal(now);
-  if (!HasReportedCrash(worker_incarnation_)) {
-    RecordCrash(worker_incarnation_, WorkerCrash::Kind::kSuspected, now);
-  }
+  if (!IsLeaving()) crashes_.OnRefusal(worker_incarnation_, *refusing_since_, PresentRuns(now));
   ReportNotRun(queue_.TakeAll(), now);
 }
 
 void RunExecutor::OnLeaseEnded(core::TimePoint now) {
   if (refusing_since_) {
-    RecordCrash(worker_incarnation_, WorkerCrash::Kind::kCrashed, now);
+    ReportEnd(worker_incarnation_, now);
   } else {
-    lapsed_runs_ = PresentRuns(now);
+    crashes_.OnLapsed(PresentRuns(now));
   }
   MarkAllRunsLost(now);
 }
 
 void RunExecutor::OnWorkerGone(core::TimePoint now) {
   worker_gone_ = true;
-  RecordCrash(worker_incarnation_, WorkerCrash::Kind::kCrashed, now);
+  ReportEnd(worker_incarnation_, now);
   refusing_since_.reset();
   MarkAllRunsLost(now);
   if (!unproven_report_) return;
@@ -616,33 +602,13 @@
   return runs;
 }
 
-void RunExecutor::RecordCrash(std::int64_t incarnation, WorkerCrash::Kind kind,
-                              core::TimePoint now) {
-  std::vector<RunAtCrash> runs = PresentRuns(now);
-  runs.insert(runs.end(), lapsed_runs_.begin(), lapsed_runs_.end());
-  if (kind == WorkerCrash::Kind::kCrashed) lapsed_runs_.clear();
-  // A backend server that was about to leave has left.
-  const bool leaving = worker_shut_down_ || (worker_report_ && worker_report_->draining);
-  if (runs.empty() || leaving) return;
-  std::erase_if(crashes_,
-                [incarnation](const WorkerCrash& it) { return it.incarnation == incarnation; });
-  crashes_.push_back({incarnation, refusing_since_.value_or(now), std::move(runs), kind});
-  reports_.ReportCrash(crashes_.back());
-}
-
-bool RunExecutor::HasReportedCrash(std::int64_t incarnation) const {
-  return std::any_of(crashes_.begin(), crashes_.end(), [incarnation](const WorkerCrash& it) {
-    return it.incarnation == incarnation && it.kind != WorkerCrash::Kind::kRetracted;
-  });
+bool RunExecutor::IsLeaving() const {
+  return worker_shut_down_ || (worker_report_ && worker_report_->draining);
 }
 
-void RunExecutor::RetractCrash(std::int64_t incarnation) {
-  for (WorkerCrash& it : crashes_) {
-    if (it.incarnation != incarnation || it.kind == WorkerCrash::Kind::kRetracted) continue;
-    it.kind = WorkerCrash::Kind::kRetracted;
-    it.runs.clear();
-    reports_.ReportCrash(it);
-  }
+void RunExecutor::ReportEnd(std::int64_t incarnation, core::TimePoint now) {
+  if (IsLeaving()) return crashes_.OnPlannedEnd();
+  crashes_.OnCrash(incarnation, refusing_since_.value_or(now), PresentRuns(now));
 }
 
 void RunExecutor::AbandonIncarnation(core::TimePoint now) {
@@ -696,7 +662,8 @@
   const std::size_t most = lossy ? kMaxRenewals : 1 + kLossyConcurrentRenewals;
   const std::optional<core::TimePoint> lease_end = LeaseEnd(now);
   for (auto n = awaited; n < wanted_at_once && renewals_.size() < most; ++n) {
-    renewals_[++last_sent_renewal_] = {now, now + longest + grace, lease_end};
+    const std::uint64_t lease_call = lease_end ? lease_.OnSent(*lease_end) : 0;
+    renewals_[++last_sent_renewal_] = {now, now + longest + grace, lease_call};
     acknowledged_cursor_ = ended_cursor_;
     worker_.RenewLease(last_sent_renewal_, ended_cursor_, lease_end,
                        ends_awaited ? longest : core::Duration::zero());
@@ -706,9 +673,11 @@
 void RunExecutor::OnLeaseRenewal(std::uint64_t renewal_number,
                                  const std::optional<LeaseRenewal>& result, CallFailure failure,
                                  core::TimePoint now) {
-  const bool refused = !result && failure == CallFailure::kRefused;
-  const auto sent = renewals_.extract(renewal_number);
-  if (!sent.empty() && sent.mapped().lease_end && !refused) NoteLease(*sent.mapped().lease_end);
+  if (const auto sent = renewals_.extract(renewal_number); !sent.empty()) {
+    const bool refused = !result && failure == CallFailure::kRefused;
+    refused ? lease_.OnRefused(sent.mapped().lease_call)
+            : lease_.OnSettled(sent.mapped().lease_call);
+  }
   const bool of_incarnation = result && result->incarnation == worker_incarnation_;
   if (renewal_number < first_renewal_of_incarnation_ && !of_incarnation) return;
   // A late answer, of a busy backend server or to an agent short of CPU time, is
@@ -717,15 +686,7 @@
                          now >= renewals_.begin()->second.overdue;
   const bool unanswered = !result && failure == CallFailure::kNoAnswer;
   if (overtakes || unanswered) lossy_until_ = now + kLossyPeriod;
-  if (!result) {
-    if (unanswered) return;
-    renewal_due_ = now + kRetryDelay;
-    if (refused) return OnWorkerRefusing(now);
-    earlier_runs_pending_ = false;
-    runs_known_ = true;
-    OnWorkerGone(now);
-    return;
-  }
+  if (!result) return OnRenewalFailed(failure, now);
   last_answer_ = now;
   if (renewal_number >= first_renewal_of_incarnation_) {
     incarnation_confirmed_ = true;
@@ -737,35 +698,50 @@
   earlier_runs_pending_ = false;
   OnWorkerIncarnation(result->incarnation, now);
   refusing_since_.reset();
-  RetractCrash(result->incarnation);
+  crashes_.OnAnswer(result->incarnation);
   DecideUnprovenReport(renewal_number, now);
-  lapsed_runs_.clear();
   worker_ready_ = worker_report_ && !worker_shut_down_;
+  const std::set<RunId> listed = ReadLists(*result, first, now);
+  runs_known_ = true;
+  if (newest) EndUnlistedRuns(listed, now);
+  if (!result->ended.empty()) no_start_before_ = now;
+  StartQueued(now);
+  SendDueRenewals(now);
+}
+
+void RunExecutor::OnRenewalFailed(CallFailure failure, core::TimePoint now) {
+  if (failure == CallFailure::kNoAnswer) return;
+  renewal_due_ = now + kRetryDelay;
+  if (failure == CallFailure::kRefused) return OnWorkerRefusing(now);
+  earlier_runs_pending_ = false;
+  runs_known_ = true;
+  OnWorkerGone(now);
+}
+
+std::set<RunId> RunExecutor::ReadLists(const LeaseRenewal& lists, bool adopt, core::TimePoint now) {
   std::set<RunId> listed;
-  for (const EndedRun& it : result->ended) {
+  for (const EndedRun& it : lists.ended) {
     listed.insert(it.id.AsListed());
     OnEnded(it, now);
   }
-  for (const RunningRun& it : result->running) {
+  for (const RunningRun& it : lists.running) {
     listed.insert(it.id.AsListed());
-    if (first && FindListed(it.id) == runs_.end()) {
-      Run& run = runs_[it.id];
-      run.order.id = it.id;
-      run.state = RunState::kRunning;
-      run.confirmed = true;
-      run.need_known = false;
-      run.started_at = now;
-      run.progressed_at = now;
-      // The earlier process may have renewed the lease just before it ended.
-      NoteLease(now + tuning_.lease);
-    }
+    if (adopt && FindListed(it.id) == runs_.end()) Adopt(it.id, now);
     OnRunning(it, now);
   }
-  runs_known_ = true;
-  if (newest) EndUnlistedRuns(listed, now);
-  if (!result->ended.empty()) no_start_before_ = now;
-  StartQueued(now);
-  SendDueRenewals(now);
+  return listed;
+}
+
+void RunExecutor::Adopt(const RunId& id, core::TimePoint now) {
+  Run& run = runs_[id];
+  run.order.id = id;
+  run.state = RunState::kRunning;
+  run.confirmed = true;
+  run.need_known = false;
+  run.started_at = now;
+  run.progressed_at = now;
+  // The earlier process may have renewed the lease just before it ended.
+  lease_.OnEarlierProcess(now + tuning_.lease);
 }
 
 void RunExecutor::OnEnded(const EndedRun& ended, core::TimePoint now) {
@@ -910,8 +886,8 @@
   health_.Advance(now);
   ReportNotRun(queue_.TakeExpired(now), now);
   while (!finals_.empty() && now - finals_.front().time > kFinalRetention) finals_.pop_front();
-  while (!crashes_.empty() && now - crashes_.front().time > kCrashRetention) crashes_.pop_front();
-  if (!runs_.empty() && HasLeaseEnded(now)) OnLeaseEnded(now);
+  crashes_.Forget(now);
+  if (!runs_.empty() && lease_.HasEnded(now)) OnLeaseEnded(now);
   if (earlier_runs_pending_ && now > begun_at_ + MaxLease(tuning_.lease)) runs_known_ = true;
   CheckWorkerResponsive(now);
   SendLateStops(now);
--- a/packages/direct/test/refused_connection_test.cc
+++ b/packages/direct/test/refused_connection_test.cc
@@ -326,8 +326,8 @@
     CPPUNIT_ASSERT(reports_.crashes.back().kind == WorkerCrash::Kind::kRetracted);
   }
 
-  // Guards against a task that crashes one backend server after the other because none of them
-  // comes back to prove it.
+  // The backend servers stay away. Guards against a task that crashes one after the other because
+  // no next incarnation shows that they have ended.
   void CrashIsPresumedWhenTheLeaseHasEnded() {
     const RunId id = StartListed(0);
     RefuseAll(kStart + Ms(10), kStart + kLease);
