Hand back a deferred order only when the earlier run of its task has ended

Cause: an order for a task whose earlier run is being stopped was handed back as not run as soon as the agent drained or its data centre was evacuated. Its entry may start the task elsewhere at once, beside the earlier run, for the time of the stop. Change: such orders stay until that run has ended, and are handed back then. EvacuationTest::DeferredOrderIsHandedBack expected the order back at once; it now expects it when the run has ended, and not before, and still that it does not wait here longer.

--- a/packages/direct/include/coltsfoottide/direct/run_executor.h
+++ b/packages/direct/include/coltsfoottide/direct/run_executor.h
@@ -235,8 +235,9 @@
   void AbandonIncarnation(core::TimePoint now);
   void ReportFinal(const std::string& owner, const RunReport& report, core::TimePoint now);
   void ReportNotRun(const std::vector<RunQueue::Item>& items, core::TimePoint now);
-  // Reports all orders that have not started as not run, without those whose task may go on here.
-  void HandBackAllOrders(core::TimePoint now);
+  // Reports all queued orders as not run. Deferred ones stay until the earlier run of their task
+  // has ended: an entry would start the task elsewhere beside it.
+  void HandBackQueue(core::TimePoint now);
   void SendDueRenewals(core::TimePoint now);
   void SendLateStops(core::TimePoint now);
   void OnUnansweredStart(Run& run, core::TimePoint now);
--- a/packages/direct/src/run_executor.cc
+++ b/packages/direct/src/run_executor.cc
@@ -360,7 +360,7 @@
   // The timer that drops such orders may be late itself.
   DropOrdersOfSilentOwners(now);
   // A start that was refused for lack of resources may have returned to the queue since.
-  if (!AcceptsOrders()) return HandBackAllOrders(now);
+  if (!AcceptsOrders()) return HandBackQueue(now);
   if (earlier_runs_pending_ || now < no_start_before_) return;
   std::vector<RunQueue::Item> held;
   while (!queue_.empty()) {
@@ -868,18 +868,11 @@
   ReportNotRun(queue_.TakeAll(), now);
 }
 
-void RunExecutor::HandBackAllOrders(core::TimePoint now) {
-  ReportNotRun(queue_.TakeAll(), now);
-  // The earlier run of a deferred order's task cannot be stopped while connections are refused.
-  if (refusing_since_) return;
-  for (const DeferredOrder& it : std::exchange(deferred_, {})) {
-    ReportFinal(it.owner, RunReport{it.order.id, RunReport::Kind::kNotRun, {}}, now);
-  }
-}
+void RunExecutor::HandBackQueue(core::TimePoint now) { ReportNotRun(queue_.TakeAll(), now); }
 
 void RunExecutor::BeginDrain(core::TimePoint now) {
   draining_ = true;
-  HandBackAllOrders(now);
+  HandBackQueue(now);
 }
 
 void RunExecutor::Advance(core::TimePoint now) {
--- a/packages/direct/test/evacuation_test.cc
+++ b/packages/direct/test/evacuation_test.cc
@@ -92,15 +92,20 @@
     CPPUNIT_ASSERT(executor_->idle());
   }
 
-  // The same for an order that waits for the stop of the task's earlier run.
+  // The same for an order that waits for the stop of the task's earlier run, and against handing
+  // it back before that run has ended, which starts the task elsewhere beside it.
   void DeferredOrderIsHandedBack() {
-    StartRun(0);
+    const RunId first = StartRun(0);
     RunOrder again = SampleOrder("j", 0);
     again.id.number = 2;
     executor_->OnOrder(kOtherOwner, again, kStart + Ms(2));
     executor_->OnEvacuation({"a"}, kPosition, kStart + Ms(3));
+    executor_->Advance(kStart + Ms(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, reports_.Count(RunReport::Kind::kNotRun));
+    EndRun(1, first, kStart + Ms(40));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports_.Count(RunReport::Kind::kNotRun));
     CPPUNIT_ASSERT(reports_.reports.back().second.id == again.id);
+    CPPUNIT_ASSERT(executor_->idle());
   }
 
   // Guards against an entry with an older view that takes the evacuation back.
